--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,759 @@
+// Package policy holds every decision of the balancer; it knows no wire and does no input or output.
+//
+// Calling it: New starts a Balancer from its Deployment and a seed. The host calls Clock with the time since the
+// start, then one method for each thing that came in (ListArrived, CircuitArrived, SetUp, TryEnded and so on).
+// These only update what is known. The host then calls Next until it answers false and carries out each Decision,
+// and calls again at the latest at the time that Wake names. The plain types of this interface are in types.go.
+package policy
+
+import (
+	"math"
+	"math/bits"
+	"slices"
+	"time"
+)
+
+const (
+	versionCap   = 64                     // kept versions; beyond it the oldest is dropped
+	roundEvery   = 250 * time.Millisecond // how often moves and probes are considered
+	never        = time.Duration(1 << 62)
+	asideFails   = 2.0             // failures, less what successes took off, that set a server aside
+	asideFirst   = time.Second     // first wait before the probes of a server set aside; doubles
+	asideLongest = 8 * time.Second //
+	asidePart    = 3               // at most one in so many ready servers is set aside
+	answersBack  = 2               // answered probes in a row that bring a server back
+	noteFresh    = 2 * time.Second // a slow-message note is repeated each second while it holds
+	reportFresh  = 4 * time.Second // a load report older than this is not used
+	reportEvery  = 2 * time.Second // how often each server's load report is asked for
+	crowdedPart  = 0.45            // of the shortest message goal: a message that takes longer marks a crowd
+	crowdedAsked = 0.80            // load over capacity that marks a crowd, where reports tell it
+	jammedPart   = 0.7             // as crowdedPart, from where connections are moved away
+	jammedAsked  = 0.95            // as crowdedAsked, from where connections are moved away
+	watchBackoff = 500 * time.Millisecond
+)
+
+// version is one frozen pool: the ready servers of one list, sorted by id.
+type version struct {
+	servers []int // dense indices
+	heft    []float64
+	users   int // connections that were placed by it
+}
+
+// circuit is one circuit taken, from its arrival to its end.
+type circuit struct {
+	id       CircuitID
+	key      uint64 // the client's key
+	place    uint64 // what the ranking hashes: the group where there is one, else the client's key
+	grade    *Grade
+	tenant   int
+	until    time.Duration // the outer limit of this client's try
+	midFlow  bool
+	waiting  bool // in the queue of Next
+	out      bool // a setup try is out
+	open     bool // the connection stands
+	answered bool // the final answer is given; nothing more is sent
+	moving   bool
+	tries    int
+	tried    []int // servers already tried
+	server   int   // of the newest try, -1 before the first
+	slot     int   // place in held[server]
+	pool     *version
+	load     float64
+	sentAt   time.Duration
+	ranAt    time.Duration // when the first try that may have run was sent
+	ranOn    int           // its server, -1 while no try can have run
+}
+
+// Balancer is one balancer's knowledge and decisions.
+type Balancer struct {
+	dep     *Deployment
+	now     time.Duration
+	chance  uint64
+	away    float64       // weight of a server in another zone, the own zone's is 1
+	goal    time.Duration // the shortest message goal
+	index   map[ServerID]int
+	circuit map[CircuitID]*circuit
+	pools   []*version // oldest first; the newest places new connections
+	queue   []*circuit // circuits that wait for a decision
+	moves   []*circuit
+	probes  []int
+	roundAt time.Duration
+	total   int     // connections and setup tries held
+	usual   float64 // usual load of a connection, learned
+	rate    float64 // new connections a second, learned
+	rateAt  time.Duration
+
+	watchAt      time.Duration // when to ask for the list, never while subscribed
+	watchBackoff time.Duration
+
+	// Figures about servers, by dense index.
+	id      []ServerID
+	zone    []int
+	cell    []int
+	state   []State
+	heft    []float64
+	started []time.Duration
+	held    [][]*circuit // connections and setup tries out
+	load    []float64    // load of the connections held
+	fails   []float64
+	aside   []bool
+	span    []time.Duration // how long it is set aside before the next probe
+	probeAt []time.Duration
+	probing []bool
+	answers []int           // answered probes in a row
+	delay   []time.Duration // what a message takes, by the newest note
+	delayAt []time.Duration
+	asked   []float64 // load over capacity, by the newest report
+	askedAt []time.Duration
+	budget  []float64 // setup tries that a cold server may still be sent
+	paidAt  []time.Duration
+
+	rank  []int // scratch of order
+	score []float64
+}
+
+// New starts a balancer.
+func New(dep *Deployment, seed uint64) *Balancer {
+	b := &Balancer{
+		dep: dep, chance: seed&0xffffffff | 1<<32, index: map[ServerID]int{}, circuit: map[CircuitID]*circuit{},
+		watchAt: never, watchBackoff: watchBackoff, goal: never,
+	}
+	b.away = max(0.02, 1-12*dep.CrossingPrice)
+	for _, g := range dep.Grades {
+		if g.MessageGoal > 0 {
+			b.goal = min(b.goal, g.MessageGoal)
+		}
+	}
+	if dep.AskForList {
+		b.watchAt = 0
+	}
+	for range 4 {
+		b.random()
+	}
+	b.roundAt = time.Duration(b.random() * float64(roundEvery))
+	return b
+}
+
+// random draws from [0, 1) with a multiply-with-carry generator.
+func (b *Balancer) random() float64 {
+	b.chance = (b.chance&0xffffffff)*4294957665 + b.chance>>32
+	return float64(b.chance&0xffffffff) / (1 << 32)
+}
+
+func (b *Balancer) jitter(d time.Duration) time.Duration {
+	return time.Duration((0.5 + b.random()) * float64(d))
+}
+
+// Clock tells the time since the start.
+func (b *Balancer) Clock(now time.Duration) { b.now = max(b.now, now) }
+
+// ---- The list of servers.
+
+// ListArrived takes lines of the list; whole: servers not named are gone; cached: an old list from before the start.
+func (b *Balancer) ListArrived(lines []Listed, whole, cached bool) {
+	if b.dep.AskForList && !cached {
+		b.watchAt, b.watchBackoff = never, watchBackoff
+	}
+	named := make([]bool, len(b.id), len(b.id)+len(lines))
+	for _, l := range lines {
+		i, known := b.index[l.Server]
+		if !known {
+			i = b.newServer(l.Server)
+			named = append(named, false)
+		}
+		named[i] = true
+		if l.Started != b.started[i] {
+			b.fresh(i)
+		}
+		b.zone[i], b.cell[i], b.state[i], b.started[i] = l.Zone, l.Cell, l.State, l.Started
+		b.heft[i] = max(l.Heft, 1e-3)
+		if !(l.Heft < math.Inf(1)) {
+			b.heft[i] = 1
+		}
+	}
+	for i := range b.id {
+		if whole && !named[i] {
+			b.state[i] = Gone
+		}
+	}
+	b.freeze()
+}
+
+func (b *Balancer) newServer(id ServerID) int {
+	i := len(b.id)
+	b.index[id] = i
+	b.id = append(b.id, id)
+	b.zone, b.cell, b.state = append(b.zone, 0), append(b.cell, 0), append(b.state, Gone)
+	b.heft, b.started = append(b.heft, 1), append(b.started, LongAgo)
+	b.held, b.load = append(b.held, nil), append(b.load, 0)
+	b.fails, b.aside = append(b.fails, 0), append(b.aside, false)
+	b.span, b.probeAt = append(b.span, asideFirst), append(b.probeAt, 0)
+	b.probing, b.answers = append(b.probing, false), append(b.answers, 0)
+	b.delay, b.delayAt = append(b.delay, 0), append(b.delayAt, -never)
+	b.asked, b.askedAt = append(b.asked, 0), append(b.askedAt, -never)
+	b.budget, b.paidAt = append(b.budget, 1), append(b.paidAt, 0)
+	return i
+}
+
+// fresh forgets what was known of a server's earlier process.
+func (b *Balancer) fresh(i int) {
+	b.fails[i], b.aside[i], b.span[i] = 0, false, asideFirst
+	b.delayAt[i], b.askedAt[i] = -never, -never
+	b.budget[i], b.paidAt[i] = 1, b.now
+}
+
+// freeze makes a new version when the ready servers or their heft have changed.
+func (b *Balancer) freeze() {
+	v := &version{}
+	for i := range b.id {
+		if b.state[i] == Ready {
+			v.servers = append(v.servers, i)
+		}
+	}
+	slices.SortFunc(v.servers, func(i, j int) int {
+		if b.id[i] < b.id[j] {
+			return -1
+		}
+		return 1
+	})
+	for _, i := range v.servers {
+		v.heft = append(v.heft, b.heft[i])
+	}
+	if n := len(b.pools); n > 0 && slices.Equal(b.pools[n-1].servers, v.servers) &&
+		slices.Equal(b.pools[n-1].heft, v.heft) {
+		return
+	}
+	b.pools = append(b.pools, v)
+	b.dropPools()
+}
+
+// dropPools drops versions without connections, and the oldest beyond the cap: its connections keep their server.
+func (b *Balancer) dropPools() {
+	kept, last := b.pools[:0], len(b.pools)-1
+	excess := len(b.pools) - versionCap
+	for n, v := range b.pools {
+		if n == last || v.users > 0 && n >= excess {
+			kept = append(kept, v)
+		}
+	}
+	b.pools = kept
+}
+
+// ListFailed tells that a call for the list failed or the subscription broke; the old list still holds.
+func (b *Balancer) ListFailed() {
+	if b.dep.AskForList {
+		b.watchAt = b.now + b.jitter(b.watchBackoff)
+		b.watchBackoff = min(2*b.watchBackoff, max(watchBackoff, b.dep.AskWithin/2))
+	}
+}
+
+// ---- What comes in about circuits.
+
+func (b *Balancer) take(a Arrival) *circuit {
+	if a.Grade >= len(b.dep.Grades) {
+		a.Grade = len(b.dep.Grades) - 1
+	}
+	c := &circuit{
+		id: a.ID, key: a.Key, place: a.Group, grade: &b.dep.Grades[a.Grade], tenant: a.Tenant,
+		until: b.now + a.Left, midFlow: a.MidFlow, server: -1, ranOn: -1, load: a.Load,
+	}
+	if c.key == 0 {
+		c.key = uint64(a.ID)
+	}
+	if c.place == 0 {
+		c.place = c.key
+	}
+	if c.load <= 0 {
+		c.load = b.usual
+	}
+	b.circuit[a.ID] = c
+	return c
+}
+
+// CircuitArrived takes a circuit, which is now owed one final answer.
+func (b *Balancer) CircuitArrived(a Arrival) {
+	b.pend(b.take(a))
+	dt := (b.now - b.rateAt).Seconds()
+	b.rate, b.rateAt = b.rate*math.Exp(-dt/5)+1.0/5, b.now
+}
+
+// HandedOver takes a connection that is open already; its first try counts as made.
+func (b *Balancer) HandedOver(a Arrival, server ServerID) {
+	i, known := b.index[server]
+	if !known {
+		i = b.newServer(server)
+	}
+	c := b.take(a)
+	c.until, c.tries, c.open = never, 1, true
+	b.hold(c, i)
+}
+
+func (b *Balancer) pend(c *circuit) {
+	if !c.waiting && !c.answered {
+		c.waiting = true
+		b.queue = append(b.queue, c)
+	}
+}
+
+// hold records a circuit's server and version; release clears the record.
+func (b *Balancer) hold(c *circuit, i int) {
+	c.server, c.slot = i, len(b.held[i])
+	b.held[i] = append(b.held[i], c)
+	b.load[i] += c.load
+	b.total++
+	if n := len(b.pools); n > 0 {
+		c.pool = b.pools[n-1]
+		c.pool.users++
+	}
+}
+
+func (b *Balancer) release(c *circuit) {
+	h := b.held[c.server]
+	last := h[len(h)-1]
+	h[c.slot], last.slot = last, c.slot
+	h[len(h)-1] = nil
+	b.held[c.server] = h[:len(h)-1]
+	b.load[c.server] = max(0, b.load[c.server]-c.load)
+	b.total--
+	if c.pool != nil {
+		if c.pool.users--; c.pool.users == 0 && c.pool != b.pools[len(b.pools)-1] {
+			b.dropPools()
+		}
+		c.pool = nil
+	}
+}
+
+// SetUp tells that the connection of a setup try stands.
+func (b *Balancer) SetUp(id CircuitID, try int, took time.Duration) {
+	c := b.circuit[id]
+	if c == nil || !c.out || try != c.tries-1 {
+		return
+	}
+	c.out, c.open, c.until = false, true, never
+	b.fails[c.server] *= 0.3
+}
+
+// TryEnded tells how a setup try, or the connection it set up, ended.
+func (b *Balancer) TryEnded(id CircuitID, try int, finished bool, took time.Duration, how Outcome) {
+	c := b.circuit[id]
+	if c == nil || !(c.out || c.open) || try != c.tries-1 {
+		return
+	}
+	b.judge(c, how)
+	b.release(c)
+	wasOpen := c.open
+	c.out, c.open = false, false
+	if how != TurnedAway && how != ConnectFailed && how != NeverSent && c.ranOn < 0 {
+		c.ranOn, c.ranAt = c.server, c.sentAt
+	}
+	if finished || wasOpen || c.answered || how == Succeeded {
+		c.answered = true
+		delete(b.circuit, id)
+		return
+	}
+	b.pend(c)
+}
+
+// ClientLeft tells that nothing more is owed for a circuit.
+func (b *Balancer) ClientLeft(id CircuitID) {
+	if c := b.circuit[id]; c != nil {
+		c.answered = true
+		if !c.out && !c.open {
+			delete(b.circuit, id)
+		}
+	}
+}
+
+// LoadNoted tells the load of an open connection now.
+func (b *Balancer) LoadNoted(id CircuitID, try int, load float64) {
+	c := b.circuit[id]
+	if c == nil || !(c.out || c.open) || try != c.tries-1 || !(load >= 0 && load < math.Inf(1)) {
+		return
+	}
+	b.load[c.server] = max(0, b.load[c.server]+load-c.load)
+	c.load = load
+	if b.usual == 0 {
+		b.usual = load
+	}
+	b.usual += (load - b.usual) / 32
+}
+
+// DelayNoted tells what a message takes at a server now.
+func (b *Balancer) DelayNoted(server ServerID, delay time.Duration) {
+	if i, ok := b.index[server]; ok {
+		b.delay[i], b.delayAt[i] = delay, b.now
+	}
+}
+
+// Reported takes a load report.
+func (b *Balancer) Reported(server ServerID, r Report) {
+	if i, ok := b.index[server]; ok && (r.Asked >= 0 || r.Util >= 0) {
+		b.asked[i], b.askedAt[i] = max(r.Asked, 0), b.now
+		if r.Asked < 0 {
+			b.asked[i] = r.Util
+		}
+	}
+}
+
+// ---- Health.
+
+// judge learns from how a try ended.
+func (b *Balancer) judge(c *circuit, how Outcome) {
+	i := c.server
+	switch how {
+	case ConnectFailed:
+		b.fails[i] += 2
+	case Failed, Reset:
+		b.fails[i]++
+	case TimedOut:
+		b.fails[i] += 0.5
+	case TurnedAway: // full: the same as a crowd
+		b.delay[i], b.delayAt[i] = max(b.delay[i], b.goal), b.now
+	case Succeeded:
+		b.fails[i] *= 0.5
+	}
+	if b.fails[i] < asideFails || b.aside[i] || b.state[i] != Ready {
+		return
+	}
+	// Guards against emptying an overloaded fleet: only a part of the ready servers is ever set aside.
+	n, ready := 0, 0
+	for j := range b.id {
+		if b.state[j] == Ready {
+			ready++
+			if b.aside[j] {
+				n++
+			}
+		}
+	}
+	if n < max(1, ready/asidePart) && n+1 < ready {
+		b.aside[i], b.answers[i], b.probeAt[i] = true, 0, b.now+b.jitter(b.span[i])
+		b.span[i] = min(2*b.span[i], asideLongest)
+	}
+}
+
+// ProbeAnswered tells how a probe ended. A server set aside comes back after answered probes.
+func (b *Balancer) ProbeAnswered(server ServerID, how Outcome, took time.Duration) {
+	i, ok := b.index[server]
+	if !ok || !b.probing[i] {
+		return
+	}
+	b.probing[i] = false
+	if !b.aside[i] {
+		return
+	}
+	b.probeAt[i] = b.now + roundEvery
+	if how != Succeeded {
+		b.answers[i], b.probeAt[i] = 0, b.now+b.jitter(asideFirst)
+	} else if b.answers[i]++; b.answers[i] >= answersBack {
+		b.back(i)
+	}
+}
+
+// back takes a server in again, on probation: one failure sets it aside once more, for longer.
+func (b *Balancer) back(i int) {
+	b.aside[i], b.fails[i] = false, asideFails/2
+}
+
+// delayed is what a message takes at a server by a fresh note, else 0.
+func (b *Balancer) delayed(i int) time.Duration {
+	if b.now-b.delayAt[i] > noteFresh {
+		return 0
+	}
+	return b.delay[i]
+}
+
+// busy tells whether a server is near the edge, by notes and by reports; the parts say how near.
+func (b *Balancer) busy(i int, part, asked float64) bool {
+	return b.delayed(i) > time.Duration(part*float64(b.goal)) && b.goal < never ||
+		b.now-b.askedAt[i] <= reportFresh && b.asked[i] > asked
+}
+
+// warmth is the least part of its capacity that a server can do by its age.
+func (b *Balancer) warmth(i int) float64 {
+	age := b.now - b.started[i]
+	if b.started[i] == LongAgo || age >= b.dep.ColdFor {
+		return 1
+	}
+	return b.dep.ColdFrom + (1-b.dep.ColdFrom)*max(0, float64(age)/float64(b.dep.ColdFor))
+}
+
+// ---- The gate: the one place that each rule is kept.
+
+// mayTry tells whether a circuit's next setup try may go to server i, under all four rules.
+func (b *Balancer) mayTry(c *circuit, i int) bool {
+	if c.answered || c.out || c.open || c.until <= b.now || c.tries >= b.dep.MostTries { // no circuit is lost
+		return false
+	}
+	if c.ranOn >= 0 && c.grade.Effect != Idempotent { // no effect happens twice
+		j := c.ranOn
+		switch {
+		case c.grade.Effect == Unrepeatable, b.now >= c.ranAt+c.grade.Window,
+			c.grade.Scope == ScopeZone && b.zone[i] != b.zone[j],
+			c.grade.Scope == ScopeCell && (b.cell[i] != b.cell[j] || b.zone[i] != b.zone[j]):
+			return false
+		}
+	}
+	if b.state[i] != Ready { // drains are kept: at once, without using the grace
+		return false
+	}
+	return b.warmth(i) >= 1 || b.coldBudget(i) >= 1 // a cold server is not pushed over
+}
+
+// mayNack tells whether trying again is harmless.
+func (b *Balancer) mayNack(c *circuit) bool {
+	return c.ranOn < 0 || c.grade.Effect == Idempotent ||
+		c.grade.Effect == Deduplicated && c.grade.Scope == ScopeAll && b.now < c.ranAt+c.grade.Window
+}
+
+// coldBudget fills up with this balancer's part of what a cold server can take: the usual rate of one server,
+// cut to its warmth, and half of the multiple from which it falls over.
+func (b *Balancer) coldBudget(i int) float64 {
+	n := len(b.pools[len(b.pools)-1].servers)
+	each := max(b.rate/float64(max(n, 1)), 0.3) * b.warmth(i) * max(1, b.dep.FallMultiple/2)
+	b.budget[i] = min(2, b.budget[i]+each*(b.now-b.paidAt[i]).Seconds())
+	b.paidAt[i] = b.now
+	return b.budget[i]
+}
+
+// ---- The pick.
+
+func mix(a, z uint64) uint64 {
+	hi, lo := bits.Mul64(a^0x9e3779b97f4a7c15, z^0xd1b54a32d192ed03)
+	x := hi ^ lo
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	return x ^ x>>32
+}
+
+func unit(x uint64) float64 { return (float64(x>>11) + 0.5) / (1 << 53) }
+
+// weight of the n-th server of a version: its heft, less in another zone where crossings cost.
+func (b *Balancer) weight(v *version, n int) float64 {
+	if b.zone[v.servers[n]] != b.dep.Zone {
+		return v.heft[n] * b.away
+	}
+	return v.heft[n]
+}
+
+// order ranks a version's servers for a circuit: weighted rendezvous hashing.
+func (b *Balancer) order(c *circuit, v *version) []int {
+	b.rank, b.score = b.rank[:0], b.score[:0]
+	for n, i := range v.servers {
+		s := -b.weight(v, n) / math.Log(unit(mix(c.place, uint64(b.id[i]))))
+		at := len(b.rank)
+		b.rank, b.score = append(b.rank, i), append(b.score, s)
+		for ; at > 0 && b.score[at-1] < s; at-- {
+			b.rank[at], b.score[at] = b.rank[at-1], b.score[at-1]
+		}
+		b.rank[at], b.score[at] = i, s
+	}
+	return b.rank
+}
+
+// How far a pick goes: each step drops a reason to pass a server over.
+const (
+	byAll     = iota // every reason counts
+	byCrowd          // crowds no longer count
+	byLimit          // nor do the limit and the warm share
+	byNothing        // nor do being set aside and having been tried
+)
+
+// pick answers the first server in a circuit's order that is not passed over, or -1, and how far it went.
+func (b *Balancer) pick(c *circuit, v *version, upTo int) (int, int) {
+	rank := b.order(c, v)
+	sum := 0.0
+	for n, i := range v.servers {
+		if !b.aside[i] {
+			sum += b.weight(v, n) * b.warmth(i)
+		}
+	}
+	for step := byAll; step <= upTo; step++ {
+		for _, i := range rank {
+			if !b.passed(c, i, step, sum) && b.mayTry(c, i) {
+				return i, step
+			}
+		}
+	}
+	return -1, byNothing
+}
+
+// passed tells whether a circuit passes server i over at a step; sum is the weight of all servers.
+func (b *Balancer) passed(c *circuit, i, step int, sum float64) bool {
+	if step < byNothing && (b.aside[i] || slices.Contains(c.tried, i)) {
+		return true
+	}
+	if step < byLimit {
+		w := b.warmth(i)
+		if w < 1 && unit(mix(c.key, ^uint64(b.id[i]))) >= w {
+			return true
+		}
+		own := b.heft[i] * w
+		if b.zone[i] != b.dep.Zone {
+			own *= b.away
+		}
+		if float64(len(b.held[i])) > 2*float64(b.total)*own/max(sum, 1e-9)+2 {
+			return true
+		}
+	}
+	return step < byCrowd && b.busy(i, crowdedPart, crowdedAsked)
+}
+
+// holder guesses who holds a mid-flow arrival: the pick of the newest kept version that is not draining.
+func (b *Balancer) holder(c *circuit) int {
+	for n := len(b.pools) - 1; n >= 0; n-- {
+		for _, i := range b.order(c, b.pools[n]) {
+			w := b.warmth(i)
+			if b.aside[i] || w < 1 && unit(mix(c.key, ^uint64(b.id[i]))) >= w {
+				continue
+			}
+			if b.mayTry(c, i) {
+				return i
+			}
+			break
+		}
+	}
+	return -1
+}
+
+// ---- Decisions.
+
+// Next answers one decision; false when there is none for now.
+func (b *Balancer) Next() (Decision, bool) {
+	if b.watchAt <= b.now {
+		b.watchAt = b.now + max(b.dep.AskWithin, time.Second) // asked again if no answer comes
+		return Decision{Do: Watch}, true
+	}
+	for len(b.queue) > 0 {
+		c := b.queue[0]
+		b.queue = b.queue[1:]
+		c.waiting = false
+		if !c.answered {
+			return b.settle(c), true
+		}
+	}
+	b.queue = nil
+	if b.roundAt <= b.now {
+		b.roundAt = b.now + roundEvery
+		b.round()
+	}
+	for len(b.moves) > 0 {
+		c := b.moves[0]
+		b.moves = b.moves[1:]
+		if c.open && !c.moving {
+			c.moving = true
+			return Decision{Do: Move, Circuit: c.id}, true
+		}
+	}
+	for len(b.probes) > 0 {
+		i := b.probes[0]
+		b.probes = b.probes[1:]
+		b.probing[i] = true
+		return Decision{Do: Probe, Server: b.id[i]}, true
+	}
+	return Decision{}, false
+}
+
+// Wake answers when Next wants to be called again at the latest.
+func (b *Balancer) Wake() (time.Duration, bool) { return min(b.roundAt, b.watchAt), true }
+
+// settle decides on a circuit at once: a setup try, a nack or a break-off. None is ever held back.
+func (b *Balancer) settle(c *circuit) Decision {
+	i := -1
+	if len(b.pools) > 0 {
+		if c.midFlow && c.tries == 0 {
+			i = b.holder(c)
+		}
+		if i < 0 {
+			i, _ = b.pick(c, b.pools[len(b.pools)-1], byNothing)
+		}
+	}
+	if i < 0 {
+		c.answered = true
+		delete(b.circuit, c.id)
+		if !b.mayNack(c) {
+			return Decision{Do: BreakOff, Circuit: c.id}
+		}
+		d := Decision{Do: Nack, Circuit: c.id}
+		if b.dep.MayAdvise {
+			d.For = b.jitter(b.dep.LongestAdvice / 2)
+		}
+		return d
+	}
+	if b.warmth(i) < 1 {
+		b.budget[i]--
+	}
+	b.hold(c, i)
+	c.tries++
+	c.tried = append(c.tried, i)
+	c.out, c.sentAt = true, b.now
+	return Decision{Do: Try, Circuit: c.id, Server: b.id[i], For: b.timeOut(c)}
+}
+
+// timeOut leaves room for one more setup try while there may be one.
+func (b *Balancer) timeOut(c *circuit) time.Duration {
+	left := c.until - b.now
+	if c.tries < b.dep.MostTries && c.grade.Effect != Unrepeatable {
+		left = max(left/2, min(left, c.grade.SetupGoal))
+	}
+	return max(left, time.Microsecond)
+}
+
+// round considers moves and probes.
+func (b *Balancer) round() {
+	b.moves, b.probes = b.moves[:0], b.probes[:0]
+	for i := range b.id {
+		if b.state[i] == Gone {
+			continue
+		}
+		switch {
+		case b.state[i] == Draining: // before it stops and cuts them off
+			b.moveSome(i, len(b.held[i])/4+1)
+		case b.busy(i, jammedPart, jammedAsked):
+			b.moveSome(i, 1)
+		}
+		if b.state[i] != Ready || b.probing[i] {
+			continue
+		}
+		if b.aside[i] && b.probeAt[i] <= b.now {
+			if b.dep.MayProbe {
+				b.probes = append(b.probes, i)
+			} else {
+				b.back(i)
+			}
+		} else if b.dep.MayProbe && b.dep.ReportsOnAsk && b.probeAt[i] <= b.now {
+			b.probeAt[i] = b.now + b.jitter(reportEvery)
+			b.probes = append(b.probes, i)
+		}
+	}
+}
+
+// moveSome plans to move up to n connections away from a server: the heaviest that would now be placed elsewhere
+// without any departure.
+func (b *Balancer) moveSome(i, n int) {
+	held := b.held[i]
+	best := make([]*circuit, 0, len(held))
+	for _, c := range held {
+		if c.open && !c.moving {
+			best = append(best, c)
+		}
+	}
+	slices.SortStableFunc(best, func(x, y *circuit) int {
+		if x.load != y.load {
+			if x.load > y.load {
+				return -1
+			}
+			return 1
+		}
+		return int(x.slot) - int(y.slot)
+	})
+	for _, c := range best {
+		if n == 0 {
+			return
+		}
+		probe := circuit{key: c.key, place: c.place, grade: c.grade, until: never, ranOn: -1}
+		if j, step := b.pick(&probe, b.pools[len(b.pools)-1], byAll); j >= 0 && j != i && step == byAll {
+			b.moves = append(b.moves, c)
+			n--
+		}
+	}
+}
