--- a/policy/policy.go
+++ b/policy/policy.go
@@ -505,11 +505,13 @@
 		c.grade.Effect == Deduplicated && c.grade.Scope == ScopeAll && b.now < c.ranAt+c.grade.Window
 }
 
-// coldBudget fills up with this balancer's part of what a cold server can take: the usual rate of one server,
-// cut to its warmth, and half of the multiple from which it falls over.
+// coldBudget fills up with this balancer's part of what a cold server can take: as many connections as its servers
+// hold on the mean, over a quarter of the warm-up, cut to its warmth. It follows what is held and not what arrives:
+// in a storm of repeats arrivals grow a hundredfold, and cold servers were pushed over by their part of them.
 func (b *Balancer) coldBudget(i int) float64 {
-	n := len(b.pools[len(b.pools)-1].servers)
-	each := max(b.rate/float64(max(n, 1)), 0.3) * b.warmth(i) * max(1, b.dep.FallMultiple/2)
+	n := max(len(b.pools[len(b.pools)-1].servers), 1)
+	mean := max(1, float64(b.total)/float64(n))
+	each := b.dep.FallMultiple * b.warmth(i) * mean / max(b.dep.ColdFor/4, time.Second).Seconds()
 	b.budget[i] = min(2, b.budget[i]+each*(b.now-b.paidAt[i]).Seconds())
 	b.paidAt[i] = b.now
 	return b.budget[i]
