Nack by chance while setup tries fail more than they succeed

Cause: a shared store that fails under repeats kept itself down; each client came hundreds of times.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,6 +30,7 @@
 	jammedPart   = 0.7             // as crowdedPart, from where connections are moved away
 	jammedAsked  = 0.95            // as crowdedAsked, from where connections are moved away
 	watchBackoff = 500 * time.Millisecond
+	tallyFor     = 3 * time.Second // how long setup tries count in the tally
 )
 
 // version is one frozen pool: the ready servers of one list, sorted by id.
@@ -82,6 +83,9 @@
 	usual   float64 // usual load of a connection, learned
 	rate    float64 // new connections a second, learned
 	rateAt  time.Duration
+	good    float64 // setup tries that came to stand lately
+	bad     float64 // setup tries that failed lately, and circuits nacked for it
+	tallyAt time.Duration
 
 	watchAt      time.Duration // when to ask for the list, never while subscribed
 	watchBackoff time.Duration
@@ -331,6 +335,7 @@
 	}
 	c.out, c.open, c.until = false, true, never
 	b.fails[c.server] *= 0.3
+	b.tally(1, 0)
 }
 
 // TryEnded tells how a setup try, or the connection it set up, ended.
@@ -340,6 +345,9 @@
 		return
 	}
 	b.judge(c, how)
+	if c.out && how != Succeeded && how != Cancelled {
+		b.tally(0, 1)
+	}
 	b.release(c)
 	wasOpen := c.open
 	c.out, c.open = false, false
@@ -431,6 +439,20 @@
 	}
 }
 
+// tally counts setup tries by how they ended; older ones fade.
+func (b *Balancer) tally(good, bad float64) {
+	fade := math.Exp(-float64(b.now-b.tallyAt) / float64(tallyFor))
+	b.good, b.bad, b.tallyAt = b.good*fade+good, b.bad*fade+bad, b.now
+}
+
+// throttled tells whether a circuit is to be nacked at once, as most setup tries fail whatever server they go to.
+// Guards against a loop of retries that keeps a shared store or the whole fleet down: sent are about twice as many
+// tries as come to stand. One bad server among good ones never brings the failures over the successes.
+func (b *Balancer) throttled() bool {
+	b.tally(0, 0)
+	return b.random() < (b.bad-b.good-3)/(b.bad+b.good+1)
+}
+
 // ProbeAnswered tells how a probe ended. A server set aside comes back after answered probes.
 func (b *Balancer) ProbeAnswered(server ServerID, how Outcome, took time.Duration) {
 	i, ok := b.index[server]
@@ -661,7 +683,9 @@
 // settle decides on a circuit at once: a setup try, a nack or a break-off. None is ever held back.
 func (b *Balancer) settle(c *circuit) Decision {
 	i := -1
-	if len(b.pools) > 0 {
+	if throttled := b.throttled(); throttled && b.mayNack(c) {
+		b.tally(0, 1)
+	} else if len(b.pools) > 0 {
 		if c.midFlow && c.tries == 0 {
 			i = b.holder(c)
 		}
