--- a/policy/policy.go
+++ b/policy/policy.go
@@ -735,7 +735,7 @@
 		case b.state[i] == Draining: // before it stops and cuts them off
 			b.moveSome(i, len(b.held[i])/4+1)
 		case b.busy(i, jammedPart, jammedAsked):
-			b.moveSome(i, 1)
+			b.moveSome(i, 0)
 		}
 		if b.state[i] != Ready || b.probing[i] {
 			continue
