--- a/policy/policy.go
+++ b/policy/policy.go
@@ -588,7 +588,7 @@
 	sum := 0.0
 	for n, i := range v.servers {
 		if !b.aside[i] {
-			sum += b.weight(v, n) * b.warmth(i)
+			sum += v.heft[n] * b.warmth(i)
 		}
 	}
 	for step := byAll; step <= upTo; step++ {
@@ -611,11 +611,7 @@
 		if w < 1 && unit(mix(c.key, ^uint64(b.id[i]))) >= w {
 			return true
 		}
-		own := b.heft[i] * w
-		if b.zone[i] != b.dep.Zone {
-			own *= b.away
-		}
-		if float64(len(b.held[i])) > 2*float64(b.total)*own/max(sum, 1e-9)+2 {
+		if float64(len(b.held[i])) > 2*float64(b.total)*b.heft[i]*w/max(sum, 1e-9)+2 {
 			return true
 		}
 	}
@@ -735,7 +731,7 @@
 		case b.state[i] == Draining: // before it stops and cuts them off
 			b.moveSome(i, len(b.held[i])/4+1)
 		case b.busy(i, jammedPart, jammedAsked):
-			b.moveSome(i, 0)
+			b.moveSome(i, 1)
 		}
 		if b.state[i] != Ready || b.probing[i] {
 			continue
