--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,6 +30,7 @@
 	jammedPart   = 0.7             // as crowdedPart, from where connections are moved away
 	jammedAsked  = 0.95            // as crowdedAsked, from where connections are moved away
 	watchBackoff = 500 * time.Millisecond
+	moveEvery    = time.Second     // between moves away from one jammed server
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
 )
 
@@ -111,6 +112,7 @@
 	askedAt []time.Duration
 	budget  []float64 // setup tries that a cold server may still be sent
 	paidAt  []time.Duration
+	movedAt []time.Duration // when a move away from it was last considered
 
 	rank  []int // scratch of order
 	score []float64
@@ -196,6 +198,7 @@
 	b.delay, b.delayAt = append(b.delay, 0), append(b.delayAt, -never)
 	b.asked, b.askedAt = append(b.asked, 0), append(b.askedAt, -never)
 	b.budget, b.paidAt = append(b.budget, 1), append(b.paidAt, 0)
+	b.movedAt = append(b.movedAt, -never)
 	return i
 }
 
@@ -730,7 +733,9 @@
 		switch {
 		case b.state[i] == Draining: // before it stops and cuts them off
 			b.moveSome(i, len(b.held[i])/4+1)
-		case b.busy(i, jammedPart, jammedAsked):
+		case b.busy(i, jammedPart, jammedAsked) && b.movedAt[i]+moveEvery <= b.now:
+			// Guards against thrash: the next move waits until this one shows in the notes.
+			b.movedAt[i] = b.now
 			b.moveSome(i, 1)
 		}
 		if b.state[i] != Ready || b.probing[i] {
