--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,6 +55,7 @@
 	open     bool // the connection stands
 	answered bool // the final answer is given; nothing more is sent
 	moving   bool
+	mates    int // connections of its group at its server, when last counted
 	tries    int
 	tried    []int // servers already tried
 	server   int   // of the newest try, -1 before the first
@@ -736,7 +737,11 @@
 		case b.busy(i, jammedPart, jammedAsked) && b.movedAt[i]+moveEvery <= b.now:
 			// Guards against thrash: the next move waits until this one shows in the notes.
 			b.movedAt[i] = b.now
-			b.moveSome(i, 1)
+			n := 1
+			if b.busy(i, 2*jammedPart, 2*jammedAsked) {
+				n += len(b.held[i]) / 4
+			}
+			b.moveSome(i, n)
 		}
 		if b.state[i] != Ready || b.probing[i] {
 			continue
@@ -760,11 +765,20 @@
 	held := b.held[i]
 	best := make([]*circuit, 0, len(held))
 	for _, c := range held {
+		c.mates = 0
+		for _, d := range held {
+			if d.place == c.place {
+				c.mates++
+			}
+		}
 		if c.open && !c.moving {
 			best = append(best, c)
 		}
 	}
 	slices.SortStableFunc(best, func(x, y *circuit) int {
+		if x.mates != y.mates {
+			return x.mates - y.mates
+		}
 		if x.load != y.load {
 			if x.load > y.load {
 				return -1
