--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,6 +31,7 @@
 	jammedAsked  = 0.95            // as crowdedAsked, from where connections are moved away
 	watchBackoff = 500 * time.Millisecond
 	moveEvery    = time.Second     // between moves away from one jammed server
+	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
 )
 
@@ -81,9 +82,10 @@
 	moves   []*circuit
 	probes  []int
 	roundAt time.Duration
-	total   int     // connections and setup tries held
-	usual   float64 // usual load of a connection, learned
-	rate    float64 // new connections a second, learned
+	total   int            // connections and setup tries held
+	group   map[uint64]int // the same by group
+	usual   float64        // usual load of a connection, learned
+	rate    float64        // new connections a second, learned
 	rateAt  time.Duration
 	good    float64 // setup tries that came to stand lately
 	bad     float64 // setup tries that failed lately, and circuits nacked for it
@@ -123,6 +125,7 @@
 func New(dep *Deployment, seed uint64) *Balancer {
 	b := &Balancer{
 		dep: dep, chance: seed&0xffffffff | 1<<32, index: map[ServerID]int{}, circuit: map[CircuitID]*circuit{},
+		group:   map[uint64]int{},
 		watchAt: never, watchBackoff: watchBackoff, goal: never,
 	}
 	b.away = max(0.02, 1-12*dep.CrossingPrice)
@@ -309,6 +312,7 @@
 	b.held[i] = append(b.held[i], c)
 	b.load[i] += c.load
 	b.total++
+	b.group[c.place]++
 	if n := len(b.pools); n > 0 {
 		c.pool = b.pools[n-1]
 		c.pool.users++
@@ -323,6 +327,9 @@
 	b.held[c.server] = h[:len(h)-1]
 	b.load[c.server] = max(0, b.load[c.server]-c.load)
 	b.total--
+	if b.group[c.place]--; b.group[c.place] == 0 {
+		delete(b.group, c.place)
+	}
 	if c.pool != nil {
 		if c.pool.users--; c.pool.users == 0 && c.pool != b.pools[len(b.pools)-1] {
 			b.dropPools()
@@ -563,21 +570,48 @@
 	return v.heft[n]
 }
 
-// order ranks a version's servers for a circuit: weighted rendezvous hashing.
+// order ranks a version's servers for a circuit by weighted rendezvous hashing of its group. The first few, as many
+// as the group's share of this balancer's connections is worth, are the group's home; within it the client's key
+// ranks. A circuit without a group has a home of one.
 func (b *Balancer) order(c *circuit, v *version) []int {
 	b.rank, b.score = b.rank[:0], b.score[:0]
+	sum, top := 0.0, 0.0
 	for n, i := range v.servers {
-		s := -b.weight(v, n) / math.Log(unit(mix(c.place, uint64(b.id[i]))))
-		at := len(b.rank)
-		b.rank, b.score = append(b.rank, i), append(b.score, s)
-		for ; at > 0 && b.score[at-1] < s; at-- {
-			b.rank[at], b.score[at] = b.rank[at-1], b.score[at-1]
+		w := b.weight(v, n)
+		sum, top = sum+w, max(top, w)
+		b.insert(i, w, mix(c.place, uint64(b.id[i])))
+	}
+	home := 1
+	if c.place != c.key && b.total > 0 {
+		home = int(math.Ceil(homeSpread * float64(b.group[c.place]) / float64(b.total) * sum / max(top, 1e-9)))
+	}
+	if home = min(home, len(b.rank)); home > 1 {
+		first := slices.Clone(b.rank[:home])
+		rest := slices.Clone(b.rank[home:])
+		b.rank, b.score = b.rank[:0], b.score[:0]
+		for _, i := range first {
+			w := b.heft[i]
+			if b.zone[i] != b.dep.Zone {
+				w *= b.away
+			}
+			b.insert(i, w, mix(c.key, uint64(b.id[i])))
 		}
-		b.rank[at], b.score[at] = i, s
+		b.rank = append(b.rank, rest...)
 	}
 	return b.rank
 }
 
+// insert puts server i into the ranking, best score first.
+func (b *Balancer) insert(i int, weight float64, hash uint64) {
+	s := -weight / math.Log(unit(hash))
+	at := len(b.rank)
+	b.rank, b.score = append(b.rank, i), append(b.score, s)
+	for ; at > 0 && b.score[at-1] < s; at-- {
+		b.rank[at], b.score[at] = b.rank[at-1], b.score[at-1]
+	}
+	b.rank[at], b.score[at] = i, s
+}
+
 // How far a pick goes: each step drops a reason to pass a server over.
 const (
 	byAll     = iota // every reason counts
