--- a/policy/policy.go
+++ b/policy/policy.go
@@ -422,12 +422,17 @@
 	switch how {
 	case ConnectFailed:
 		b.fails[i] += 2
-	case Failed, Reset:
+	case Failed:
 		b.fails[i]++
+	case Reset:
+		b.fails[i]++
+		if c.open { // servers drop connections when too much is piled up
+			b.delay[i], b.delayAt[i] = max(b.delayed(i), b.goal), b.now
+		}
 	case TimedOut:
 		b.fails[i] += 0.5
 	case TurnedAway: // full: the same as a crowd
-		b.delay[i], b.delayAt[i] = max(b.delay[i], b.goal), b.now
+		b.delay[i], b.delayAt[i] = max(b.delayed(i), b.goal), b.now
 	case Succeeded:
 		b.fails[i] *= 0.5
 	}
@@ -615,7 +620,8 @@
 // How far a pick goes: each step drops a reason to pass a server over.
 const (
 	byAll     = iota // every reason counts
-	byCrowd          // crowds no longer count
+	byCrowd          // only jams count, no longer crowds
+	byJam            // jams do not count either
 	byLimit          // nor do the limit and the warm share
 	byNothing        // nor do being set aside and having been tried
 )
@@ -653,7 +659,13 @@
 			return true
 		}
 	}
-	return step < byCrowd && b.busy(i, crowdedPart, crowdedAsked)
+	switch step {
+	case byAll:
+		return b.busy(i, crowdedPart, crowdedAsked)
+	case byCrowd:
+		return b.busy(i, jammedPart, jammedAsked)
+	}
+	return false
 }
 
 // holder guesses who holds a mid-flow arrival: the pick of the newest kept version that is not draining.
