--- a/policy/policy.go
+++ b/policy/policy.go
@@ -506,6 +506,16 @@
 		b.now-b.askedAt[i] <= reportFresh && b.asked[i] > asked
 }
 
+// jammed tells whether every server that is ready and not set aside is jammed.
+func (b *Balancer) jammed() bool {
+	for _, i := range b.pools[len(b.pools)-1].servers {
+		if !b.aside[i] && !b.busy(i, jammedPart, jammedAsked) {
+			return false
+		}
+	}
+	return true
+}
+
 // warmth is the least part of its capacity that a server can do by its age.
 func (b *Balancer) warmth(i int) float64 {
 	age := b.now - b.started[i]
@@ -736,7 +746,11 @@
 			i = b.holder(c)
 		}
 		if i < 0 {
-			i, _ = b.pick(c, b.pools[len(b.pools)-1], byNothing)
+			// Guards against jams that no server comes out of: with all of them jammed a newcomer is nacked.
+			var step int
+			if i, step = b.pick(c, b.pools[len(b.pools)-1], byNothing); step >= byJam && b.mayNack(c) && b.jammed() {
+				i = -1
+			}
 		}
 	}
 	if i < 0 {
