--- a/policy/policy.go
+++ b/policy/policy.go
@@ -506,16 +506,6 @@
 		b.now-b.askedAt[i] <= reportFresh && b.asked[i] > asked
 }
 
-// jammed tells whether every server that is ready and not set aside is jammed.
-func (b *Balancer) jammed() bool {
-	for _, i := range b.pools[len(b.pools)-1].servers {
-		if !b.aside[i] && !b.busy(i, jammedPart, jammedAsked) {
-			return false
-		}
-	}
-	return true
-}
-
 // warmth is the least part of its capacity that a server can do by its age.
 func (b *Balancer) warmth(i int) float64 {
 	age := b.now - b.started[i]
@@ -629,11 +619,10 @@
 
 // How far a pick goes: each step drops a reason to pass a server over.
 const (
-	byAll     = iota // every reason counts
-	byCrowd          // only jams count, no longer crowds
-	byJam            // jams do not count either
-	byLimit          // nor do the limit and the warm share
-	byNothing        // nor do being set aside and having been tried
+	byAll   = iota // every reason counts
+	byLimit        // the limit and the warm share no longer count
+	byCrowd        // crowds no longer count, jams do
+	byAside        // nor do being set aside and having been tried: only jams count
 )
 
 // pick answers the first server in a circuit's order that is not passed over, or -1, and how far it went.
@@ -652,12 +641,12 @@
 			}
 		}
 	}
-	return -1, byNothing
+	return -1, byAside + 1
 }
 
 // passed tells whether a circuit passes server i over at a step; sum is the weight of all servers.
 func (b *Balancer) passed(c *circuit, i, step int, sum float64) bool {
-	if step < byNothing && (b.aside[i] || slices.Contains(c.tried, i)) {
+	if step < byAside && (b.aside[i] || slices.Contains(c.tried, i)) {
 		return true
 	}
 	if step < byLimit {
@@ -669,13 +658,10 @@
 			return true
 		}
 	}
-	switch step {
-	case byAll:
-		return b.busy(i, crowdedPart, crowdedAsked)
-	case byCrowd:
-		return b.busy(i, jammedPart, jammedAsked)
+	if step < byCrowd && b.busy(i, crowdedPart, crowdedAsked) {
+		return true
 	}
-	return false
+	return b.busy(i, jammedPart, jammedAsked)
 }
 
 // holder guesses who holds a mid-flow arrival: the pick of the newest kept version that is not draining.
@@ -746,11 +732,8 @@
 			i = b.holder(c)
 		}
 		if i < 0 {
-			// Guards against jams that no server comes out of: with all of them jammed a newcomer is nacked.
-			var step int
-			if i, step = b.pick(c, b.pools[len(b.pools)-1], byNothing); step >= byJam && b.mayNack(c) && b.jammed() {
-				i = -1
-			}
+			// Guards against jams that no server comes out of: a newcomer that finds only jammed servers is nacked.
+			i, _ = b.pick(c, b.pools[len(b.pools)-1], byAside)
 		}
 	}
 	if i < 0 {
