--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,6 +7,7 @@
 package policy
 
 import (
+	"cmp"
 	"math"
 	"math/bits"
 	"slices"
@@ -29,6 +30,8 @@
 	crowdedAsked = 0.80            // load over capacity that marks a crowd, where reports tell it
 	jammedPart   = 0.7             // as crowdedPart, from where connections are moved away
 	jammedAsked  = 0.95            // as crowdedAsked, from where connections are moved away
+	shedPart     = 1.0             // as crowdedPart, from where connections are ended without another place
+	shedAsked    = 1.05            // as crowdedAsked, likewise
 	watchBackoff = 500 * time.Millisecond
 	moveEvery    = time.Second     // between moves away from one jammed server
 	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
@@ -784,7 +787,9 @@
 			if b.busy(i, 2*jammedPart, 2*jammedAsked) {
 				n += len(b.held[i]) / 4
 			}
-			b.moveSome(i, n)
+			if left := b.moveSome(i, n); left > 0 && b.busy(i, shedPart, shedAsked) {
+				b.shed(i, min(left, 1+len(b.held[i])/8))
+			}
 		}
 		if b.state[i] != Ready || b.probing[i] {
 			continue
@@ -804,7 +809,7 @@
 
 // moveSome plans to move up to n connections away from a server: the heaviest that would now be placed elsewhere
 // without any departure.
-func (b *Balancer) moveSome(i, n int) {
+func (b *Balancer) moveSome(i, n int) int {
 	held := b.held[i]
 	best := make([]*circuit, 0, len(held))
 	for _, c := range held {
@@ -832,7 +837,7 @@
 	})
 	for _, c := range best {
 		if n == 0 {
-			return
+			break
 		}
 		probe := circuit{key: c.key, place: c.place, grade: c.grade, until: never, ranOn: -1}
 		if j, step := b.pick(&probe, b.pools[len(b.pools)-1], byAll); j >= 0 && j != i && step == byAll {
@@ -840,4 +845,21 @@
 			n--
 		}
 	}
+	return n
+}
+
+// shed plans to end n connections of a server from which none can be moved: those of least utility for their load.
+// They come again and are nacked while only jammed servers are left. Guards against a fleet in which all connections
+// are held and none is served.
+func (b *Balancer) shed(i, n int) {
+	var worst []*circuit
+	for _, c := range b.held[i] {
+		if c.open && !c.moving {
+			worst = append(worst, c)
+		}
+	}
+	slices.SortStableFunc(worst, func(x, y *circuit) int {
+		return cmp.Compare(x.grade.Utility*max(y.load, 1), y.grade.Utility*max(x.load, 1))
+	})
+	b.moves = append(b.moves, worst[:min(n, len(worst))]...)
 }
