--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,6 +32,8 @@
 	jammedAsked  = 0.95            // as crowdedAsked, from where connections are moved away
 	shedPart     = 1.0             // as crowdedPart, from where connections are ended without another place
 	shedAsked    = 1.05            // as crowdedAsked, likewise
+	fullAsked    = 0.9             // load over capacity up to which a reported server is filled
+	roomGrowth   = 0.03            // by which a server that is not crowded may be filled further, each round
 	watchBackoff = 500 * time.Millisecond
 	moveEvery    = time.Second     // between moves away from one jammed server
 	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
@@ -118,6 +120,7 @@
 	askedAt []time.Duration
 	budget  []float64 // setup tries that a cold server may still be sent
 	paidAt  []time.Duration
+	room    []float64       // load of own connections that it takes before it is crowded, as last seen
 	movedAt []time.Duration // when a move away from it was last considered
 
 	rank  []int // scratch of order
@@ -205,7 +208,7 @@
 	b.delay, b.delayAt = append(b.delay, 0), append(b.delayAt, -never)
 	b.asked, b.askedAt = append(b.asked, 0), append(b.askedAt, -never)
 	b.budget, b.paidAt = append(b.budget, 1), append(b.paidAt, 0)
-	b.movedAt = append(b.movedAt, -never)
+	b.movedAt, b.room = append(b.movedAt, -never), append(b.room, never.Seconds())
 	return i
 }
 
@@ -213,7 +216,7 @@
 func (b *Balancer) fresh(i int) {
 	b.fails[i], b.aside[i], b.span[i] = 0, false, asideFirst
 	b.delayAt[i], b.askedAt[i] = -never, -never
-	b.budget[i], b.paidAt[i] = 1, b.now
+	b.budget[i], b.paidAt[i], b.room[i] = 1, b.now, never.Seconds()
 }
 
 // freeze makes a new version when the ready servers or their heft have changed.
@@ -404,6 +407,11 @@
 func (b *Balancer) DelayNoted(server ServerID, delay time.Duration) {
 	if i, ok := b.index[server]; ok {
 		b.delay[i], b.delayAt[i] = delay, b.now
+		if b.busy(i, jammedPart, jammedAsked) {
+			b.room[i] = min(b.room[i], 0.9*b.load[i])
+		} else if b.busy(i, crowdedPart, crowdedAsked) {
+			b.room[i] = min(b.room[i], b.load[i])
+		}
 	}
 }
 
@@ -414,6 +422,10 @@
 		if r.Asked < 0 {
 			b.asked[i] = r.Util
 		}
+		b.room[i] = never.Seconds()
+		if b.asked[i] > crowdedAsked/2 {
+			b.room[i] = b.load[i] * fullAsked / b.asked[i]
+		}
 	}
 }
 
@@ -664,7 +676,7 @@
 	if step < byCrowd && b.busy(i, crowdedPart, crowdedAsked) {
 		return true
 	}
-	return b.busy(i, jammedPart, jammedAsked)
+	return b.busy(i, jammedPart, jammedAsked) || len(b.held[i]) > 0 && b.load[i]+c.load > b.room[i]
 }
 
 // holder guesses who holds a mid-flow arrival: the pick of the newest kept version that is not draining.
@@ -777,6 +789,9 @@
 		if b.state[i] == Gone {
 			continue
 		}
+		if !b.busy(i, crowdedPart, crowdedAsked) {
+			b.room[i] *= 1 + roomGrowth
+		}
 		switch {
 		case b.state[i] == Draining: // before it stops and cuts them off
 			b.moveSome(i, len(b.held[i])/4+1)
