Move a part of what is held, rounded by chance

Told from overload by 19 moves a client at a third of capacity. Cause: one move a second by each balancer, which each held one or two connections of a server.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,6 +34,7 @@
 	shedAsked    = 1.05            // as crowdedAsked, likewise
 	fullAsked    = 0.9             // load over capacity up to which a reported server is filled
 	roomGrowth   = 0.03            // by which a server that is not crowded may be filled further, each round
+	movePart     = 0.1             // of the connections at a jammed server, moved away at a time
 	watchBackoff = 500 * time.Millisecond
 	moveEvery    = time.Second     // between moves away from one jammed server
 	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
@@ -798,12 +799,15 @@
 		case b.busy(i, jammedPart, jammedAsked) && b.movedAt[i]+moveEvery <= b.now:
 			// Guards against thrash: the next move waits until this one shows in the notes.
 			b.movedAt[i] = b.now
-			n := 1
+			// A part of what is held, rounded by chance: with many balancers each holds little of a server, and one
+			// move by each of them would empty it.
+			part := movePart
 			if b.busy(i, 2*jammedPart, 2*jammedAsked) {
-				n += len(b.held[i]) / 4
+				part *= 3
 			}
+			n := int(part*float64(len(b.held[i])) + b.random())
 			if left := b.moveSome(i, n); left > 0 && b.busy(i, shedPart, shedAsked) {
-				b.shed(i, min(left, 1+len(b.held[i])/8))
+				b.shed(i, left)
 			}
 		}
 		if b.state[i] != Ready || b.probing[i] {
