Tried: move and shed by how far a report is over capacity

What is ended floods the servers that were just emptied, as their room was forgotten with the first low report.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -122,6 +122,7 @@
 	budget  []float64 // setup tries that a cold server may still be sent
 	paidAt  []time.Duration
 	room    []float64       // load of own connections that it takes before it is crowded, as last seen
+	movedBy []time.Duration // the time of the report that moves last answered
 	movedAt []time.Duration // when a move away from it was last considered
 
 	rank  []int // scratch of order
@@ -209,6 +210,7 @@
 	b.delay, b.delayAt = append(b.delay, 0), append(b.delayAt, -never)
 	b.asked, b.askedAt = append(b.asked, 0), append(b.askedAt, -never)
 	b.budget, b.paidAt = append(b.budget, 1), append(b.paidAt, 0)
+	b.movedBy = append(b.movedBy, -never)
 	b.movedAt, b.room = append(b.movedAt, -never), append(b.room, never.Seconds())
 	return i
 }
@@ -805,6 +807,9 @@
 			if b.busy(i, 2*jammedPart, 2*jammedAsked) {
 				part *= 3
 			}
+			if b.askedAt[i] > b.movedBy[i] && b.asked[i] > fullAsked { // each report is answered once, in full
+				part, b.movedBy[i] = min(0.5, 1-fullAsked/b.asked[i]), b.askedAt[i]
+			}
 			n := int(part*float64(len(b.held[i])) + b.random())
 			if left := b.moveSome(i, n); left > 0 && b.busy(i, shedPart, shedAsked) {
 				b.shed(i, left)
@@ -821,6 +826,9 @@
 			}
 		} else if b.dep.MayProbe && b.dep.ReportsOnAsk && b.probeAt[i] <= b.now {
 			b.probeAt[i] = b.now + b.jitter(reportEvery)
+			if b.busy(i, jammedPart, jammedAsked) {
+				b.probeAt[i] = b.now + b.jitter(reportEvery/2)
+			}
 			b.probes = append(b.probes, i)
 		}
 	}
