Keep a server's room when a low report follows a high one

Cause: servers just emptied were flooded, as the room learned was forgotten with the first low report.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -425,9 +425,10 @@
 		if r.Asked < 0 {
 			b.asked[i] = r.Util
 		}
-		b.room[i] = never.Seconds()
 		if b.asked[i] > crowdedAsked/2 {
 			b.room[i] = b.load[i] * fullAsked / b.asked[i]
+		} else {
+			b.room[i] = max(b.room[i], b.load[i]*2)
 		}
 	}
 }
