--- a/policy/policy.go
+++ b/policy/policy.go
@@ -448,8 +448,10 @@
 		if c.open { // servers drop connections when too much is piled up
 			b.delay[i], b.delayAt[i] = max(b.delayed(i), b.goal), b.now
 		}
-	case TimedOut:
+	case TimedOut: // a server that does not answer in time is taken as jammed, or all would go on waiting on it
 		b.fails[i] += 0.5
+		b.delay[i], b.delayAt[i] = max(b.delayed(i), b.goal), b.now
+		b.room[i] = min(b.room[i], 0.9*b.load[i])
 	case TurnedAway: // full: the same as a crowd
 		b.delay[i], b.delayAt[i] = max(b.delayed(i), b.goal), b.now
 	case Succeeded:
