--- /dev/null
+++ b/internal/simwire/simwire_test.go
@@ -0,0 +1,180 @@
+package simwire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/hex"
+	"strings"
+	"testing"
+	"time"
+)
+
+const bootInfo = `{"PeersTotal": 1, "Zone": 0, "RegistryMode": "pushed", "NotKnown": {"x": 1},
+ "ServiceGrades": [{"Effect": "read_like", "Group": "all", "LatencyGoalUs": 300000, "Utility": 1.0}],
+ "Guarantees": {"AnswerSlackUs": 8000, "ColdFrom": 0.16, "ColdUs": 23000000, "DrainGraceUs": 750000,
+  "FallMultiple": 3.0, "FallUs": 1500000},
+ "Limits": {"MostSetupTries": 3, "MaxRetryAfterUs": 1000000, "RetryAfter": true}}`
+
+// frame puts records of the given hex together with a tail.
+func frame(clock uint64, tail []byte, records ...string) []byte {
+	var b []byte
+	for _, r := range records {
+		rec, err := hex.DecodeString(strings.ReplaceAll(r, " ", ""))
+		if err != nil {
+			panic(err)
+		}
+		b = append(b, append(rec, make([]byte, eventSize-len(rec))...)...)
+	}
+	head := binary.LittleEndian.AppendUint64(nil, clock)
+	head = binary.LittleEndian.AppendUint32(head, uint32(headerSize+len(b)+len(tail)))
+	head = binary.LittleEndian.AppendUint32(head, uint32(len(records)))
+	return append(append(head, b...), tail...)
+}
+
+func u32(n int) string { return hex.EncodeToString(binary.LittleEndian.AppendUint32(nil, uint32(n))) }
+
+// boot opens instance 3 with a cached list of the two servers of the wire page's example.
+func boot(info string) []byte {
+	lines, err := hex.DecodeString("0a124a075b1b000000000000000000803f0000000000000000" +
+		"0a9011f2841b010000000000000000c03f20145d0000000000")
+	if err != nil {
+		panic(err)
+	}
+	return frame(1_000_000, append([]byte(info), lines...),
+		"0a 03000000 0700000000000000 00000000"+u32(len(info)),
+		"02 03000000 01 2900000000000000"+u32(len(info))+"02000000")
+}
+
+func serve(in []byte) ([]byte, error) {
+	var out bytes.Buffer
+	err := Serve(bufio.NewReader(bytes.NewReader(in)), bufio.NewWriter(&out))
+	return out.Bytes(), err
+}
+
+func TestEmptyBatchAsOnTheWirePage(t *testing.T) {
+	in, _ := hex.DecodeString("5a5c8000000000001000000000000000")
+	out, err := serve(in)
+	if got := hex.EncodeToString(out); err != nil || got != "0800000000000000" {
+		t.Fatalf("%s, %v", got, err)
+	}
+}
+
+const ingress = "0b 03000000 c4913a5d24e80400 00000000 0000 01 640ad2557c3bf091 e02e0000 107cf3d901648e2b 80a90300"
+
+func TestACircuitIsTriedOnTheWire(t *testing.T) {
+	out, err := serve(append(boot(bootInfo), frame(1_100_000, nil, ingress)...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	second := out[binary.LittleEndian.Uint32(out):]
+	rec := second[replySize : replySize+actionSize]
+	left := time.Duration(binary.LittleEndian.Uint32(rec[19:])) * time.Microsecond
+	ref := hex.EncodeToString(rec[:13])
+	server := hex.EncodeToString(rec[13:19])
+	if ref != "0003000000c4913a5d24e80400" || server != "0a124a075b1b" && server != "0a9011f2841b" ||
+		left <= 0 || left > 240*time.Millisecond {
+		t.Fatalf("%x", rec)
+	}
+	if n := int(binary.LittleEndian.Uint32(second)); n != len(second) {
+		t.Fatalf("a reply of %d bytes says %d", len(second), n)
+	}
+}
+
+func TestNewsOfEveryKindIsTaken(t *testing.T) {
+	in := append(boot(bootInfo), frame(1_100_000, nil, ingress)...)
+	in = append(in, frame(1_200_000, []byte{1, 2},
+		"08 03000000 c4913a5d24e80400 10270000 0a124a07 5b1b 00",
+		"03 03000000 c4913a5d24e80400 0a124a07 5b1b 00 01 0000c842",
+		"04 03000000 c4913a5d24e80400 0a124a07 5b1b 00 01 44480000 c800 00",
+		"05 03000000 0a124a07 5b1b c800 44480000 00",
+		"06 03000000 01000000 00000000 02000000",
+		"07 03000000 4d000000",
+		"00 03000000 192b6f0ee7500c00",
+		"09 03000000 0100000000000000 00000000 0100000000000000 0000000000000000 0a124a07 5b1b 80a90300")...)
+	in = append(in, frame(1_300_000, nil, "01 03000000")...)
+	if _, err := serve(in); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestBadFramesAreNamedAndGetNoReply(t *testing.T) {
+	whole := boot(bootInfo)
+	short := frame(1, nil, ingress)
+	binary.LittleEndian.PutUint32(short[8:], 20)
+	huge := frame(1, nil)
+	binary.LittleEndian.PutUint32(huge[8:], 0xffffffff)
+	binary.LittleEndian.PutUint32(huge[12:], 3)
+	for name, c := range map[string]struct {
+		in   []byte
+		want string
+	}{
+		"half a header":  {whole[:7], "byte 7"},
+		"half a frame":   {whole[:100], "byte 100"},
+		"wrong length":   {short, "byte 8"},
+		"huge length":    {huge, "cut short at byte 16"},
+		"unknown code":   {frame(1, nil, "3f 03000000"), "record code at byte 16"},
+		"not open":       {frame(1, nil, ingress), "instance 3, which is not open"},
+		"text outside":   {frame(1, nil, "0a 03000000 0700000000000000 04000000 ffffff7f"), "BootInfo at byte 29"},
+		"lines outside":  {append(boot(bootInfo), frame(2_000_000, nil, "02 03000000 03 2900000000000000 00000000 ffffffff")...), "Items at byte 30"},
+		"unknown result": {append(boot(bootInfo), frame(2_000_000, nil, "05 03000000 0a124a07 5b1b 0700")...), "Verdict at byte 27"},
+		"many figures":   {append(boot(bootInfo), frame(2_000_000, nil, "05 03000000 0a124a07 5b1b c800 00000000 09")...), "Usage at byte 33"},
+		"unknown mode":   {append(boot(bootInfo), frame(2_000_000, nil, "02 03000000 07")...), "Mode at byte 21"},
+	} {
+		out, err := serve(c.in)
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", name, err)
+		}
+		replies := 0
+		for rest := out; len(rest) > 0; rest = rest[binary.LittleEndian.Uint32(rest):] {
+			replies++
+		}
+		if replies > 1 {
+			t.Errorf("%s: %d replies", name, replies)
+		}
+	}
+}
+
+func TestBadSettingsAreDeclaredByKey(t *testing.T) {
+	for _, c := range [][3]string{
+		{"", "", "BootInfo"},
+		{`"read_like"`, `"sometimes"`, "ServiceGrades[0].Effect"},
+		{`"read_like", "Group": "all"`, `"idempotency_key", "Group": "street"`, "ServiceGrades[0].Group"},
+		{`"pushed"`, `"shouted"`, "RegistryMode"},
+		{`"pushed"`, `"on_request"`, "Guarantees.AskWithinUs"},
+		{`"FallUs"`, `"FellUs"`, "Guarantees.FallUs"},
+		{`"MostSetupTries"`, `"Most"`, "Limits.MostSetupTries"},
+		{`"Zone": 0`, `"Specifics": {"Mode": "odd"}, "Zone": 0`, "Specifics.Mode"},
+		{`"Zone": 0,`, ``, "Zone"},
+	} {
+		info := strings.Replace(bootInfo, c[0], c[1], 1)
+		if c[0] == "" {
+			info = "not json"
+		}
+		out, err := serve(boot(info))
+		if err != nil || len(out) < replySize+actionSize || out[replySize] != acDie ||
+			!strings.Contains(string(out[replySize+actionSize:]), c[2]) {
+			t.Errorf("%s: %q, %v", c[2], out, err)
+		}
+	}
+}
+
+// FuzzFrames feeds broken bytes: an error or a reply, never a panic.
+func FuzzFrames(f *testing.F) {
+	whole := append(boot(bootInfo), frame(1_100_000, nil, ingress)...)
+	for at := 0; at < len(whole); at += 3 {
+		b := bytes.Clone(whole)
+		b[at] ^= 0x41
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, in []byte) {
+		out, err := serve(in)
+		for len(out) > 0 {
+			n := int(binary.LittleEndian.Uint32(out))
+			if n < replySize || n > len(out) {
+				t.Fatalf("a reply of %d bytes in %d, error %v", n, len(out), err)
+			}
+			out = out[n:]
+		}
+	})
+}
--- /dev/null
+++ b/policy/fuzz_test.go
@@ -0,0 +1,171 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// watched is what the checker knows of a circuit, from the decisions and news alone.
+type watched struct {
+	grade    Grade
+	until    time.Duration
+	answers  int
+	out      bool
+	open     bool
+	tries    int
+	maybeOn  int // where a try may have run first, -1
+	maybeAt  time.Duration
+	on       int
+	sent     time.Duration
+	deadline time.Duration // of the try that is out
+}
+
+// FuzzRules plays random news to a balancer and checks the four rules after every decision.
+func FuzzRules(f *testing.F) {
+	for seed := range uint64(60) {
+		f.Add(seed)
+	}
+	f.Fuzz(rules)
+}
+
+func rules(t *testing.T, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 11))
+	d := deployment()
+	d.AskForList, d.AskWithin, d.PassThrough = r.IntN(2) == 0, 10*time.Second, r.IntN(2) == 0
+	d.MayProbe, d.MayAdvise, d.Peers = r.IntN(3) > 0, r.IntN(3) > 0, 1+r.IntN(4)
+	d.MostTries, d.CrossingPrice = 1+r.IntN(5), 0.1*r.Float64()
+	d.Grades = nil
+	for range 3 {
+		d.Grades = append(d.Grades, Grade{Effect: Effect(r.IntN(3)), Scope: Scope(r.IntN(3)), Utility: 1,
+			Window: time.Duration(r.IntN(2000)) * ms, SetupGoal: 300 * ms, MessageGoal: 100 * ms})
+	}
+	list := fleet(1 + r.IntN(8))
+	for i := range list {
+		list[i].Zone, list[i].Cell = r.IntN(2), r.IntN(3)
+	}
+	started := make([]time.Duration, len(list))
+	b := New(d, seed)
+	b.ListArrived(list, true, true)
+	circuits := map[CircuitID]*watched{}
+	var ids []CircuitID
+	sends := make([][]time.Duration, len(list)) // to servers while cold
+	for step := range 1500 {
+		b.Clock(b.now + time.Duration(r.IntN(40))*ms)
+		k := r.IntN(len(list))
+		switch r.IntN(12) {
+		case 0, 1, 2, 3:
+			id := CircuitID(1 + len(ids))
+			a := Arrival{ID: id, Key: uint64(1 + r.IntN(50)), Group: uint64(r.IntN(6)), Grade: r.IntN(3),
+				Left: time.Duration(r.IntN(2000)) * ms, MidFlow: d.PassThrough && r.IntN(5) == 0}
+			ids = append(ids, id)
+			circuits[id] = &watched{grade: d.Grades[a.Grade], until: b.now + a.Left, maybeOn: -1}
+			b.CircuitArrived(a)
+		case 4:
+			switch list[k].State = State(r.IntN(3)); {
+			case r.IntN(2) == 0:
+				list[k].Started, started[k], list[k].State = b.now, b.now, Ready
+				sends[k] = nil
+			}
+			b.ListArrived(list[k:k+1], false, false)
+		case 5:
+			b.DelayNoted(list[k].Server, time.Duration(r.IntN(200))*ms)
+			b.Reported(list[k].Server, Report{Asked: 2 * r.Float64(), Piled: -1, Util: -1})
+			b.ProbeAnswered(list[k].Server, Outcome(r.IntN(7)), ms)
+		case 6:
+			if r.IntN(2) == 0 {
+				b.ListFailed()
+			} else {
+				b.ListArrived(list, true, false)
+			}
+		}
+		for _, id := range ids[max(0, len(ids)-40):] {
+			w := circuits[id]
+			switch {
+			case w.out && (b.now >= w.deadline || r.IntN(6) == 0):
+				how := Outcome(1 + r.IntN(7))
+				if b.now >= w.deadline {
+					how = TimedOut
+				} else if r.IntN(2) == 0 {
+					w.out, w.open = false, true
+					b.SetUp(id, w.tries-1, ms)
+					b.LoadNoted(id, w.tries-1, float64(r.IntN(5000)))
+					continue
+				}
+				w.out = false
+				if how != TurnedAway && how != ConnectFailed && how != NeverSent && w.maybeOn < 0 {
+					w.maybeOn, w.maybeAt = w.on, w.sent
+				}
+				b.TryEnded(id, w.tries-1, false, b.now-w.sent, how)
+			case w.open && r.IntN(30) == 0:
+				w.open = false
+				w.answers++
+				b.TryEnded(id, w.tries-1, true, 0, Succeeded)
+			case w.out && r.IntN(60) == 0:
+				w.answers++
+				b.ClientLeft(id)
+			}
+		}
+		for _, dec := range pull(b) {
+			w := circuits[dec.Circuit]
+			switch dec.Do {
+			case Try:
+				k := int(dec.Server - 100)
+				if w.answers > 0 || w.out || w.open || w.tries >= d.MostTries || b.now >= w.until ||
+					b.now+dec.For > w.until {
+					t.Fatalf("step %d: no circuit is lost: %+v for %+v", step, dec, w)
+				}
+				checkEffect(t, list, w, k, b.now)
+				if list[k].State != Ready {
+					t.Fatalf("step %d: drains are kept: %+v", step, dec)
+				}
+				if list[k].Started != LongAgo && b.now-started[k] < d.ColdFor {
+					n := 1
+					for _, at := range sends[k] {
+						if at > b.now-d.FallSpan {
+							n++
+						}
+					}
+					sends[k] = append(sends[k], b.now)
+					mean := max(1, float64(b.total)/float64(max(1, len(b.pools[len(b.pools)-1].servers))))
+					if most := 3 + d.FallMultiple*mean*2*d.FallSpan.Seconds()/(d.ColdFor.Seconds()/4); float64(n) > most {
+						t.Fatalf("step %d: a cold server is not pushed over: %d tries in a span, %v at most", step, n, most)
+					}
+				}
+				w.out, w.on, w.sent, w.deadline = true, k, b.now, b.now+dec.For
+				w.tries++
+			case Nack, BreakOff:
+				w.answers++
+				if w.answers > 1 || w.out || w.open {
+					t.Fatalf("step %d: one final answer: %+v for %+v", step, dec, w)
+				}
+				harmless := w.maybeOn < 0 || w.grade.Effect == Idempotent || w.grade.Effect == Deduplicated &&
+					w.grade.Scope == ScopeAll && b.now < w.maybeAt+w.grade.Window
+				if dec.Do == Nack && !harmless {
+					t.Fatalf("step %d: no effect happens twice: nacked %+v", step, w)
+				}
+			case Move:
+				if !w.open {
+					t.Fatalf("step %d: moved %+v", step, w)
+				}
+			}
+		}
+		for id, w := range circuits {
+			if w.answers == 0 && !w.out && !w.open {
+				t.Fatalf("step %d: circuit %d is held back", step, id)
+			}
+		}
+	}
+}
+
+func checkEffect(t *testing.T, list []Listed, w *watched, k int, now time.Duration) {
+	t.Helper()
+	if w.maybeOn < 0 || w.grade.Effect == Idempotent {
+		return
+	}
+	was, is := list[w.maybeOn], list[k]
+	inside := w.grade.Scope == ScopeAll || is.Zone == was.Zone && (w.grade.Scope == ScopeZone || is.Cell == was.Cell)
+	if w.grade.Effect == Unrepeatable || !inside || now >= w.maybeAt+w.grade.Window {
+		t.Fatalf("no effect happens twice: sent again %+v", w)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -441,8 +441,10 @@
 	switch how {
 	case ConnectFailed:
 		b.fails[i] += 2
-	case Failed, TimedOut:
+	case Failed:
 		b.fails[i]++
+	case TimedOut:
+		b.fails[i] += 0.5
 	case Reset:
 		b.fails[i]++
 		if c.open { // servers drop connections when too much is piled up
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,401 @@
+package policy
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+func TestBalancersAgreeOnAKey(t *testing.T) {
+	list := fleet(9)
+	back := slices.Clone(list)
+	slices.Reverse(back)
+	b, c := started(deployment(), list), started(deployment(), back)
+	used := map[ServerID]bool{}
+	for k := CircuitID(1); k <= 40; k++ {
+		x, y := arrive(t, b, Arrival{ID: k, Key: uint64(k)}), arrive(t, c, Arrival{ID: k, Key: uint64(k)})
+		if x.Server != y.Server {
+			t.Fatalf("key %d: %d and %d", k, x.Server, y.Server)
+		}
+		used[x.Server] = true
+		end(t, b, k, 0, TurnedAway)
+		b.Clock(b.now + 3*time.Second)
+		end(t, c, k, 0, TurnedAway)
+		c.Clock(c.now + 3*time.Second)
+	}
+	if len(used) < 6 {
+		t.Fatalf("only %d servers used", len(used))
+	}
+}
+
+func TestVersionsAreFrozenCountedAndCapped(t *testing.T) {
+	b := started(deployment(), fleet(3))
+	connect(t, b, 1, 1)
+	first := b.pools[0]
+	for n := 4; n < 4+2*versionCap; n++ {
+		b.ListArrived(fleet(n), true, false)
+		connect(t, b, CircuitID(n), 1)
+		if n == 5 && (b.pools[0] != first || len(first.servers) != 3) {
+			t.Fatal("a version in use was changed or dropped")
+		}
+	}
+	if len(b.pools) != versionCap || b.pools[0] == first {
+		t.Fatalf("%d versions kept", len(b.pools))
+	}
+	if c := b.circuit[1]; !c.open || c.server < 0 {
+		t.Fatal("a connection of a dropped version lost its server")
+	}
+	for id := range b.circuit {
+		b.TryEnded(id, 0, true, 0, Succeeded)
+	}
+	if len(b.pools) != 1 || b.total != 0 || len(b.group) != 0 {
+		t.Fatalf("%d versions, %d connections left", len(b.pools), b.total)
+	}
+}
+
+func TestPassOverAtTwiceTheMeanPlusTwo(t *testing.T) {
+	b := started(deployment(), fleet(4))
+	held := map[ServerID]int{}
+	for id := CircuitID(1); id <= 40; id++ { // one key: one server, but for the pass-over
+		d := arrive(t, b, Arrival{ID: id, Key: 5})
+		if most := 2*float64(b.total-1)/4 + 3; float64(held[d.Server]+1) > most {
+			t.Fatalf("server %d holds %d of %d", d.Server, held[d.Server]+1, b.total)
+		}
+		held[d.Server]++
+		b.SetUp(id, 0, ms)
+	}
+	if len(held) < 2 {
+		t.Fatal("nothing was passed over")
+	}
+}
+
+func TestBigGroupsSpreadAndSmallOnesStayTogether(t *testing.T) {
+	place := func(groups uint64) int {
+		b, on := started(deployment(), fleet(10)), map[ServerID]bool{}
+		for id := CircuitID(1); id <= 120; id++ {
+			d := arrive(t, b, Arrival{ID: id, Key: uint64(id), Group: 1000 + uint64(id)%groups})
+			b.SetUp(id, 0, ms)
+			if uint64(id)%groups == 0 {
+				on[d.Server] = true
+			}
+		}
+		return len(on)
+	}
+	if big, small := place(2), place(30); big < 5 || small > 2 {
+		t.Fatalf("a group of half the connections lies on %d servers, one of a thirtieth on %d", big, small)
+	}
+}
+
+func TestOwnZoneFirstWhereCrossingsCost(t *testing.T) {
+	d := deployment()
+	d.CrossingPrice = 0.1
+	list := fleet(8)
+	for i := range list {
+		list[i].Zone = i % 2
+	}
+	b, own := started(d, list), 0
+	for s, n := range connect(t, b, 1, 40) {
+		if s%2 == 0 {
+			own += n
+		}
+	}
+	if own < 35 {
+		t.Fatalf("%d of 40 in the own zone", own)
+	}
+}
+
+func TestDrainingServerIsLeftAtOnceAndEmptied(t *testing.T) {
+	b := started(deployment(), fleet(3))
+	held := connect(t, b, 1, 30)
+	list := fleet(3)
+	list[0].State = Draining
+	b.ListArrived(list[:1], false, false)
+	for id := CircuitID(100); id < 130; id++ {
+		if d := arrive(t, b, Arrival{ID: id, Key: uint64(id)}); d.Server == 100 {
+			t.Fatal("a try went to a draining server")
+		}
+	}
+	moved := 0
+	for range 40 {
+		b.Clock(b.now + roundEvery)
+		moved += count(pull(b), Move)
+	}
+	if moved < held[100] {
+		t.Fatalf("%d of %d moved", moved, held[100])
+	}
+}
+
+func TestMidFlowArrivalFindsItsHolder(t *testing.T) {
+	d := deployment()
+	d.PassThrough = true
+	b, c := started(d, fleet(8)), started(d, fleet(8))
+	same := 0
+	for id := CircuitID(1); id <= 40; id++ {
+		x := arrive(t, b, Arrival{ID: id, Key: uint64(id)})
+		if y := arrive(t, c, Arrival{ID: id, Key: uint64(id), MidFlow: true}); x.Server == y.Server {
+			same++
+		}
+	}
+	if same < 36 {
+		t.Fatalf("%d of 40 found", same)
+	}
+}
+
+func TestOneBadServerIsSetAsideAndComesBackAfterProbes(t *testing.T) {
+	b := started(deployment(), fleet(6))
+	nacks := 0
+	for id := CircuitID(1); id <= 60; id++ {
+		d := arrive(t, b, Arrival{ID: id, Key: uint64(id)})
+		for try := 0; d.Do == Try; try++ {
+			if d.Server != 103 {
+				b.SetUp(id, try, ms)
+				break
+			}
+			d = end(t, b, id, try, Failed)
+		}
+		nacks += count([]Decision{d}, Nack)
+	}
+	if !b.aside[3] || nacks > 0 {
+		t.Fatalf("aside %v, %d nacks", b.aside[3], nacks)
+	}
+	probes := 0
+	for b.aside[3] && b.now < 20*time.Second {
+		b.Clock(b.now + roundEvery)
+		for _, d := range pull(b) {
+			if d.Do == Probe {
+				probes++
+				b.ProbeAnswered(d.Server, Succeeded, ms)
+			}
+		}
+	}
+	if b.aside[3] || probes != answersBack {
+		t.Fatalf("aside %v after %d probes", b.aside[3], probes)
+	}
+}
+
+func TestSharedFailureThrottlesAndEmptiesNoPool(t *testing.T) {
+	b := started(deployment(), fleet(9))
+	tries := 0
+	for id := CircuitID(1); id <= 1000; id++ {
+		b.Clock(b.now + ms)
+		d := arrive(t, b, Arrival{ID: id, Key: uint64(id)})
+		for try := 0; d.Do == Try; try++ {
+			tries++
+			d = end(t, b, id, try, Failed)
+		}
+		if d.Do != Nack || d.For <= 0 || d.For > time.Second {
+			t.Fatalf("no nack with advice: %+v", d)
+		}
+	}
+	aside := 0
+	for _, a := range b.aside {
+		if a {
+			aside++
+		}
+	}
+	if tries > 150 || aside > 3 {
+		t.Fatalf("%d tries for 1000 circuits, %d of 9 servers set aside", tries, aside)
+	}
+	for id := CircuitID(2001); b.now < 30*time.Second; id++ { // and it ends when the failure does
+		b.Clock(b.now + 100*ms)
+		if d := arrive(t, b, Arrival{ID: id, Key: uint64(id)}); d.Do == Try {
+			b.SetUp(id, 0, ms)
+		} else if b.now > 25*time.Second {
+			t.Fatal("still nacking long after the failure")
+		}
+	}
+}
+
+func TestJammedServerGetsNoNewcomersAndLosesFew(t *testing.T) {
+	b := started(deployment(), fleet(5))
+	held := connect(t, b, 1, 50)
+	moves := 0
+	for s := range 8 {
+		b.Clock(time.Duration(s) * time.Second)
+		b.DelayNoted(102, 90*ms)
+		for _, d := range pull(b) {
+			if d.Do == Move {
+				moves++
+				b.TryEnded(d.Circuit, 0, true, 0, Cancelled)
+			}
+		}
+		if d := arrive(t, b, Arrival{ID: CircuitID(100 + s), Key: uint64(s)}); d.Server == 102 {
+			t.Fatal("a newcomer went to a jammed server")
+		}
+	}
+	if moves == 0 || moves > held[102] {
+		t.Fatalf("%d of %d moved", moves, held[102])
+	}
+}
+
+func TestManyBalancersDoNotEmptyAJammedServer(t *testing.T) {
+	moves := 0
+	for seed := range uint64(200) { // each of them holds one or two of its connections
+		b := New(deployment(), seed*7919)
+		b.ListArrived(fleet(5), true, true)
+		connect(t, b, 1, 8)
+		b.Clock(time.Second)
+		b.DelayNoted(102, 65*ms+15*ms)
+		moves += count(pull(b), Move)
+	}
+	if moves == 0 || moves > 100 {
+		t.Fatalf("%d moves by 200 balancers", moves)
+	}
+}
+
+func TestRoomIsKeptWhenALowReportFollows(t *testing.T) {
+	b := started(deployment(), fleet(2))
+	connect(t, b, 1, 20)
+	b.Reported(100, Report{Asked: 2, Piled: -1, Util: -1})
+	full := b.room[0]
+	if full >= b.load[0] {
+		t.Fatalf("room %v for a load of %v at twice the capacity", full, b.load[0])
+	}
+	for id := CircuitID(1); id <= 20; id++ {
+		if c := b.circuit[id]; c.server == 0 {
+			b.TryEnded(id, 0, true, 0, Reset)
+		}
+	}
+	b.Reported(100, Report{Asked: 0.1, Piled: -1, Util: -1})
+	if b.room[0] > full {
+		t.Fatalf("room grew from %v to %v on an empty server", full, b.room[0])
+	}
+}
+
+func TestAllJammedNacksAtOnce(t *testing.T) {
+	b := started(deployment(), fleet(3))
+	for s := range ServerID(3) {
+		b.DelayNoted(100+s, 500*ms)
+	}
+	if d := arrive(t, b, Arrival{ID: 1, Key: 1}); d.Do != Nack || d.For <= 0 {
+		t.Fatalf("%+v", d)
+	}
+	b.Clock(noteFresh + time.Second) // notes that no longer come hold nothing closed
+	if d := arrive(t, b, Arrival{ID: 2, Key: 1}); d.Do != Try {
+		t.Fatalf("%+v", d)
+	}
+}
+
+func TestColdServersKeepTheirBudgetInAStorm(t *testing.T) {
+	list := fleet(4)
+	for i := range list {
+		list[i].Started = 0
+	}
+	b := started(deployment(), list)
+	b.Clock(time.Second)
+	tries := 0
+	for id := CircuitID(1); id <= 2000; id++ {
+		b.Clock(b.now + ms)
+		d := arrive(t, b, Arrival{ID: id, Key: uint64(id)})
+		tries += count([]Decision{d}, Try)
+		if d.Do == Try {
+			b.SetUp(id, 0, ms)
+			b.TryEnded(id, 0, true, 0, Reset)
+		}
+	}
+	if tries == 0 || tries > 40 {
+		t.Fatalf("%d tries at four cold servers in two seconds", tries)
+	}
+}
+
+func TestEffects(t *testing.T) {
+	zoned := fleet(4)
+	for i := range zoned {
+		zoned[i].Zone, zoned[i].Cell = i%2, i
+	}
+	for _, c := range []struct {
+		effect Effect
+		scope  Scope
+		first  Outcome
+		wait   time.Duration
+		want   Verb
+	}{
+		{Idempotent, ScopeAll, TimedOut, 0, Try},
+		{Unrepeatable, ScopeAll, TimedOut, 0, BreakOff},
+		{Unrepeatable, ScopeAll, Reset, 0, BreakOff},
+		{Unrepeatable, ScopeAll, ConnectFailed, 0, Try},
+		{Deduplicated, ScopeAll, Failed, 0, Try},
+		{Deduplicated, ScopeAll, Failed, 6 * time.Second, BreakOff},
+		{Deduplicated, ScopeZone, Failed, 0, Try},
+		{Deduplicated, ScopeCell, Failed, 0, Try},
+		{Deduplicated, ScopeCell, TurnedAway, 0, Try},
+	} {
+		d := deployment()
+		d.Grades[0].Effect, d.Grades[0].Scope = c.effect, c.scope
+		b := started(d, zoned)
+		first := arrive(t, b, Arrival{ID: 1, Key: 1, Left: 20 * time.Second})
+		b.Clock(c.wait)
+		then := end(t, b, 1, 0, c.first)
+		near := c.scope == ScopeAll || c.first == TurnedAway ||
+			c.scope == ScopeZone && then.Server%2 == first.Server%2 || then.Server == first.Server
+		if then.Do != c.want || then.Do == Try && !near {
+			t.Errorf("%+v: %+v after %+v", c, then, first)
+		}
+	}
+}
+
+func TestTimeOutsLeaveRoomForOneMore(t *testing.T) {
+	b := started(deployment(), fleet(3))
+	if d := arrive(t, b, Arrival{ID: 1, Key: 1, Left: 2 * time.Second}); d.For != time.Second {
+		t.Fatalf("%v of 2 s", d.For)
+	}
+	b.Clock(2 * time.Second) // the outer limit: answered at once, whatever is left of tries
+	if d := end(t, b, 1, 0, TimedOut); d.Do != Nack {
+		t.Fatalf("%+v", d)
+	}
+}
+
+func TestNoReadyServer(t *testing.T) {
+	for _, list := range [][]Listed{nil, {{Server: 1, State: Draining}, {Server: 2, State: Gone}}} {
+		if d := arrive(t, started(deployment(), list), Arrival{ID: 1, Key: 1}); d.Do != Nack || d.For <= 0 {
+			t.Fatalf("%+v", d)
+		}
+	}
+}
+
+func TestListIsAskedForAgainWithBackoff(t *testing.T) {
+	d := deployment()
+	d.AskForList, d.AskWithin = true, 10*time.Second
+	b := started(d, fleet(2))
+	asks := count(pull(b), Watch)
+	if asks != 1 {
+		t.Fatalf("%d calls at the start", asks)
+	}
+	for b.now < 20*time.Second {
+		b.ListFailed()
+		for {
+			at, _ := b.Wake()
+			b.Clock(at)
+			if n := count(pull(b), Watch); n > 0 {
+				asks += n
+				break
+			}
+		}
+	}
+	if asks < 5 || asks > 15 {
+		t.Fatalf("%d calls in 20 s without an answer", asks)
+	}
+	b.ListArrived(fleet(2), true, false)
+	if at, _ := b.Wake(); at > b.now+roundEvery || b.watchAt != never {
+		t.Fatal("asked again while subscribed")
+	}
+}
+
+func TestHandedOverAndLateNews(t *testing.T) {
+	b := started(deployment(), fleet(2))
+	b.HandedOver(Arrival{ID: 9, Key: 9}, 101)
+	if b.total != 1 || len(b.held[1]) != 1 || len(pull(b)) != 0 {
+		t.Fatal("an open connection was not taken over as it is")
+	}
+	b.TryEnded(9, 0, true, 0, Succeeded)
+	b.TryEnded(9, 0, true, 0, Succeeded)
+	b.SetUp(9, 0, ms)
+	b.LoadNoted(9, 0, 5)
+	b.ClientLeft(9)
+	b.ProbeAnswered(555, Succeeded, ms)
+	b.DelayNoted(555, ms)
+	b.Reported(555, Report{Asked: 1})
+	if b.total != 0 || len(b.circuit) != 0 || count(pull(b), Try) != 0 {
+		t.Fatal("late news had an effect")
+	}
+}
