--- a/policy/policy.go
+++ b/policy/policy.go
@@ -88,6 +88,7 @@
 	moves   []*circuit
 	probes  []int
 	roundAt time.Duration
+	trying  int            // setup tries out
 	total   int            // connections and setup tries held
 	group   map[uint64]int // the same by group
 	usual   float64        // usual load of a connection, learned
@@ -354,6 +355,7 @@
 		return
 	}
 	c.out, c.open, c.until = false, true, never
+	b.trying--
 	b.fails[c.server] *= 0.3
 	b.tally(1, 0)
 }
@@ -365,6 +367,9 @@
 		return
 	}
 	b.judge(c, how)
+	if c.out {
+		b.trying--
+	}
 	if c.out && how != Succeeded && how != Cancelled {
 		b.tally(0, 1)
 	}
@@ -483,9 +488,10 @@
 // throttled tells whether a circuit is to be nacked at once, as most setup tries fail whatever server they go to.
 // Guards against a loop of retries that keeps a shared store or the whole fleet down: sent are about twice as many
 // tries as come to stand. One bad server among good ones never brings the failures over the successes.
-func (b *Balancer) throttled() bool {
+func (b *Balancer) throttled(goal time.Duration) bool {
 	b.tally(0, 0)
-	return b.random() < (b.bad-b.good-3)/(b.bad+b.good+1)
+	most := 2 + 6*(b.good+1)/(b.good+b.bad+1) + 2*b.good*goal.Seconds()/tallyFor.Seconds()
+	return float64(b.trying) >= most && b.bad > 1 || b.random() < (b.bad-b.good-3)/(b.bad+b.good+1)
 }
 
 // ProbeAnswered tells how a probe ended. A server set aside comes back after answered probes.
@@ -744,7 +750,7 @@
 // settle decides on a circuit at once: a setup try, a nack or a break-off. None is ever held back.
 func (b *Balancer) settle(c *circuit) Decision {
 	i := -1
-	if throttled := b.throttled(); throttled && b.mayNack(c) {
+	if throttled := b.throttled(c.grade.SetupGoal); throttled && b.mayNack(c) {
 		b.tally(0, 1)
 	} else if len(b.pools) > 0 {
 		if c.midFlow && c.tries == 0 {
@@ -774,6 +780,7 @@
 	c.tries++
 	c.tried = append(c.tried, i)
 	c.out, c.sentAt = true, b.now
+	b.trying++
 	return Decision{Do: Try, Circuit: c.id, Server: b.id[i], For: b.timeOut(c)}
 }
 
