While setup tries mostly fail, move nobody and let a try wait out its time

Cause: in a release with a slow store, every connection moved off a draining server joined the store's queue, and tries cut at half their time had paid for a place in it in vain.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -494,6 +494,9 @@
 	return float64(b.trying) >= most && b.bad > 1 || b.random() < (b.bad-b.good-3)/(b.bad+b.good+1)
 }
 
+// ailing tells whether setup tries fail so often that another server is no remedy.
+func (b *Balancer) ailing() bool { return 2*b.bad > b.good+4 }
+
 // ProbeAnswered tells how a probe ended. A server set aside comes back after answered probes.
 func (b *Balancer) ProbeAnswered(server ServerID, how Outcome, took time.Duration) {
 	i, ok := b.index[server]
@@ -787,7 +790,7 @@
 // timeOut leaves room for one more setup try while there may be one.
 func (b *Balancer) timeOut(c *circuit) time.Duration {
 	left := c.until - b.now
-	if c.tries < b.dep.MostTries && c.grade.Effect != Unrepeatable {
+	if c.tries < b.dep.MostTries && c.grade.Effect != Unrepeatable && !b.ailing() {
 		left = max(left/2, min(left, c.grade.SetupGoal))
 	}
 	return max(left, time.Microsecond)
@@ -803,7 +806,9 @@
 		if !b.busy(i, crowdedPart, crowdedAsked) {
 			b.room[i] *= 1 + roomGrowth
 		}
+		b.tally(0, 0)
 		switch {
+		case b.ailing(): // whoever is moved now may not come to stand again
 		case b.state[i] == Draining: // before it stops and cuts them off
 			b.moveSome(i, len(b.held[i])/4+1)
 		case b.busy(i, jammedPart, jammedAsked) && b.movedAt[i]+moveEvery <= b.now:
