--- a/policy/policy.go
+++ b/policy/policy.go
@@ -603,6 +603,13 @@
 	return v.heft[n]
 }
 
+func (b *Balancer) share(i int) float64 {
+	if b.zone[i] != b.dep.Zone {
+		return b.heft[i] * b.away
+	}
+	return b.heft[i]
+}
+
 // order ranks a version's servers for a circuit by weighted rendezvous hashing of its group. The first few, as many
 // as the group's share of this balancer's connections is worth, are the group's home; within it the client's key
 // ranks. A circuit without a group has a home of one.
@@ -659,7 +666,7 @@
 	sum := 0.0
 	for n, i := range v.servers {
 		if !b.aside[i] {
-			sum += v.heft[n] * b.warmth(i)
+			sum += b.weight(v, n) * b.warmth(i)
 		}
 	}
 	for step := byAll; step <= upTo; step++ {
@@ -682,7 +689,7 @@
 		if w < 1 && unit(mix(c.key, ^uint64(b.id[i]))) >= w {
 			return true
 		}
-		if float64(len(b.held[i])) > 2*float64(b.total)*b.heft[i]*w/max(sum, 1e-9)+2 {
+		if float64(len(b.held[i])) > 2*float64(b.total)*b.share(i)*w/max(sum, 1e-9)+2 {
 			return true
 		}
 	}
