Servers of other zones count for a quarter at least in the limit

Cause: with the ranking's weight in the limit a full own zone does not spill, with none of it keys cross zones for no need.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,6 +37,7 @@
 	movePart     = 0.1             // of the connections at a jammed server, moved away at a time
 	watchBackoff = 500 * time.Millisecond
 	moveEvery    = time.Second     // between moves away from one jammed server
+	spill        = 0.25            // least share of a server in another zone in the limit
 	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
 )
@@ -603,9 +604,11 @@
 	return v.heft[n]
 }
 
+// share of the connections that a server counts for in the limit: with less regard to zones than its weight in the
+// ranking, so that a full own zone spills over.
 func (b *Balancer) share(i int) float64 {
 	if b.zone[i] != b.dep.Zone {
-		return b.heft[i] * b.away
+		return b.heft[i] * max(b.away, spill)
 	}
 	return b.heft[i]
 }
@@ -664,9 +667,9 @@
 func (b *Balancer) pick(c *circuit, v *version, upTo int) (int, int) {
 	rank := b.order(c, v)
 	sum := 0.0
-	for n, i := range v.servers {
+	for _, i := range v.servers {
 		if !b.aside[i] {
-			sum += b.weight(v, n) * b.warmth(i)
+			sum += b.share(i) * b.warmth(i)
 		}
 	}
 	for step := byAll; step <= upTo; step++ {
