--- a/policy/policy.go
+++ b/policy/policy.go
@@ -138,7 +138,7 @@
 		group:   map[uint64]int{},
 		watchAt: never, watchBackoff: watchBackoff, goal: never,
 	}
-	b.away = max(0.02, 1-12*dep.CrossingPrice)
+	b.away = max(0.02, min(1, 1.25-12*dep.CrossingPrice))
 	for _, g := range dep.Grades {
 		if g.MessageGoal > 0 {
 			b.goal = min(b.goal, g.MessageGoal)
