--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,7 +33,7 @@
 	shedPart     = 1.0             // as crowdedPart, from where connections are ended without another place
 	shedAsked    = 1.05            // as crowdedAsked, likewise
 	fullAsked    = 0.9             // load over capacity up to which a reported server is filled
-	roomGrowth   = 0.03            // by which a server that is not crowded may be filled further, each round
+	roomGrowth   = 0.015           // by which a server that is not crowded may be filled further, each round
 	movePart     = 0.1             // of the connections at a jammed server, moved away at a time
 	watchBackoff = 500 * time.Millisecond
 	moveEvery    = time.Second     // between moves away from one jammed server
@@ -138,7 +138,7 @@
 		group:   map[uint64]int{},
 		watchAt: never, watchBackoff: watchBackoff, goal: never,
 	}
-	b.away = max(0.02, min(1, 1.25-12*dep.CrossingPrice))
+	b.away = max(0.02, 1-12*dep.CrossingPrice)
 	for _, g := range dep.Grades {
 		if g.MessageGoal > 0 {
 			b.goal = min(b.goal, g.MessageGoal)
