--- a/policy/policy.go
+++ b/policy/policy.go
@@ -127,6 +127,7 @@
 	movedBy []time.Duration // the time of the report that moves last answered
 	movedAt []time.Duration // when a move away from it was last considered
 
+	reach int   // how far down the ranking a circuit may go, so that its group is not spread over all servers
 	rank  []int // scratch of order
 	score []float64
 }
@@ -628,6 +629,10 @@
 	if c.place != c.key && b.total > 0 {
 		home = int(math.Ceil(homeSpread * float64(b.group[c.place]) / float64(b.total) * sum / max(top, 1e-9)))
 	}
+	b.reach = len(b.rank)
+	if c.place != c.key {
+		b.reach = min(b.reach, 2*home+2)
+	}
 	if home = min(home, len(b.rank)); home > 1 {
 		first := slices.Clone(b.rank[:home])
 		rest := slices.Clone(b.rank[home:])
@@ -673,7 +678,7 @@
 		}
 	}
 	for step := byAll; step <= upTo; step++ {
-		for _, i := range rank {
+		for _, i := range rank[:b.reach] {
 			if !b.passed(c, i, step, sum) && b.mayTry(c, i) {
 				return i, step
 			}
