--- a/policy/policy.go
+++ b/policy/policy.go
@@ -97,6 +97,8 @@
 	rateAt  time.Duration
 	good    float64 // setup tries that came to stand lately
 	bad     float64 // setup tries that failed lately, and circuits nacked for it
+	full    float64 // circuits that found no server with room lately
+	fits    float64 // circuits that found one
 	tallyAt time.Duration
 
 	watchAt      time.Duration // when to ask for the list, never while subscribed
@@ -485,8 +487,13 @@
 func (b *Balancer) tally(good, bad float64) {
 	fade := math.Exp(-float64(b.now-b.tallyAt) / float64(tallyFor))
 	b.good, b.bad, b.tallyAt = b.good*fade+good, b.bad*fade+bad, b.now
+	b.full, b.fits = b.full*fade, b.fits*fade
 }
 
+// tight tells whether most circuits lately found no server with room. Then groups keep to their reach: spread over
+// the fleet, each server would pay for each group, and less of the fleet would be left for connections.
+func (b *Balancer) tight() bool { return b.full > b.fits }
+
 // throttled tells whether a circuit is to be nacked at once, as most setup tries fail whatever server they go to.
 // Guards against a loop of retries that keeps a shared store or the whole fleet down: sent are about twice as many
 // tries as come to stand. One bad server among good ones never brings the failures over the successes.
@@ -668,7 +675,7 @@
 	byAside        // nor do being set aside and having been tried: only jams count
 )
 
-// pick answers the first server in a circuit's order that is not passed over, or -1, and how far it went.
+// pick answers the first server in a circuit's order that is not passed over, or -1, and its place in it.
 func (b *Balancer) pick(c *circuit, v *version, upTo int) (int, int) {
 	rank := b.order(c, v)
 	sum := 0.0
@@ -678,9 +685,9 @@
 		}
 	}
 	for step := byAll; step <= upTo; step++ {
-		for _, i := range rank[:b.reach] {
+		for at, i := range rank {
 			if !b.passed(c, i, step, sum) && b.mayTry(c, i) {
-				return i, step
+				return i, at
 			}
 		}
 	}
@@ -776,7 +783,12 @@
 		}
 		if i < 0 {
 			// Guards against jams that no server comes out of: a newcomer that finds only jammed servers is nacked.
-			i, _ = b.pick(c, b.pools[len(b.pools)-1], byAside)
+			var at int
+			if i, at = b.pick(c, b.pools[len(b.pools)-1], byAside); i < 0 {
+				b.full++
+			} else if b.fits++; at >= b.reach && b.tight() {
+				i = -1
+			}
 		}
 	}
 	if i < 0 {
@@ -895,7 +907,7 @@
 			break
 		}
 		probe := circuit{key: c.key, place: c.place, grade: c.grade, until: never, ranOn: -1}
-		if j, step := b.pick(&probe, b.pools[len(b.pools)-1], byAll); j >= 0 && j != i && step == byAll {
+		if j, at := b.pick(&probe, b.pools[len(b.pools)-1], byAll); j >= 0 && j != i && (at < b.reach || !b.tight()) {
 			b.moves = append(b.moves, c)
 			n--
 		}
