--- a/policy/policy.go
+++ b/policy/policy.go
@@ -490,9 +490,9 @@
 	b.full, b.fits = b.full*fade, b.fits*fade
 }
 
-// tight tells whether most circuits lately found no server with room. Then groups keep to their reach: spread over
+// tight tells whether many circuits lately found no server with room. Then groups keep to their reach: spread over
 // the fleet, each server would pay for each group, and less of the fleet would be left for connections.
-func (b *Balancer) tight() bool { return b.full > b.fits }
+func (b *Balancer) tight() bool { return 6*b.full > b.fits }
 
 // throttled tells whether a circuit is to be nacked at once, as most setup tries fail whatever server they go to.
 // Guards against a loop of retries that keeps a shared store or the whole fleet down: sent are about twice as many
