--- a/policy/policy.go
+++ b/policy/policy.go
@@ -106,30 +106,31 @@
 	watchBackoff time.Duration
 
 	// Figures about servers, by dense index.
-	id      []ServerID
-	zone    []int
-	cell    []int
-	state   []State
-	heft    []float64
-	started []time.Duration
-	held    [][]*circuit // connections and setup tries out
-	load    []float64    // load of the connections held
-	fails   []float64
-	aside   []bool
-	span    []time.Duration // how long it is set aside before the next probe
-	probeAt []time.Duration
-	probing []bool
-	answers []int           // answered probes in a row
-	delay   []time.Duration // what a message takes, by the newest note
-	delayAt []time.Duration
-	asked   []float64 // load over capacity, by the newest report
-	askedAt []time.Duration
-	budget  []float64 // setup tries that a cold server may still be sent
-	paidAt  []time.Duration
-	room    []float64       // load of own connections that it takes before it is crowded, as last seen
-	past    []float64       // load of the connections held, about a second ago
-	movedBy []time.Duration // the time of the report that moves last answered
-	movedAt []time.Duration // when a move away from it was last considered
+	id       []ServerID
+	zone     []int
+	cell     []int
+	state    []State
+	heft     []float64
+	started  []time.Duration
+	held     [][]*circuit // connections and setup tries out
+	load     []float64    // load of the connections held
+	fails    []float64
+	aside    []bool
+	span     []time.Duration // how long it is set aside before the next probe
+	probeAt  []time.Duration
+	probing  []bool
+	answers  []int           // answered probes in a row
+	delay    []time.Duration // what a message takes, by the newest note
+	delayAt  []time.Duration
+	asked    []float64 // load over capacity, by the newest report
+	askedAt  []time.Duration
+	budget   []float64 // setup tries that a cold server may still be sent
+	paidAt   []time.Duration
+	room     []float64       // load of own connections that it takes before it is crowded, as last seen
+	past     []float64       // load of the connections held, about a second ago
+	loadThen []float64       // load when its report was last asked for
+	movedBy  []time.Duration // the time of the report that moves last answered
+	movedAt  []time.Duration // when a move away from it was last considered
 
 	reach int   // how far down the ranking a circuit may go, so that its group is not spread over all servers
 	rank  []int // scratch of order
@@ -218,6 +219,7 @@
 	b.asked, b.askedAt = append(b.asked, 0), append(b.askedAt, -never)
 	b.budget, b.paidAt = append(b.budget, 1), append(b.paidAt, 0)
 	b.past = append(b.past, 0)
+	b.loadThen = append(b.loadThen, 0)
 	b.movedBy = append(b.movedBy, -never)
 	b.movedAt, b.room = append(b.movedAt, -never), append(b.room, never.Seconds())
 	return i
@@ -868,8 +870,8 @@
 			} else {
 				b.back(i)
 			}
-		} else if b.dep.MayProbe && b.dep.ReportsOnAsk && b.probeAt[i] <= b.now {
-			b.probeAt[i] = b.now + b.jitter(reportEvery)
+		} else if b.dep.MayProbe && b.dep.ReportsOnAsk && (b.probeAt[i] <= b.now || b.load[i] > 1.25*b.loadThen[i]+b.usual) {
+			b.probeAt[i], b.loadThen[i] = b.now+b.jitter(reportEvery), b.load[i]
 			if b.busy(i, jammedPart, jammedAsked) {
 				b.probeAt[i] = b.now + b.jitter(reportEvery/2)
 			}
