--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,7 +38,6 @@
 	watchBackoff = 500 * time.Millisecond
 	moveEvery    = time.Second     // between moves away from one jammed server
 	spill        = 0.25            // least share of a server in another zone in the limit
-	pastStep     = 0.25            // part of the way that the remembered load follows the load in a round
 	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
 )
@@ -106,31 +105,29 @@
 	watchBackoff time.Duration
 
 	// Figures about servers, by dense index.
-	id       []ServerID
-	zone     []int
-	cell     []int
-	state    []State
-	heft     []float64
-	started  []time.Duration
-	held     [][]*circuit // connections and setup tries out
-	load     []float64    // load of the connections held
-	fails    []float64
-	aside    []bool
-	span     []time.Duration // how long it is set aside before the next probe
-	probeAt  []time.Duration
-	probing  []bool
-	answers  []int           // answered probes in a row
-	delay    []time.Duration // what a message takes, by the newest note
-	delayAt  []time.Duration
-	asked    []float64 // load over capacity, by the newest report
-	askedAt  []time.Duration
-	budget   []float64 // setup tries that a cold server may still be sent
-	paidAt   []time.Duration
-	room     []float64       // load of own connections that it takes before it is crowded, as last seen
-	past     []float64       // load of the connections held, about a second ago
-	loadThen []float64       // load when its report was last asked for
-	movedBy  []time.Duration // the time of the report that moves last answered
-	movedAt  []time.Duration // when a move away from it was last considered
+	id      []ServerID
+	zone    []int
+	cell    []int
+	state   []State
+	heft    []float64
+	started []time.Duration
+	held    [][]*circuit // connections and setup tries out
+	load    []float64    // load of the connections held
+	fails   []float64
+	aside   []bool
+	span    []time.Duration // how long it is set aside before the next probe
+	probeAt []time.Duration
+	probing []bool
+	answers []int           // answered probes in a row
+	delay   []time.Duration // what a message takes, by the newest note
+	delayAt []time.Duration
+	asked   []float64 // load over capacity, by the newest report
+	askedAt []time.Duration
+	budget  []float64 // setup tries that a cold server may still be sent
+	paidAt  []time.Duration
+	room    []float64       // load of own connections that it takes before it is crowded, as last seen
+	movedBy []time.Duration // the time of the report that moves last answered
+	movedAt []time.Duration // when a move away from it was last considered
 
 	reach int   // how far down the ranking a circuit may go, so that its group is not spread over all servers
 	rank  []int // scratch of order
@@ -218,8 +215,6 @@
 	b.delay, b.delayAt = append(b.delay, 0), append(b.delayAt, -never)
 	b.asked, b.askedAt = append(b.asked, 0), append(b.askedAt, -never)
 	b.budget, b.paidAt = append(b.budget, 1), append(b.paidAt, 0)
-	b.past = append(b.past, 0)
-	b.loadThen = append(b.loadThen, 0)
 	b.movedBy = append(b.movedBy, -never)
 	b.movedAt, b.room = append(b.movedAt, -never), append(b.room, never.Seconds())
 	return i
@@ -440,9 +435,9 @@
 			b.asked[i] = r.Util
 		}
 		if b.asked[i] > crowdedAsked/2 {
-			b.room[i] = b.past[i] * fullAsked / b.asked[i] // reports are late: set against the load as it was
+			b.room[i] = b.load[i] * fullAsked / b.asked[i]
 		} else {
-			b.room[i] = max(b.room[i], b.past[i]*2)
+			b.room[i] = max(b.room[i], b.load[i]*2)
 		}
 	}
 }
@@ -835,7 +830,6 @@
 		if b.state[i] == Gone {
 			continue
 		}
-		b.past[i] += (b.load[i] - b.past[i]) * pastStep
 		if !b.busy(i, crowdedPart, crowdedAsked) {
 			b.room[i] *= 1 + roomGrowth
 		}
@@ -854,7 +848,7 @@
 				part *= 3
 			}
 			if b.askedAt[i] > b.movedBy[i] && b.asked[i] > fullAsked { // each report is answered once, in full
-				part, b.movedBy[i] = max(0, min(0.5, 1-b.room[i]/max(b.load[i], 1))), b.askedAt[i]
+				part, b.movedBy[i] = min(0.5, 1-fullAsked/b.asked[i]), b.askedAt[i]
 			}
 			n := int(part*float64(len(b.held[i])) + b.random())
 			if left := b.moveSome(i, n); left > 0 && b.busy(i, shedPart, shedAsked) {
@@ -870,8 +864,8 @@
 			} else {
 				b.back(i)
 			}
-		} else if b.dep.MayProbe && b.dep.ReportsOnAsk && (b.probeAt[i] <= b.now || b.load[i] > 1.25*b.loadThen[i]+b.usual) {
-			b.probeAt[i], b.loadThen[i] = b.now+b.jitter(reportEvery), b.load[i]
+		} else if b.dep.MayProbe && b.dep.ReportsOnAsk && b.probeAt[i] <= b.now {
+			b.probeAt[i] = b.now + b.jitter(reportEvery)
 			if b.busy(i, jammedPart, jammedAsked) {
 				b.probeAt[i] = b.now + b.jitter(reportEvery/2)
 			}
