--- a/policy/policy.go
+++ b/policy/policy.go
@@ -831,7 +831,8 @@
 			continue
 		}
 		if !b.busy(i, crowdedPart, crowdedAsked) {
-			b.room[i] *= 1 + roomGrowth
+			// By a part of itself and of one connection: room that grew only by a part never came back from near nothing.
+			b.room[i] += roomGrowth*b.room[i] + 0.1*b.usual
 		}
 		b.tally(0, 0)
 		switch {
