--- a/policy/policy.go
+++ b/policy/policy.go
@@ -832,7 +832,7 @@
 		}
 		if !b.busy(i, crowdedPart, crowdedAsked) {
 			// By a part of itself and of one connection: room that grew only by a part never came back from near nothing.
-			b.room[i] += roomGrowth*b.room[i] + 0.1*b.usual
+			b.room[i] += roomGrowth*b.room[i] + 0.3*b.usual/float64(b.dep.Peers)
 		}
 		b.tally(0, 0)
 		switch {
