--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,6 +38,8 @@
 	watchBackoff = 500 * time.Millisecond
 	moveEvery    = time.Second     // between moves away from one jammed server
 	spill        = 0.25            // least share of a server in another zone in the limit
+	brakeOn      = 1.0 / 16        // by which a failed try puts the brake further on, while most tries fail
+	brakeOff     = 1.0 / 8         // by which a try that comes to stand takes it off
 	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
 )
@@ -96,7 +98,8 @@
 	rate    float64        // new connections a second, learned
 	rateAt  time.Duration
 	good    float64 // setup tries that came to stand lately
-	bad     float64 // setup tries that failed lately, and circuits nacked for it
+	bad     float64 // setup tries that failed lately
+	brake   float64 // part of the circuits that is nacked for it
 	full    float64 // circuits that found no server with room lately
 	fits    float64 // circuits that found one
 	tallyAt time.Duration
@@ -488,6 +491,11 @@
 	fade := math.Exp(-float64(b.now-b.tallyAt) / float64(tallyFor))
 	b.good, b.bad, b.tallyAt = b.good*fade+good, b.bad*fade+bad, b.now
 	b.full, b.fits = b.full*fade, b.fits*fade
+	if good > 0 {
+		b.brake *= 1 - brakeOff
+	} else if bad > 0 && b.bad > b.good+3 {
+		b.brake += (1 - b.brake) * brakeOn
+	}
 }
 
 // tight tells whether many circuits lately found no server with room. Then groups keep to their reach: spread over
@@ -495,12 +503,12 @@
 func (b *Balancer) tight() bool { return 6*b.full > b.fits }
 
 // throttled tells whether a circuit is to be nacked at once, as most setup tries fail whatever server they go to.
-// Guards against a loop of retries that keeps a shared store or the whole fleet down: sent are about twice as many
-// tries as come to stand. One bad server among good ones never brings the failures over the successes.
+// Guards against a loop of retries that keeps a shared store or the whole fleet down. Only the outcome of tries moves
+// the brake: while nacks counted too, it held itself on for many seconds after the failure had ended.
 func (b *Balancer) throttled(goal time.Duration) bool {
 	b.tally(0, 0)
 	most := 2 + 6*(b.good+1)/(b.good+b.bad+1) + 2*b.good*goal.Seconds()/tallyFor.Seconds()
-	return float64(b.trying) >= most && b.bad > 1 || b.random() < (b.bad-b.good-3)/(b.bad+b.good+1)
+	return float64(b.trying) >= most && b.bad > 1 || b.random() < b.brake
 }
 
 // ailing tells whether setup tries fail so often that another server is no remedy.
@@ -775,9 +783,7 @@
 // settle decides on a circuit at once: a setup try, a nack or a break-off. None is ever held back.
 func (b *Balancer) settle(c *circuit) Decision {
 	i := -1
-	if throttled := b.throttled(c.grade.SetupGoal); throttled && b.mayNack(c) {
-		b.tally(0, 1)
-	} else if len(b.pools) > 0 {
+	if throttled := b.throttled(c.grade.SetupGoal); !(throttled && b.mayNack(c)) && len(b.pools) > 0 {
 		if c.midFlow && c.tries == 0 {
 			i = b.holder(c)
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -196,11 +196,11 @@
 	if tries > 150 || aside > 3 {
 		t.Fatalf("%d tries for 1000 circuits, %d of 9 servers set aside", tries, aside)
 	}
-	for id := CircuitID(2001); b.now < 30*time.Second; id++ { // and it ends when the failure does
-		b.Clock(b.now + 100*ms)
+	for id := CircuitID(2001); b.now < 5*time.Second; id++ { // and it ends soon after the failure does
+		b.Clock(b.now + 10*ms)
 		if d := arrive(t, b, Arrival{ID: id, Key: uint64(id)}); d.Do == Try {
 			b.SetUp(id, 0, ms)
-		} else if b.now > 25*time.Second {
+		} else if b.now > 4*time.Second {
 			t.Fatal("still nacking long after the failure")
 		}
 	}
