When tight, room is kept for circuits of more utility for their load

Cause: with less room than demand, room went to whoever came first; heavy circuits of little utility filled it. Loads are now learned by grade, so that a newcomer is weighed before it runs.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,6 +40,7 @@
 	spill        = 0.25            // least share of a server in another zone in the limit
 	brakeOn      = 1.0 / 16        // by which a failed try puts the brake further on, while most tries fail
 	brakeOff     = 1.0 / 8         // by which a try that comes to stand takes it off
+	reserve      = 0.3             // part of a server's room kept from circuits of no utility, when tight
 	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
 )
@@ -57,6 +58,7 @@
 	key      uint64 // the client's key
 	place    uint64 // what the ranking hashes: the group where there is one, else the client's key
 	grade    *Grade
+	row      int // of its grade
 	tenant   int
 	until    time.Duration // the outer limit of this client's try
 	midFlow  bool
@@ -95,6 +97,8 @@
 	total   int            // connections and setup tries held
 	group   map[uint64]int // the same by group
 	usual   float64        // usual load of a connection, learned
+	usualOf []float64      // the same by grade
+	value   float64        // usual utility for the load of a circuit, learned
 	rate    float64        // new connections a second, learned
 	rateAt  time.Duration
 	good    float64 // setup tries that came to stand lately
@@ -141,7 +145,7 @@
 func New(dep *Deployment, seed uint64) *Balancer {
 	b := &Balancer{
 		dep: dep, chance: seed&0xffffffff | 1<<32, index: map[ServerID]int{}, circuit: map[CircuitID]*circuit{},
-		group:   map[uint64]int{},
+		group: map[uint64]int{}, usualOf: make([]float64, len(dep.Grades)),
 		watchAt: never, watchBackoff: watchBackoff, goal: never,
 	}
 	b.away = max(0.02, 1-12*dep.CrossingPrice)
@@ -282,7 +286,7 @@
 		a.Grade = len(b.dep.Grades) - 1
 	}
 	c := &circuit{
-		id: a.ID, key: a.Key, place: a.Group, grade: &b.dep.Grades[a.Grade], tenant: a.Tenant,
+		id: a.ID, key: a.Key, place: a.Group, grade: &b.dep.Grades[a.Grade], row: a.Grade, tenant: a.Tenant,
 		until: b.now + a.Left, midFlow: a.MidFlow, server: -1, ranOn: -1, load: a.Load,
 	}
 	if c.key == 0 {
@@ -292,7 +296,7 @@
 		c.place = c.key
 	}
 	if c.load <= 0 {
-		c.load = b.usual
+		c.load = b.usualOf[c.row]
 	}
 	b.circuit[a.ID] = c
 	return c
@@ -300,7 +304,9 @@
 
 // CircuitArrived takes a circuit, which is now owed one final answer.
 func (b *Balancer) CircuitArrived(a Arrival) {
-	b.pend(b.take(a))
+	c := b.take(a)
+	b.pend(c)
+	learn(&b.value, b.valueOf(c))
 	dt := (b.now - b.rateAt).Seconds()
 	b.rate, b.rateAt = b.rate*math.Exp(-dt/5)+1.0/5, b.now
 }
@@ -412,10 +418,16 @@
 	}
 	b.load[c.server] = max(0, b.load[c.server]+load-c.load)
 	c.load = load
-	if b.usual == 0 {
-		b.usual = load
+	learn(&b.usual, load)
+	learn(&b.usualOf[c.row], load)
+}
+
+// learn follows a figure slowly.
+func learn(mean *float64, figure float64) {
+	if *mean == 0 {
+		*mean = figure
 	}
-	b.usual += (load - b.usual) / 32
+	*mean += (figure - *mean) / 32
 }
 
 // DelayNoted tells what a message takes at a server now.
@@ -719,9 +731,16 @@
 	if step < byCrowd && b.busy(i, crowdedPart, crowdedAsked) {
 		return true
 	}
-	return b.busy(i, jammedPart, jammedAsked) || len(b.held[i]) > 0 && b.load[i]+c.load > b.room[i]
+	room := b.room[i]
+	if v := b.valueOf(c); v < b.value && b.tight() { // what is left goes to those of more utility for their load
+		room *= 1 - reserve*(1-v/b.value)
+	}
+	return b.busy(i, jammedPart, jammedAsked) || len(b.held[i]) > 0 && b.load[i]+c.load > room
 }
 
+// valueOf is a circuit's utility for its load.
+func (b *Balancer) valueOf(c *circuit) float64 { return c.grade.Utility / max(c.load, 1) }
+
 // holder guesses who holds a mid-flow arrival: the pick of the newest kept version that is not draining.
 func (b *Balancer) holder(c *circuit) int {
 	for n := len(b.pools) - 1; n >= 0; n-- {
@@ -933,7 +952,7 @@
 		}
 	}
 	slices.SortStableFunc(worst, func(x, y *circuit) int {
-		return cmp.Compare(x.grade.Utility*max(y.load, 1), y.grade.Utility*max(x.load, 1))
+		return cmp.Compare(b.valueOf(x), b.valueOf(y))
 	})
 	b.moves = append(b.moves, worst[:min(n, len(worst))]...)
 }
