--- a/policy/policy.go
+++ b/policy/policy.go
@@ -96,6 +96,7 @@
 	trying  int            // setup tries out
 	total   int            // connections and setup tries held
 	group   map[uint64]int // the same by group
+	tenant  []int          // the same by tenant
 	usual   float64        // usual load of a connection, learned
 	usualOf []float64      // the same by grade
 	value   float64        // usual utility for the load of a circuit, learned
@@ -145,7 +146,7 @@
 func New(dep *Deployment, seed uint64) *Balancer {
 	b := &Balancer{
 		dep: dep, chance: seed&0xffffffff | 1<<32, index: map[ServerID]int{}, circuit: map[CircuitID]*circuit{},
-		group: map[uint64]int{}, usualOf: make([]float64, len(dep.Grades)),
+		group: map[uint64]int{}, usualOf: make([]float64, len(dep.Grades)), tenant: make([]int, len(dep.Tenants)),
 		watchAt: never, watchBackoff: watchBackoff, goal: never,
 	}
 	b.away = max(0.02, 1-12*dep.CrossingPrice)
@@ -336,6 +337,9 @@
 	b.load[i] += c.load
 	b.total++
 	b.group[c.place]++
+	if c.tenant < len(b.tenant) {
+		b.tenant[c.tenant]++
+	}
 	if n := len(b.pools); n > 0 {
 		c.pool = b.pools[n-1]
 		c.pool.users++
@@ -350,6 +354,9 @@
 	b.held[c.server] = h[:len(h)-1]
 	b.load[c.server] = max(0, b.load[c.server]-c.load)
 	b.total--
+	if c.tenant < len(b.tenant) {
+		b.tenant[c.tenant]--
+	}
 	if b.group[c.place]--; b.group[c.place] == 0 {
 		delete(b.group, c.place)
 	}
@@ -739,7 +746,16 @@
 }
 
 // valueOf is a circuit's utility for its load.
-func (b *Balancer) valueOf(c *circuit) float64 { return c.grade.Utility / max(c.load, 1) }
+// Beyond its tenant's share of the open connections, as far as this balancer's part of them tells, it is worth less.
+func (b *Balancer) valueOf(c *circuit) float64 {
+	v := c.grade.Utility / max(c.load, 1)
+	if c.tenant < len(b.tenant) {
+		if quota := b.dep.Tenants[c.tenant].Connections; quota > 0 && float64(b.tenant[c.tenant]*b.dep.Peers) > quota {
+			v *= b.dep.ExcessUtility
+		}
+	}
+	return v
+}
 
 // holder guesses who holds a mid-flow arrival: the pick of the newest kept version that is not draining.
 func (b *Balancer) holder(c *circuit) int {
