--- a/policy/policy.go
+++ b/policy/policy.go
@@ -818,11 +818,11 @@
 // settle decides on a circuit at once: a setup try, a nack or a break-off. None is ever held back.
 func (b *Balancer) settle(c *circuit) Decision {
 	i := -1
-	if throttled := b.throttled(c.grade.SetupGoal); !(throttled && b.mayNack(c)) && len(b.pools) > 0 {
-		if c.midFlow && c.tries == 0 {
+	if len(b.pools) > 0 {
+		if c.midFlow && c.tries == 0 { // costs next to nothing where it is found, so neither brake nor room count
 			i = b.holder(c)
 		}
-		if i < 0 {
+		if throttled := b.throttled(c.grade.SetupGoal); i < 0 && !(throttled && b.mayNack(c)) {
 			// Guards against jams that no server comes out of: a newcomer that finds only jammed servers is nacked.
 			var at int
 			if i, at = b.pick(c, b.pools[len(b.pools)-1], byAside); i < 0 {
