--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,6 +41,8 @@
 	brakeOn      = 1.0 / 16        // by which a failed try puts the brake further on, while most tries fail
 	brakeOff     = 1.0 / 8         // by which a try that comes to stand takes it off
 	reserve      = 0.3             // part of a server's room kept from circuits of no utility, when tight
+	foundLess    = 0.85            // what is left of the trust in a zone's view after a guess, until it was right
+	foundWithin  = 50              // a mid-flow arrival that stands within this part of the goal was found
 	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
 )
@@ -59,6 +61,7 @@
 	place    uint64 // what the ranking hashes: the group where there is one, else the client's key
 	grade    *Grade
 	row      int // of its grade
+	view     int // the zone from which its servers are ranked
 	tenant   int
 	until    time.Duration // the outer limit of this client's try
 	midFlow  bool
@@ -97,6 +100,7 @@
 	total   int            // connections and setup tries held
 	group   map[uint64]int // the same by group
 	tenant  []int          // the same by tenant
+	found   []float64      // by zone: how often mid-flow arrivals were found as seen from there
 	usual   float64        // usual load of a connection, learned
 	usualOf []float64      // the same by grade
 	value   float64        // usual utility for the load of a circuit, learned
@@ -193,6 +197,9 @@
 			named = append(named, false)
 		}
 		named[i] = true
+		for len(b.found) <= max(l.Zone, b.dep.Zone) {
+			b.found = append(b.found, 0.5)
+		}
 		if l.Started != b.started[i] {
 			b.fresh(i)
 		}
@@ -287,7 +294,7 @@
 		a.Grade = len(b.dep.Grades) - 1
 	}
 	c := &circuit{
-		id: a.ID, key: a.Key, place: a.Group, grade: &b.dep.Grades[a.Grade], row: a.Grade, tenant: a.Tenant,
+		id: a.ID, key: a.Key, place: a.Group, grade: &b.dep.Grades[a.Grade], row: a.Grade, tenant: a.Tenant, view: b.dep.Zone,
 		until: b.now + a.Left, midFlow: a.MidFlow, server: -1, ranOn: -1, load: a.Load,
 	}
 	if c.key == 0 {
@@ -376,6 +383,9 @@
 	}
 	c.out, c.open, c.until = false, true, never
 	b.trying--
+	if c.midFlow && try == 0 && took < c.grade.SetupGoal/foundWithin { // found: it cost no set-up
+		b.found[c.view] += (1 - b.found[c.view]) / 2
+	}
 	b.fails[c.server] *= 0.3
 	b.tally(1, 0)
 }
@@ -631,9 +641,9 @@
 
 func unit(x uint64) float64 { return (float64(x>>11) + 0.5) / (1 << 53) }
 
-// weight of the n-th server of a version: its heft, less in another zone where crossings cost.
-func (b *Balancer) weight(v *version, n int) float64 {
-	if b.zone[v.servers[n]] != b.dep.Zone {
+// weight of the n-th server of a version as seen from a zone: its heft, less elsewhere where crossings cost.
+func (b *Balancer) weight(v *version, n, view int) float64 {
+	if b.zone[v.servers[n]] != view {
 		return v.heft[n] * b.away
 	}
 	return v.heft[n]
@@ -655,7 +665,7 @@
 	b.rank, b.score = b.rank[:0], b.score[:0]
 	sum, top := 0.0, 0.0
 	for n, i := range v.servers {
-		w := b.weight(v, n)
+		w := b.weight(v, n, c.view)
 		sum, top = sum+w, max(top, w)
 		b.insert(i, w, mix(c.place, uint64(b.id[i])))
 	}
@@ -673,7 +683,7 @@
 		b.rank, b.score = b.rank[:0], b.score[:0]
 		for _, i := range first {
 			w := b.heft[i]
-			if b.zone[i] != b.dep.Zone {
+			if b.zone[i] != c.view {
 				w *= b.away
 			}
 			b.insert(i, w, mix(c.key, uint64(b.id[i])))
@@ -757,8 +767,15 @@
 	return v
 }
 
-// holder guesses who holds a mid-flow arrival: the pick of the newest kept version that is not draining.
+// holder guesses who holds a mid-flow arrival: the pick of the newest kept version that is not draining, as a balancer
+// of the zone would see it whose guesses were right of late. Guards against losing all connections of a zone whose
+// last balancer is gone: they come here, but were placed from there.
 func (b *Balancer) holder(c *circuit) int {
+	for z := range b.found {
+		if b.found[z] > b.found[c.view] {
+			c.view = z
+		}
+	}
 	for n := len(b.pools) - 1; n >= 0; n-- {
 		for _, i := range b.order(c, b.pools[n]) {
 			w := b.warmth(i)
@@ -766,6 +783,7 @@
 				continue
 			}
 			if b.mayTry(c, i) {
+				b.found[c.view] *= foundLess // until it is seen that it was right
 				return i
 			}
 			break
@@ -948,7 +966,7 @@
 		if n == 0 {
 			break
 		}
-		probe := circuit{key: c.key, place: c.place, grade: c.grade, until: never, ranOn: -1}
+		probe := circuit{key: c.key, place: c.place, grade: c.grade, until: never, ranOn: -1, view: b.dep.Zone}
 		if j, at := b.pick(&probe, b.pools[len(b.pools)-1], byAll); j >= 0 && j != i && (at < b.reach || !b.tight()) {
 			b.moves = append(b.moves, c)
 			n--
