--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,7 +41,8 @@
 	brakeOn      = 1.0 / 16        // by which a failed try puts the brake further on, while most tries fail
 	brakeOff     = 1.0 / 8         // by which a try that comes to stand takes it off
 	reserve      = 0.3             // part of a server's room kept from circuits of no utility, when tight
-	foundLess    = 0.85            // what is left of the trust in a zone's view after a guess, until it was right
+	foundLess    = 0.7             // what is left of the trust in a zone's view after a wrong guess
+	foundGuess   = 0.98            // and after each guess, until its answer is there
 	foundWithin  = 50              // a mid-flow arrival that stands within this part of the goal was found
 	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
@@ -383,8 +384,12 @@
 	}
 	c.out, c.open, c.until = false, true, never
 	b.trying--
-	if c.midFlow && try == 0 && took < c.grade.SetupGoal/foundWithin { // found: it cost no set-up
-		b.found[c.view] += (1 - b.found[c.view]) / 2
+	if c.midFlow && try == 0 {
+		if took < c.grade.SetupGoal/foundWithin { // found: it cost no set-up
+			b.found[c.view] += (1 - b.found[c.view]) / 2
+		} else {
+			b.found[c.view] *= foundLess
+		}
 	}
 	b.fails[c.server] *= 0.3
 	b.tally(1, 0)
@@ -783,7 +788,7 @@
 				continue
 			}
 			if b.mayTry(c, i) {
-				b.found[c.view] *= foundLess // until it is seen that it was right
+				b.found[c.view] *= foundGuess
 				return i
 			}
 			break
