--- a/policy/policy.go
+++ b/policy/policy.go
@@ -97,15 +97,16 @@
 	moves   []*circuit
 	probes  []int
 	roundAt time.Duration
-	trying  int            // setup tries out
-	total   int            // connections and setup tries held
-	group   map[uint64]int // the same by group
-	tenant  []int          // the same by tenant
-	found   []float64      // by zone: how often mid-flow arrivals were found as seen from there
-	usual   float64        // usual load of a connection, learned
-	usualOf []float64      // the same by grade
-	value   float64        // usual utility for the load of a circuit, learned
-	rate    float64        // new connections a second, learned
+	trying  int             // setup tries out
+	total   int             // connections and setup tries held
+	group   map[uint64]int  // the same by group
+	tenant  []int           // the same by tenant
+	setUp   []time.Duration // what a set-up usually takes, by grade
+	found   []float64       // by zone: how often mid-flow arrivals were found as seen from there
+	usual   float64         // usual load of a connection, learned
+	usualOf []float64       // the same by grade
+	value   float64         // usual utility for the load of a circuit, learned
+	rate    float64         // new connections a second, learned
 	rateAt  time.Duration
 	good    float64 // setup tries that came to stand lately
 	bad     float64 // setup tries that failed lately
@@ -151,7 +152,8 @@
 func New(dep *Deployment, seed uint64) *Balancer {
 	b := &Balancer{
 		dep: dep, chance: seed&0xffffffff | 1<<32, index: map[ServerID]int{}, circuit: map[CircuitID]*circuit{},
-		group: map[uint64]int{}, usualOf: make([]float64, len(dep.Grades)), tenant: make([]int, len(dep.Tenants)),
+		group: map[uint64]int{}, usualOf: make([]float64, len(dep.Grades)),
+		setUp: make([]time.Duration, len(dep.Grades)), tenant: make([]int, len(dep.Tenants)),
 		watchAt: never, watchBackoff: watchBackoff, goal: never,
 	}
 	b.away = max(0.02, 1-12*dep.CrossingPrice)
@@ -385,11 +387,14 @@
 	c.out, c.open, c.until = false, true, never
 	b.trying--
 	if c.midFlow && try == 0 {
-		if took < c.grade.SetupGoal/foundWithin { // found: it cost no set-up
+		if took < min(c.grade.SetupGoal/foundWithin, cmp.Or(b.setUp[c.row]/2, never)) { // found: it cost no set-up
 			b.found[c.view] += (1 - b.found[c.view]) / 2
 		} else {
 			b.found[c.view] *= foundLess
 		}
+	} else {
+		b.setUp[c.row] = cmp.Or(b.setUp[c.row], took)
+		b.setUp[c.row] += (took - b.setUp[c.row]) / 16
 	}
 	b.fails[c.server] *= 0.3
 	b.tally(1, 0)
