Mid-flow guesses start from the own zone's view where zones have several balancers

Following arrivals in order shows why it helps little: a whole balancer's connections arrive in one batch, so no answer can guide the guesses, and a trust that falls with each guess makes them alternate.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,7 +42,7 @@
 	brakeOff     = 1.0 / 8         // by which a try that comes to stand takes it off
 	reserve      = 0.3             // part of a server's room kept from circuits of no utility, when tight
 	foundLess    = 0.7             // what is left of the trust in a zone's view after a wrong guess
-	foundGuess   = 0.98            // and after each guess, until its answer is there
+	foundGuess   = 0.99            // and after each guess, until its answer is there
 	foundWithin  = 50              // a mid-flow arrival that stands within this part of the goal was found
 	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
@@ -217,6 +217,9 @@
 			b.state[i] = Gone
 		}
 	}
+	if cached && len(b.found) > 0 { // the more balancers a zone has, the likelier an arrival comes from its own
+		b.found[b.dep.Zone] = 0.5 * max(1, float64(b.dep.Peers)/float64(len(b.found)))
+	}
 	b.freeze()
 }
 
