No fall of trust per mid-flow guess; what is learned serves the next burst

Kept: a burst comes in one batch, one view for all of it is the better bet, and where each zone has one balancer the others' views come first.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,7 +42,6 @@
 	brakeOff     = 1.0 / 8         // by which a try that comes to stand takes it off
 	reserve      = 0.3             // part of a server's room kept from circuits of no utility, when tight
 	foundLess    = 0.7             // what is left of the trust in a zone's view after a wrong guess
-	foundGuess   = 0.99            // and after each guess, until its answer is there
 	foundWithin  = 50              // a mid-flow arrival that stands within this part of the goal was found
 	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
@@ -218,7 +217,7 @@
 		}
 	}
 	if cached && len(b.found) > 0 { // the more balancers a zone has, the likelier an arrival comes from its own
-		b.found[b.dep.Zone] = 0.5 * max(1, float64(b.dep.Peers)/float64(len(b.found)))
+		b.found[b.dep.Zone] = 0.5*float64(b.dep.Peers)/float64(len(b.found)) - 0.05
 	}
 	b.freeze()
 }
@@ -784,9 +783,10 @@
 // of the zone would see it whose guesses were right of late. Guards against losing all connections of a zone whose
 // last balancer is gone: they come here, but were placed from there.
 func (b *Balancer) holder(c *circuit) int {
-	for z := range b.found {
-		if b.found[z] > b.found[c.view] {
-			c.view = z
+	best := 0.0
+	for z := range b.found { // a little chance, or two zones of equal trust would be all right or all wrong
+		if f := b.found[z] + 0.02*b.random(); f > best {
+			best, c.view = f, z
 		}
 	}
 	for n := len(b.pools) - 1; n >= 0; n-- {
@@ -796,7 +796,6 @@
 				continue
 			}
 			if b.mayTry(c, i) {
-				b.found[c.view] *= foundGuess
 				return i
 			}
 			break
