Smaller module: one weight, one list of movables, no figures that nothing reads

Behaviour is meant to be the same but for one mark, which a reset or a full server now sets only when no worse note is fresh.

--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -11,7 +11,6 @@
 type settings struct {
 	PeersTotal    *int
 	Zone          *int
-	ResolutionUs  int64
 	RegistryMode  *string
 	ExcessUtility float64
 	ServiceGrades []struct {
@@ -24,8 +23,8 @@
 	}
 	Accounts   []json.RawMessage
 	Guarantees *struct {
-		AnswerSlackUs, AskWithinUs, ColdUs, DrainGraceUs, FallUs *int64
-		ColdFrom, FallMultiple                                   *float64
+		AskWithinUs, ColdUs    *int64
+		ColdFrom, FallMultiple *float64
 	}
 	Limits *struct {
 		MaxRetryAfterUs    int64
@@ -33,7 +32,7 @@
 		Probes, RetryAfter bool
 	}
 	Prices struct {
-		CrossZone, Moves, Probe float64
+		CrossZone float64
 	}
 	Report struct {
 		Fields []string
@@ -71,26 +70,19 @@
 		return nil, nil, fmt.Errorf("BootInfo: Limits is missing")
 	case l.MostSetupTries == nil || *l.MostSetupTries < 1:
 		return nil, nil, fmt.Errorf("BootInfo: Limits.MostSetupTries is missing or below 1")
-	case g.DrainGraceUs == nil:
-		return nil, nil, fmt.Errorf("BootInfo: Guarantees.DrainGraceUs is missing")
-	case g.AnswerSlackUs == nil:
-		return nil, nil, fmt.Errorf("BootInfo: Guarantees.AnswerSlackUs is missing")
 	case g.ColdFrom == nil:
 		return nil, nil, fmt.Errorf("BootInfo: Guarantees.ColdFrom is missing")
 	case g.ColdUs == nil:
 		return nil, nil, fmt.Errorf("BootInfo: Guarantees.ColdUs is missing")
 	case g.FallMultiple == nil:
 		return nil, nil, fmt.Errorf("BootInfo: Guarantees.FallMultiple is missing")
-	case g.FallUs == nil:
-		return nil, nil, fmt.Errorf("BootInfo: Guarantees.FallUs is missing")
 	}
 	d := &policy.Deployment{
 		Peers: *s.PeersTotal, Zone: *s.Zone, ExcessUtility: s.ExcessUtility,
 		MayProbe: l.Probes, MayAdvise: l.RetryAfter, LongestAdvice: us(l.MaxRetryAfterUs),
-		MostTries: *l.MostSetupTries, AnswerSlack: us(*g.AnswerSlackUs), DrainGrace: us(*g.DrainGraceUs),
-		FallMultiple: *g.FallMultiple, FallSpan: us(*g.FallUs), ColdFrom: *g.ColdFrom, ColdFor: us(*g.ColdUs),
-		CrossingPrice: s.Prices.CrossZone, ProbePrice: s.Prices.Probe, MovePrice: s.Prices.Moves,
-		ReportsOnAsk: s.Report.How == "probe" || s.Report.How == "answers",
+		MostTries: *l.MostSetupTries, FallMultiple: *g.FallMultiple, ColdFrom: *g.ColdFrom, ColdFor: us(*g.ColdUs),
+		CrossingPrice: s.Prices.CrossZone,
+		ReportsOnAsk:  s.Report.How == "probe" || s.Report.How == "answers",
 	}
 	switch *s.RegistryMode {
 	case "pushed":
@@ -104,9 +96,7 @@
 		return nil, nil, fmt.Errorf("BootInfo: RegistryMode %q is not known", *s.RegistryMode)
 	}
 	switch s.Specifics.Mode {
-	case "", "proxy":
-	case "pass":
-		d.PassThrough = true
+	case "", "proxy", "pass":
 	default:
 		return nil, nil, fmt.Errorf("BootInfo: Specifics.Mode %q is not known", s.Specifics.Mode)
 	}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -218,7 +218,7 @@
 		if err != nil {
 			return err
 		}
-		b.TryEnded(id, int(rec[19]), rec[20] != 0, micros(rec[21:]), outcome)
+		b.TryEnded(id, int(rec[19]), rec[20] != 0, outcome)
 		b.Reported(serverAt(rec[13:]), rep)
 	case evHealthResult:
 		outcome, err := verdict(rec, 11, base)
@@ -229,7 +229,7 @@
 		if err != nil {
 			return err
 		}
-		b.ProbeAnswered(serverAt(rec[5:]), outcome, micros(rec[13:]))
+		b.ProbeAnswered(serverAt(rec[5:]), outcome)
 		b.Reported(serverAt(rec[5:]), rep)
 	case evInbox:
 		if _, err := span(rec, tail, "Octets", 9, base, 1); err != nil {
@@ -254,7 +254,7 @@
 	a := policy.Arrival{
 		ID: policy.CircuitID(le.Uint64(rec[5:])), Key: le.Uint64(rec[key:]), Group: le.Uint64(rec[group:]),
 		Tenant: int(le.Uint32(rec[tenant:])), Grade: int(le.Uint16(rec[grade:])), Left: micros(rec[left:]),
-		MidFlow: rec[marks]&8 != 0, Back: rec[marks]&(2|16) != 0,
+		MidFlow: rec[marks]&8 != 0,
 	}
 	if rec[marks]&1 != 0 {
 		a.Load = float64(le.Uint32(rec[hint:]))
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -142,7 +142,7 @@
 		{`"read_like", "Group": "all"`, `"idempotency_key", "Group": "street"`, "ServiceGrades[0].Group"},
 		{`"pushed"`, `"shouted"`, "RegistryMode"},
 		{`"pushed"`, `"on_request"`, "Guarantees.AskWithinUs"},
-		{`"FallUs"`, `"FellUs"`, "Guarantees.FallUs"},
+		{`"ColdUs"`, `"ColtUs"`, "Guarantees.ColdUs"},
 		{`"MostSetupTries"`, `"Most"`, "Limits.MostSetupTries"},
 		{`"Zone": 0`, `"Specifics": {"Mode": "odd"}, "Zone": 0`, "Specifics.Mode"},
 		{`"Zone": 0,`, ``, "Zone"},
--- a/policy/fuzz_test.go
+++ b/policy/fuzz_test.go
@@ -32,7 +32,8 @@
 func rules(t *testing.T, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 11))
 	d := deployment()
-	d.AskForList, d.AskWithin, d.PassThrough = r.IntN(2) == 0, 10*time.Second, r.IntN(2) == 0
+	span, pass := 2*time.Second, r.IntN(2) == 0
+	d.AskForList, d.AskWithin = r.IntN(2) == 0, 10*time.Second
 	d.MayProbe, d.MayAdvise, d.Peers = r.IntN(3) > 0, r.IntN(3) > 0, 1+r.IntN(4)
 	d.MostTries, d.CrossingPrice = 1+r.IntN(5), 0.1*r.Float64()
 	d.Grades = nil
@@ -57,7 +58,7 @@
 		case 0, 1, 2, 3:
 			id := CircuitID(1 + len(ids))
 			a := Arrival{ID: id, Key: uint64(1 + r.IntN(50)), Group: uint64(r.IntN(6)), Grade: r.IntN(3),
-				Left: time.Duration(r.IntN(2000)) * ms, MidFlow: d.PassThrough && r.IntN(5) == 0}
+				Left: time.Duration(r.IntN(2000)) * ms, MidFlow: pass && r.IntN(5) == 0}
 			ids = append(ids, id)
 			circuits[id] = &watched{grade: d.Grades[a.Grade], until: b.now + a.Left, maybeOn: -1}
 			b.CircuitArrived(a)
@@ -71,7 +72,7 @@
 		case 5:
 			b.DelayNoted(list[k].Server, time.Duration(r.IntN(200))*ms)
 			b.Reported(list[k].Server, Report{Asked: 2 * r.Float64(), Piled: -1, Util: -1})
-			b.ProbeAnswered(list[k].Server, Outcome(r.IntN(7)), ms)
+			b.ProbeAnswered(list[k].Server, Outcome(r.IntN(7)))
 		case 6:
 			if r.IntN(2) == 0 {
 				b.ListFailed()
@@ -96,11 +97,11 @@
 				if how != TurnedAway && how != ConnectFailed && how != NeverSent && w.maybeOn < 0 {
 					w.maybeOn, w.maybeAt = w.on, w.sent
 				}
-				b.TryEnded(id, w.tries-1, false, b.now-w.sent, how)
+				b.TryEnded(id, w.tries-1, false, how)
 			case w.open && r.IntN(30) == 0:
 				w.open = false
 				w.answers++
-				b.TryEnded(id, w.tries-1, true, 0, Succeeded)
+				b.TryEnded(id, w.tries-1, true, Succeeded)
 			case w.out && r.IntN(60) == 0:
 				w.answers++
 				b.ClientLeft(id)
@@ -122,13 +123,13 @@
 				if list[k].Started != LongAgo && b.now-started[k] < d.ColdFor {
 					n := 1
 					for _, at := range sends[k] {
-						if at > b.now-d.FallSpan {
+						if at > b.now-span {
 							n++
 						}
 					}
 					sends[k] = append(sends[k], b.now)
 					mean := max(1, float64(b.total)/float64(max(1, len(b.pools[len(b.pools)-1].servers))))
-					if most := 3 + d.FallMultiple*mean*2*d.FallSpan.Seconds()/(d.ColdFor.Seconds()/4); float64(n) > most {
+					if most := 3 + d.FallMultiple*mean*2*span.Seconds()/(d.ColdFor.Seconds()/4); float64(n) > most {
 						t.Fatalf("step %d: a cold server is not pushed over: %d tries in a span, %v at most", step, n, most)
 					}
 				}
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -11,8 +11,7 @@
 func deployment() *Deployment {
 	return &Deployment{
 		Peers: 1, Grades: []Grade{{SetupGoal: 300 * ms, MessageGoal: 100 * ms, Window: 5 * time.Second, Utility: 1}},
-		MayProbe: true, MayAdvise: true, LongestAdvice: time.Second, MostTries: 4, AnswerSlack: 8 * ms,
-		DrainGrace: 500 * ms, FallMultiple: 3, FallSpan: 2 * time.Second, ColdFrom: 0.15, ColdFor: 20 * time.Second,
+		MayProbe: true, MayAdvise: true, LongestAdvice: time.Second, MostTries: 4, FallMultiple: 3, ColdFrom: 0.15, ColdFor: 20 * time.Second,
 	}
 }
 
@@ -63,7 +62,7 @@
 // end tells how a circuit's try ended and answers what was decided then.
 func end(t *testing.T, b *Balancer, id CircuitID, try int, how Outcome) Decision {
 	t.Helper()
-	b.TryEnded(id, try, false, ms, how)
+	b.TryEnded(id, try, false, how)
 	return about(t, b, id)
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -70,7 +70,6 @@
 	open     bool // the connection stands
 	answered bool // the final answer is given; nothing more is sent
 	moving   bool
-	mates    int // connections of its group at its server, when last counted
 	tries    int
 	tried    []int // servers already tried
 	server   int   // of the newest try, -1 before the first
@@ -105,13 +104,11 @@
 	usual   float64         // usual load of a connection, learned
 	usualOf []float64       // the same by grade
 	value   float64         // usual utility for the load of a circuit, learned
-	rate    float64         // new connections a second, learned
-	rateAt  time.Duration
-	good    float64 // setup tries that came to stand lately
-	bad     float64 // setup tries that failed lately
-	brake   float64 // part of the circuits that is nacked for it
-	full    float64 // circuits that found no server with room lately
-	fits    float64 // circuits that found one
+	good    float64         // setup tries that came to stand lately
+	bad     float64         // setup tries that failed lately
+	brake   float64         // part of the circuits that is nacked for it
+	full    float64         // circuits that found no server with room lately
+	fits    float64         // circuits that found one
 	tallyAt time.Duration
 
 	watchAt      time.Duration // when to ask for the list, never while subscribed
@@ -152,7 +149,7 @@
 	b := &Balancer{
 		dep: dep, chance: seed&0xffffffff | 1<<32, index: map[ServerID]int{}, circuit: map[CircuitID]*circuit{},
 		group: map[uint64]int{}, usualOf: make([]float64, len(dep.Grades)),
-		setUp: make([]time.Duration, len(dep.Grades)), tenant: make([]int, len(dep.Tenants)),
+		setUp: make([]time.Duration, len(dep.Grades)), tenant: make([]int, len(dep.Tenants)+1),
 		watchAt: never, watchBackoff: watchBackoff, goal: never,
 	}
 	b.away = max(0.02, 1-12*dep.CrossingPrice)
@@ -255,12 +252,7 @@
 			v.servers = append(v.servers, i)
 		}
 	}
-	slices.SortFunc(v.servers, func(i, j int) int {
-		if b.id[i] < b.id[j] {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(v.servers, func(i, j int) int { return cmp.Compare(b.id[i], b.id[j]) })
 	for _, i := range v.servers {
 		v.heft = append(v.heft, b.heft[i])
 	}
@@ -295,9 +287,7 @@
 // ---- What comes in about circuits.
 
 func (b *Balancer) take(a Arrival) *circuit {
-	if a.Grade >= len(b.dep.Grades) {
-		a.Grade = len(b.dep.Grades) - 1
-	}
+	a.Grade, a.Tenant = min(a.Grade, len(b.dep.Grades)-1), min(a.Tenant, len(b.dep.Tenants)) // the last: no tenant
 	c := &circuit{
 		id: a.ID, key: a.Key, place: a.Group, grade: &b.dep.Grades[a.Grade], row: a.Grade, tenant: a.Tenant, view: b.dep.Zone,
 		until: b.now + a.Left, midFlow: a.MidFlow, server: -1, ranOn: -1, load: a.Load,
@@ -320,8 +310,6 @@
 	c := b.take(a)
 	b.pend(c)
 	learn(&b.value, b.valueOf(c))
-	dt := (b.now - b.rateAt).Seconds()
-	b.rate, b.rateAt = b.rate*math.Exp(-dt/5)+1.0/5, b.now
 }
 
 // HandedOver takes a connection that is open already; its first try counts as made.
@@ -349,9 +337,7 @@
 	b.load[i] += c.load
 	b.total++
 	b.group[c.place]++
-	if c.tenant < len(b.tenant) {
-		b.tenant[c.tenant]++
-	}
+	b.tenant[c.tenant]++
 	if n := len(b.pools); n > 0 {
 		c.pool = b.pools[n-1]
 		c.pool.users++
@@ -366,9 +352,7 @@
 	b.held[c.server] = h[:len(h)-1]
 	b.load[c.server] = max(0, b.load[c.server]-c.load)
 	b.total--
-	if c.tenant < len(b.tenant) {
-		b.tenant[c.tenant]--
-	}
+	b.tenant[c.tenant]--
 	if b.group[c.place]--; b.group[c.place] == 0 {
 		delete(b.group, c.place)
 	}
@@ -403,7 +387,7 @@
 }
 
 // TryEnded tells how a setup try, or the connection it set up, ended.
-func (b *Balancer) TryEnded(id CircuitID, try int, finished bool, took time.Duration, how Outcome) {
+func (b *Balancer) TryEnded(id CircuitID, try int, finished bool, how Outcome) {
 	c := b.circuit[id]
 	if c == nil || !(c.out || c.open) || try != c.tries-1 {
 		return
@@ -500,28 +484,24 @@
 		b.fails[i] += 0.5
 	case Reset:
 		b.fails[i]++
-		if c.open { // servers drop connections when too much is piled up
-			b.delay[i], b.delayAt[i] = max(b.delayed(i), b.goal), b.now
-		}
-	case TurnedAway: // full: the same as a crowd
-		b.delay[i], b.delayAt[i] = max(b.delayed(i), b.goal), b.now
 	case Succeeded:
 		b.fails[i] *= 0.5
 	}
+	// A full server turns circuits away, and one with too much piled up drops connections: both are jams.
+	if (how == TurnedAway || how == Reset && c.open) && !b.busy(i, shedPart, shedAsked) {
+		b.delay[i], b.delayAt[i] = b.goal, b.now
+	}
 	if b.fails[i] < asideFails || b.aside[i] || b.state[i] != Ready {
 		return
 	}
 	// Guards against emptying an overloaded fleet: only a part of the ready servers is ever set aside.
-	n, ready := 0, 0
-	for j := range b.id {
-		if b.state[j] == Ready {
-			ready++
-			if b.aside[j] {
-				n++
-			}
+	n, ready := 0, b.pools[len(b.pools)-1].servers
+	for _, j := range ready {
+		if b.aside[j] {
+			n++
 		}
 	}
-	if n < max(1, ready/asidePart) && n+1 < ready {
+	if n < max(1, len(ready)/asidePart) && n+1 < len(ready) {
 		b.aside[i], b.answers[i], b.probeAt[i] = true, 0, b.now+b.jitter(b.span[i])
 		b.span[i] = min(2*b.span[i], asideLongest)
 	}
@@ -556,20 +536,21 @@
 func (b *Balancer) ailing() bool { return 2*b.bad > b.good+4 }
 
 // ProbeAnswered tells how a probe ended. A server set aside comes back after answered probes.
-func (b *Balancer) ProbeAnswered(server ServerID, how Outcome, took time.Duration) {
+func (b *Balancer) ProbeAnswered(server ServerID, how Outcome) {
 	i, ok := b.index[server]
 	if !ok || !b.probing[i] {
 		return
 	}
 	b.probing[i] = false
-	if !b.aside[i] {
-		return
-	}
-	b.probeAt[i] = b.now + roundEvery
-	if how != Succeeded {
+	switch {
+	case !b.aside[i]:
+	case how != Succeeded:
 		b.answers[i], b.probeAt[i] = 0, b.now+b.jitter(asideFirst)
-	} else if b.answers[i]++; b.answers[i] >= answersBack {
-		b.back(i)
+	default:
+		b.probeAt[i] = b.now + roundEvery
+		if b.answers[i]++; b.answers[i] >= answersBack {
+			b.back(i)
+		}
 	}
 }
 
@@ -578,17 +559,9 @@
 	b.aside[i], b.fails[i] = false, asideFails/2
 }
 
-// delayed is what a message takes at a server by a fresh note, else 0.
-func (b *Balancer) delayed(i int) time.Duration {
-	if b.now-b.delayAt[i] > noteFresh {
-		return 0
-	}
-	return b.delay[i]
-}
-
 // busy tells whether a server is near the edge, by notes and by reports; the parts say how near.
 func (b *Balancer) busy(i int, part, asked float64) bool {
-	return b.delayed(i) > time.Duration(part*float64(b.goal)) && b.goal < never ||
+	return b.now-b.delayAt[i] <= noteFresh && float64(b.delay[i]) > part*float64(b.goal) && b.goal < never ||
 		b.now-b.askedAt[i] <= reportFresh && b.asked[i] > asked
 }
 
@@ -653,21 +626,12 @@
 
 func unit(x uint64) float64 { return (float64(x>>11) + 0.5) / (1 << 53) }
 
-// weight of the n-th server of a version as seen from a zone: its heft, less elsewhere where crossings cost.
-func (b *Balancer) weight(v *version, n, view int) float64 {
-	if b.zone[v.servers[n]] != view {
-		return v.heft[n] * b.away
+// weight of a server of some heft as seen from a zone: less elsewhere, where crossings cost, but not under the least.
+func (b *Balancer) weight(i, view int, heft, least float64) float64 {
+	if b.zone[i] != view {
+		return heft * max(b.away, least)
 	}
-	return v.heft[n]
-}
-
-// share of the connections that a server counts for in the limit: with less regard to zones than its weight in the
-// ranking, so that a full own zone spills over.
-func (b *Balancer) share(i int) float64 {
-	if b.zone[i] != b.dep.Zone {
-		return b.heft[i] * max(b.away, spill)
-	}
-	return b.heft[i]
+	return heft
 }
 
 // order ranks a version's servers for a circuit by weighted rendezvous hashing of its group. The first few, as many
@@ -677,7 +641,7 @@
 	b.rank, b.score = b.rank[:0], b.score[:0]
 	sum, top := 0.0, 0.0
 	for n, i := range v.servers {
-		w := b.weight(v, n, c.view)
+		w := b.weight(i, c.view, v.heft[n], 0)
 		sum, top = sum+w, max(top, w)
 		b.insert(i, w, mix(c.place, uint64(b.id[i])))
 	}
@@ -694,11 +658,7 @@
 		rest := slices.Clone(b.rank[home:])
 		b.rank, b.score = b.rank[:0], b.score[:0]
 		for _, i := range first {
-			w := b.heft[i]
-			if b.zone[i] != c.view {
-				w *= b.away
-			}
-			b.insert(i, w, mix(c.key, uint64(b.id[i])))
+			b.insert(i, b.weight(i, c.view, b.heft[i], 0), mix(c.key, uint64(b.id[i])))
 		}
 		b.rank = append(b.rank, rest...)
 	}
@@ -730,7 +690,7 @@
 	sum := 0.0
 	for _, i := range v.servers {
 		if !b.aside[i] {
-			sum += b.share(i) * b.warmth(i)
+			sum += b.weight(i, b.dep.Zone, b.heft[i], spill) * b.warmth(i)
 		}
 	}
 	for step := byAll; step <= upTo; step++ {
@@ -743,17 +703,20 @@
 	return -1, byAside + 1
 }
 
+// cool tells whether a server has not warmed up yet for this key; all balancers agree on it.
+func (b *Balancer) cool(c *circuit, i int) bool {
+	w := b.warmth(i)
+	return w < 1 && unit(mix(c.key, ^uint64(b.id[i]))) >= w
+}
+
 // passed tells whether a circuit passes server i over at a step; sum is the weight of all servers.
 func (b *Balancer) passed(c *circuit, i, step int, sum float64) bool {
 	if step < byAside && (b.aside[i] || slices.Contains(c.tried, i)) {
 		return true
 	}
 	if step < byLimit {
-		w := b.warmth(i)
-		if w < 1 && unit(mix(c.key, ^uint64(b.id[i]))) >= w {
-			return true
-		}
-		if float64(len(b.held[i])) > 2*float64(b.total)*b.share(i)*w/max(sum, 1e-9)+2 {
+		w := b.weight(i, b.dep.Zone, b.heft[i], spill) * b.warmth(i)
+		if b.cool(c, i) || float64(len(b.held[i])) > 2*float64(b.total)*w/max(sum, 1e-9)+2 {
 			return true
 		}
 	}
@@ -771,7 +734,7 @@
 // Beyond its tenant's share of the open connections, as far as this balancer's part of them tells, it is worth less.
 func (b *Balancer) valueOf(c *circuit) float64 {
 	v := c.grade.Utility / max(c.load, 1)
-	if c.tenant < len(b.tenant) {
+	if c.tenant < len(b.dep.Tenants) {
 		if quota := b.dep.Tenants[c.tenant].Connections; quota > 0 && float64(b.tenant[c.tenant]*b.dep.Peers) > quota {
 			v *= b.dep.ExcessUtility
 		}
@@ -791,8 +754,7 @@
 	}
 	for n := len(b.pools) - 1; n >= 0; n-- {
 		for _, i := range b.order(c, b.pools[n]) {
-			w := b.warmth(i)
-			if b.aside[i] || w < 1 && unit(mix(c.key, ^uint64(b.id[i]))) >= w {
+			if b.aside[i] || b.cool(c, i) {
 				continue
 			}
 			if b.mayTry(c, i) {
@@ -946,35 +908,29 @@
 	}
 }
 
-// moveSome plans to move up to n connections away from a server: the heaviest that would now be placed elsewhere
-// without any departure.
-func (b *Balancer) moveSome(i, n int) int {
-	held := b.held[i]
-	best := make([]*circuit, 0, len(held))
-	for _, c := range held {
-		c.mates = 0
-		for _, d := range held {
-			if d.place == c.place {
-				c.mates++
-			}
-		}
+// movable answers the connections of a server that can be moved, first those that sort by less.
+func (b *Balancer) movable(i int, less func(x, y *circuit) int) []*circuit {
+	var all []*circuit
+	for _, c := range b.held[i] {
 		if c.open && !c.moving {
-			best = append(best, c)
+			all = append(all, c)
 		}
 	}
-	slices.SortStableFunc(best, func(x, y *circuit) int {
-		if x.mates != y.mates {
-			return x.mates - y.mates
-		}
-		if x.load != y.load {
-			if x.load > y.load {
-				return -1
-			}
-			return 1
-		}
-		return int(x.slot) - int(y.slot)
-	})
-	for _, c := range best {
+	slices.SortStableFunc(all, less)
+	return all
+}
+
+// moveSome plans to move up to n connections away from a server, of those that would now be placed elsewhere without
+// a departure: lone members of their group first, as they cost the server most, then the heaviest. It answers how
+// many found no other place.
+func (b *Balancer) moveSome(i, n int) int {
+	mates := map[uint64]int{}
+	for _, c := range b.held[i] {
+		mates[c.place]++
+	}
+	for _, c := range b.movable(i, func(x, y *circuit) int {
+		return cmp.Or(mates[x.place]-mates[y.place], cmp.Compare(y.load, x.load), x.slot-y.slot)
+	}) {
 		if n == 0 {
 			break
 		}
@@ -991,14 +947,6 @@
 // They come again and are nacked while only jammed servers are left. Guards against a fleet in which all connections
 // are held and none is served.
 func (b *Balancer) shed(i, n int) {
-	var worst []*circuit
-	for _, c := range b.held[i] {
-		if c.open && !c.moving {
-			worst = append(worst, c)
-		}
-	}
-	slices.SortStableFunc(worst, func(x, y *circuit) int {
-		return cmp.Compare(b.valueOf(x), b.valueOf(y))
-	})
+	worst := b.movable(i, func(x, y *circuit) int { return cmp.Compare(b.valueOf(x), b.valueOf(y)) })
 	b.moves = append(b.moves, worst[:min(n, len(worst))]...)
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -20,7 +20,7 @@
 		used[x.Server] = true
 		for _, either := range []*Balancer{b, c} {
 			either.SetUp(k, 0, ms)
-			either.TryEnded(k, 0, true, ms, Succeeded)
+			either.TryEnded(k, 0, true, Succeeded)
 		}
 	}
 	if len(used) < 6 {
@@ -46,7 +46,7 @@
 		t.Fatal("a connection of a dropped version lost its server")
 	}
 	for id := range b.circuit {
-		b.TryEnded(id, 0, true, 0, Succeeded)
+		b.TryEnded(id, 0, true, Succeeded)
 	}
 	if len(b.pools) != 1 || b.total != 0 || len(b.group) != 0 {
 		t.Fatalf("%d versions, %d connections left", len(b.pools), b.total)
@@ -127,7 +127,6 @@
 
 func TestMidFlowArrivalFindsItsHolder(t *testing.T) {
 	d := deployment()
-	d.PassThrough = true
 	b, c := started(d, fleet(8)), started(d, fleet(8))
 	same := 0
 	for id := CircuitID(1); id <= 40; id++ {
@@ -164,7 +163,7 @@
 		for _, d := range pull(b) {
 			if d.Do == Probe {
 				probes++
-				b.ProbeAnswered(d.Server, Succeeded, ms)
+				b.ProbeAnswered(d.Server, Succeeded)
 			}
 		}
 	}
@@ -216,7 +215,7 @@
 		for _, d := range pull(b) {
 			if d.Do == Move {
 				moves++
-				b.TryEnded(d.Circuit, 0, true, 0, Cancelled)
+				b.TryEnded(d.Circuit, 0, true, Cancelled)
 			}
 		}
 		if d := arrive(t, b, Arrival{ID: CircuitID(100 + s), Key: uint64(s)}); d.Server == 102 {
@@ -253,7 +252,7 @@
 	}
 	for id := CircuitID(1); id <= 20; id++ {
 		if c := b.circuit[id]; c.server == 0 {
-			b.TryEnded(id, 0, true, 0, Reset)
+			b.TryEnded(id, 0, true, Reset)
 		}
 	}
 	b.Reported(100, Report{Asked: 0.1, Piled: -1, Util: -1})
@@ -290,7 +289,7 @@
 		tries += count([]Decision{d}, Try)
 		if d.Do == Try {
 			b.SetUp(id, 0, ms)
-			b.TryEnded(id, 0, true, 0, Reset)
+			b.TryEnded(id, 0, true, Reset)
 		}
 	}
 	if tries == 0 || tries > 40 {
@@ -387,12 +386,12 @@
 	if b.total != 1 || len(b.held[1]) != 1 || len(pull(b)) != 0 {
 		t.Fatal("an open connection was not taken over as it is")
 	}
-	b.TryEnded(9, 0, true, 0, Succeeded)
-	b.TryEnded(9, 0, true, 0, Succeeded)
+	b.TryEnded(9, 0, true, Succeeded)
+	b.TryEnded(9, 0, true, Succeeded)
 	b.SetUp(9, 0, ms)
 	b.LoadNoted(9, 0, 5)
 	b.ClientLeft(9)
-	b.ProbeAnswered(555, Succeeded, ms)
+	b.ProbeAnswered(555, Succeeded)
 	b.DelayNoted(555, ms)
 	b.Reported(555, Report{Asked: 1})
 	if b.total != 0 || len(b.circuit) != 0 || count(pull(b), Try) != 0 {
--- a/policy/types.go
+++ b/policy/types.go
@@ -43,21 +43,15 @@
 	Tenants       []Tenant
 	ExcessUtility float64 // utility beyond a tenant's share, as a part of the usual
 	AskForList    bool    // the list of servers comes only when asked for
-	PassThrough   bool    // packets pass through; connections can arrive mid-flow
 	MayProbe      bool
 	MayAdvise     bool // nacks may carry a wait
 	LongestAdvice time.Duration
 	MostTries     int
-	AnswerSlack   time.Duration
-	DrainGrace    time.Duration
 	AskWithin     time.Duration
 	FallMultiple  float64
-	FallSpan      time.Duration
 	ColdFrom      float64
 	ColdFor       time.Duration
 	CrossingPrice float64
-	ProbePrice    float64
-	MovePrice     float64
 	ReportsOnAsk  bool // probes bring load reports
 }
 
@@ -98,7 +92,6 @@
 	Grade   int
 	Left    time.Duration
 	MidFlow bool
-	Back    bool    // after a break, a move or a nack
 	Load    float64 // usual load, work in microseconds a second; 0 where not told
 }
 
