Room also counts at servers where nothing is held, and falls after a reset

Told from a bad node by all of them resetting; from a lack of room alone by tries that go on. Cause: a balancer that holds nothing of a node hears no note of it, took it as empty and tried it again every two seconds, and so did the nine others.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -490,6 +490,7 @@
 	// A full server turns circuits away, and one with too much piled up drops connections: both are jams.
 	if (how == TurnedAway || how == Reset && c.open) && !b.busy(i, shedPart, shedAsked) {
 		b.delay[i], b.delayAt[i] = b.goal, b.now
+		b.room[i] = min(b.room[i], max(0, b.load[i]-c.load))
 	}
 	if b.fails[i] < asideFails || b.aside[i] || b.state[i] != Ready {
 		return
@@ -727,7 +728,7 @@
 	if v := b.valueOf(c); v < b.value && b.tight() { // what is left goes to those of more utility for their load
 		room *= 1 - reserve*(1-v/b.value)
 	}
-	return b.busy(i, jammedPart, jammedAsked) || len(b.held[i]) > 0 && b.load[i]+c.load > room
+	return b.busy(i, jammedPart, jammedAsked) || b.load[i]+c.load > room
 }
 
 // valueOf is a circuit's utility for its load.
