--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,9 +26,9 @@
 	noteFresh    = 2 * time.Second // a slow-message note is repeated each second while it holds
 	reportFresh  = 4 * time.Second // a load report older than this is not used
 	reportEvery  = 2 * time.Second // how often each server's load report is asked for
-	crowdedPart  = 0.45            // of the shortest message goal: a message that takes longer marks a crowd
+	crowdedPart  = 0.38            // of the shortest message goal: a message that takes longer marks a crowd
 	crowdedAsked = 0.80            // load over capacity that marks a crowd, where reports tell it
-	jammedPart   = 0.7             // as crowdedPart, from where connections are moved away
+	jammedPart   = 0.55            // as crowdedPart, from where connections are moved away
 	jammedAsked  = 0.95            // as crowdedAsked, from where connections are moved away
 	shedPart     = 1.0             // as crowdedPart, from where connections are ended without another place
 	shedAsked    = 1.05            // as crowdedAsked, likewise
