--- a/policy/policy.go
+++ b/policy/policy.go
@@ -879,8 +879,8 @@
 			// A part of what is held, rounded by chance: with many balancers each holds little of a server, and one
 			// move by each of them would empty it.
 			part := movePart
-			if b.busy(i, 2*jammedPart, 2*jammedAsked) {
-				part *= 3
+			if over := float64(b.delay[i]) / float64(b.goal) / jammedPart; b.busy(i, jammedPart, never.Seconds()) {
+				part = min(0.5, movePart*over*over)
 			}
 			if b.askedAt[i] > b.movedBy[i] && b.asked[i] > fullAsked { // each report is answered once, in full
 				part, b.movedBy[i] = min(0.5, 1-fullAsked/b.asked[i]), b.askedAt[i]
