--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,7 +34,7 @@
 	shedAsked    = 1.05            // as crowdedAsked, likewise
 	fullAsked    = 0.9             // load over capacity up to which a reported server is filled
 	roomGrowth   = 0.015           // by which a server that is not crowded may be filled further, each round
-	movePart     = 0.1             // of the connections at a jammed server, moved away at a time
+	movePart     = 0.06            // of the connections at a jammed server, moved away at a time
 	watchBackoff = 500 * time.Millisecond
 	moveEvery    = time.Second     // between moves away from one jammed server
 	spill        = 0.25            // least share of a server in another zone in the limit
@@ -879,8 +879,8 @@
 			// A part of what is held, rounded by chance: with many balancers each holds little of a server, and one
 			// move by each of them would empty it.
 			part := movePart
-			if over := float64(b.delay[i]) / float64(b.goal) / jammedPart; b.busy(i, jammedPart, never.Seconds()) {
-				part = min(0.5, movePart*over*over)
+			if b.busy(i, 2*jammedPart, 2*jammedAsked) {
+				part *= 2
 			}
 			if b.askedAt[i] > b.movedBy[i] && b.asked[i] > fullAsked { // each report is answered once, in full
 				part, b.movedBy[i] = min(0.5, 1-fullAsked/b.asked[i]), b.askedAt[i]
