--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,7 +34,7 @@
 	shedAsked    = 1.05            // as crowdedAsked, likewise
 	fullAsked    = 0.9             // load over capacity up to which a reported server is filled
 	roomGrowth   = 0.015           // by which a server that is not crowded may be filled further, each round
-	movePart     = 0.06            // of the connections at a jammed server, moved away at a time
+	movePart     = 0.03            // of the connections at a jammed server, moved away at a time
 	watchBackoff = 500 * time.Millisecond
 	moveEvery    = time.Second     // between moves away from one jammed server
 	spill        = 0.25            // least share of a server in another zone in the limit
