--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,7 +34,7 @@
 	shedAsked    = 1.05            // as crowdedAsked, likewise
 	fullAsked    = 0.9             // load over capacity up to which a reported server is filled
 	roomGrowth   = 0.015           // by which a server that is not crowded may be filled further, each round
-	movePart     = 0.03            // of the connections at a jammed server, moved away at a time
+	movePart     = 0.06            // of the connections at a jammed server, moved away at a time
 	watchBackoff = 500 * time.Millisecond
 	moveEvery    = time.Second     // between moves away from one jammed server
 	spill        = 0.25            // least share of a server in another zone in the limit
@@ -882,8 +882,8 @@
 			if b.busy(i, 2*jammedPart, 2*jammedAsked) {
 				part *= 2
 			}
-			if b.askedAt[i] > b.movedBy[i] && b.asked[i] > fullAsked { // each report is answered once, in full
-				part, b.movedBy[i] = min(0.5, 1-fullAsked/b.asked[i]), b.askedAt[i]
+			if b.askedAt[i] > b.movedBy[i] && b.asked[i] > fullAsked { // each report is answered once, by half
+				part, b.movedBy[i] = 0.5*(1-fullAsked/b.asked[i]), b.askedAt[i]
 			}
 			n := int(part*float64(len(b.held[i])) + b.random())
 			if left := b.moveSome(i, n); left > 0 && b.busy(i, shedPart, shedAsked) {
