--- a/policy/policy.go
+++ b/policy/policy.go
@@ -935,8 +935,9 @@
 		if n == 0 {
 			break
 		}
-		probe := circuit{key: c.key, place: c.place, grade: c.grade, until: never, ranOn: -1, view: b.dep.Zone}
-		if j, at := b.pick(&probe, b.pools[len(b.pools)-1], byAll); j >= 0 && j != i && (at < b.reach || !b.tight()) {
+		again := *c // as it will come again
+		again.open, again.tries, again.tried, again.ranOn, again.view = false, 0, nil, -1, b.dep.Zone
+		if j, at := b.pick(&again, b.pools[len(b.pools)-1], byAll); j >= 0 && j != i && (at < b.reach || !b.tight()) {
 			b.moves = append(b.moves, c)
 			n--
 		}
