--- a/policy/policy.go
+++ b/policy/policy.go
@@ -652,7 +652,7 @@
 	}
 	b.reach = len(b.rank)
 	if c.place != c.key {
-		b.reach = min(b.reach, 2*home+2)
+		b.reach = min(b.reach, home+1)
 	}
 	if home = min(home, len(b.rank)); home > 1 {
 		first := slices.Clone(b.rank[:home])
