Resets of open connections no longer set a server aside

A shed connection is the sign of a jam, which is marked as such; counted as failures besides, they shut a third of an overloaded fleet.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -483,7 +483,9 @@
 	case TimedOut:
 		b.fails[i] += 0.5
 	case Reset:
-		b.fails[i]++
+		if c.out { // one that stood was shed: a jam, not a failure
+			b.fails[i]++
+		}
 	case Succeeded:
 		b.fails[i] *= 0.5
 	}
