--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,6 +42,7 @@
 	brakeOff     = 1.0 / 8         // by which a try that comes to stand takes it off
 	reserve      = 0.3             // part of a server's room kept from circuits of no utility, when tight
 	foundLess    = 0.7             // what is left of the trust in a zone's view after a wrong guess
+	foundLeast   = 0.25            // trust under which mid-flow arrivals are placed as newcomers
 	foundWithin  = 50              // a mid-flow arrival that stands within this part of the goal was found
 	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
@@ -755,6 +756,10 @@
 			best, c.view = f, z
 		}
 	}
+	if best < foundLeast { // guesses are mostly wrong: a connection that is set up anew needs a server with room
+		c.view = b.dep.Zone
+		return -1
+	}
 	for n := len(b.pools) - 1; n >= 0; n-- {
 		for _, i := range b.order(c, b.pools[n]) {
 			if b.aside[i] || b.cool(c, i) {
@@ -862,6 +867,9 @@
 // round considers moves and probes.
 func (b *Balancer) round() {
 	b.moves, b.probes = b.moves[:0], b.probes[:0]
+	for z := range b.found {
+		b.found[z] += (0.5 - b.found[z]) / 50
+	}
 	for i := range b.id {
 		if b.state[i] == Gone {
 			continue
