The usual utility is learned only from circuits whose load is known

Found by a test: the first arrivals carried no load and put the usual utility a thousandfold too high, so that for some two hundred arrivals the reserve held from all alike.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -310,7 +310,9 @@
 func (b *Balancer) CircuitArrived(a Arrival) {
 	c := b.take(a)
 	b.pend(c)
-	learn(&b.value, b.valueOf(c))
+	if c.load > 0 { // the first few have no load to go by, and would pass for the most useful ever seen
+		learn(&b.value, b.valueOf(c))
+	}
 }
 
 // HandedOver takes a connection that is open already; its first try counts as made.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -398,3 +398,75 @@
 		t.Fatal("late news had an effect")
 	}
 }
+
+func TestAServerThatShedIsNotTriedBlindly(t *testing.T) {
+	b := started(deployment(), fleet(3))
+	connect(t, b, 1, 12)
+	for id := CircuitID(1); id <= 12; id++ { // a full server sheds all that this balancer holds of it
+		if b.circuit[id].server == 1 {
+			b.TryEnded(id, 0, true, Reset)
+		}
+	}
+	again := 0
+	for id := CircuitID(20); id < 60; id++ {
+		b.Clock(b.now + 100*ms)
+		pull(b)
+		if d := arrive(t, b, Arrival{ID: id, Key: uint64(id)}); d.Do == Try {
+			b.SetUp(id, 0, ms)
+			if d.Server == 101 {
+				again++
+				b.TryEnded(id, 0, true, Reset)
+			}
+		}
+	}
+	if len(b.held[1]) > 0 || again > 3 {
+		t.Fatalf("tried %d times in four seconds", again)
+	}
+}
+
+func TestMidFlowViewFollowsWhatWasFound(t *testing.T) {
+	d := deployment()
+	d.CrossingPrice = 0.1
+	list := fleet(8)
+	for i := range list {
+		list[i].Zone = i % 2
+	}
+	here := started(d, list)
+	away := *d
+	away.Zone = 1
+	there, found := started(&away, list), 0
+	for id := CircuitID(1); id <= 60; id++ {
+		holds := arrive(t, there, Arrival{ID: id, Key: uint64(id)})
+		took := 100 * ms
+		if arrive(t, here, Arrival{ID: id, Key: uint64(id), MidFlow: true}).Server == holds.Server {
+			took = ms / 2
+			found++
+		}
+		here.SetUp(id, 0, took)
+	}
+	if found < 45 {
+		t.Fatalf("%d of 60 found", found)
+	}
+}
+
+func TestWhenTightRoomGoesToUtilityFirst(t *testing.T) {
+	d := deployment()
+	d.Grades = append(d.Grades, Grade{SetupGoal: 300 * ms, MessageGoal: 100 * ms, Utility: 5})
+	d.Tenants, d.ExcessUtility = []Tenant{{Connections: 1000}}, 0.1
+	b := started(d, fleet(1))
+	connect(t, b, 1, 10)
+	b.room[0] = b.load[0] * 1.2
+	b.usualOf[1], b.full = b.usualOf[0], 100
+	for range 40 { // the usual utility is learned from what arrives
+		learn(&b.value, 4/b.usual)
+	}
+	for grade, want := range []Verb{Nack, Try} {
+		if got := arrive(t, b, Arrival{ID: CircuitID(50 + grade), Key: 7, Grade: grade}); got.Do != want {
+			t.Fatalf("grade %d: %+v", grade, got)
+		}
+	}
+	b.dep.Tenants[0].Connections = 1
+	if got := arrive(t, b, Arrival{ID: 52, Key: 7, Grade: 1}); got.Do != Nack {
+		t.Fatalf("beyond the share: %+v", got)
+	}
+}
