--- a/policy/policy.go
+++ b/policy/policy.go
@@ -730,8 +730,8 @@
 		return true
 	}
 	room := b.room[i]
-	if v := b.valueOf(c); v < b.value && b.tight() { // what is left goes to those of more utility for their load
-		room *= 1 - reserve*(1-v/b.value)
+	if v := b.valueOf(c); v < 2*b.value && b.tight() { // what is left goes to those of more utility for their load
+		room *= 1 - reserve*(1-v/b.value/2)
 	}
 	return b.busy(i, jammedPart, jammedAsked) || b.load[i]+c.load > room
 }
