--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -455,7 +455,7 @@
 	d.Tenants, d.ExcessUtility = []Tenant{{Connections: 1000}}, 0.1
 	b := started(d, fleet(1))
 	connect(t, b, 1, 10)
-	b.room[0] = b.load[0] * 1.2
+	b.room[0] = b.load[0] * 1.3
 	b.usualOf[1], b.full = b.usualOf[0], 100
 	for range 40 { // the usual utility is learned from what arrives
 		learn(&b.value, 4/b.usual)
