--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,7 +40,7 @@
 	spill        = 0.25            // least share of a server in another zone in the limit
 	brakeOn      = 1.0 / 16        // by which a failed try puts the brake further on, while most tries fail
 	brakeOff     = 1.0 / 8         // by which a try that comes to stand takes it off
-	reserve      = 0.5             // part of a server's room kept from circuits of no utility, when tight
+	reserve      = 0.3             // part of a server's room kept from circuits of no utility, when tight
 	foundLess    = 0.7             // what is left of the trust in a zone's view after a wrong guess
 	foundLeast   = 0.25            // trust under which mid-flow arrivals are placed as newcomers
 	foundWithin  = 50              // a mid-flow arrival that stands within this part of the goal was found
@@ -842,7 +842,7 @@
 		}
 		d := Decision{Do: Nack, Circuit: c.id}
 		if b.dep.MayAdvise {
-			d.For = b.jitter(b.dep.LongestAdvice / 2)
+			d.For = b.jitter(b.dep.LongestAdvice * 2 / 3)
 		}
 		return d
 	}
