--- a/policy/policy.go
+++ b/policy/policy.go
@@ -842,7 +842,7 @@
 		}
 		d := Decision{Do: Nack, Circuit: c.id}
 		if b.dep.MayAdvise {
-			d.For = b.jitter(b.dep.LongestAdvice * 2 / 3)
+			d.For = b.jitter(b.dep.LongestAdvice / 2)
 		}
 		return d
 	}
