--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,38 +15,37 @@
 )
 
 const (
-	versionCap    = 64                     // kept versions; beyond it the oldest is dropped
-	roundEvery    = 250 * time.Millisecond // how often moves and probes are considered
-	never         = time.Duration(1 << 62)
-	asideFails    = 2.0             // failures, less what successes took off, that set a server aside
-	asideFirst    = time.Second     // first wait before the probes of a server set aside; doubles
-	asideLongest  = 8 * time.Second //
-	asidePart     = 3               // at most one in so many ready servers is set aside
-	answersBack   = 2               // answered probes in a row that bring a server back
-	noteFresh     = 2 * time.Second // a slow-message note is repeated each second while it holds
-	reportFresh   = 4 * time.Second // a load report older than this is not used
-	reportEvery   = 2 * time.Second // how often each server's load report is asked for
-	crowdedPart   = 0.38            // of the shortest message goal: a message that takes longer marks a crowd
-	crowdedAsked  = 0.80            // load over capacity that marks a crowd, where reports tell it
-	jammedPart    = 0.55            // as crowdedPart, from where connections are moved away
-	jammedAsked   = 0.95            // as crowdedAsked, from where connections are moved away
-	shedPart      = 1.0             // as crowdedPart, from where connections are ended without another place
-	shedAsked     = 1.05            // as crowdedAsked, likewise
-	fullAsked     = 0.9             // load over capacity up to which a reported server is filled
-	roomGrowth    = 0.015           // by which a server that is not crowded may be filled further, each round
-	movePart      = 0.12            // of the connections at a jammed server, moved away at a time
-	movePartTight = 0.05            // the same when tight
-	watchBackoff  = 500 * time.Millisecond
-	moveEvery     = time.Second     // between moves away from one jammed server
-	spill         = 0.25            // least share of a server in another zone in the limit
-	brakeOn       = 1.0 / 16        // by which a failed try puts the brake further on, while most tries fail
-	brakeOff      = 1.0 / 8         // by which a try that comes to stand takes it off
-	reserve       = 0.3             // part of a server's room kept from circuits of no utility, when tight
-	foundLess     = 0.7             // what is left of the trust in a zone's view after a wrong guess
-	foundLeast    = 0.25            // trust under which mid-flow arrivals are placed as newcomers
-	foundWithin   = 50              // a mid-flow arrival that stands within this part of the goal was found
-	homeSpread    = 1.3             // servers in a group's home, over its share of the connections
-	tallyFor      = 3 * time.Second // how long setup tries count in the tally
+	versionCap   = 64                     // kept versions; beyond it the oldest is dropped
+	roundEvery   = 250 * time.Millisecond // how often moves and probes are considered
+	never        = time.Duration(1 << 62)
+	asideFails   = 2.0             // failures, less what successes took off, that set a server aside
+	asideFirst   = time.Second     // first wait before the probes of a server set aside; doubles
+	asideLongest = 8 * time.Second //
+	asidePart    = 3               // at most one in so many ready servers is set aside
+	answersBack  = 2               // answered probes in a row that bring a server back
+	noteFresh    = 2 * time.Second // a slow-message note is repeated each second while it holds
+	reportFresh  = 4 * time.Second // a load report older than this is not used
+	reportEvery  = 2 * time.Second // how often each server's load report is asked for
+	crowdedPart  = 0.38            // of the shortest message goal: a message that takes longer marks a crowd
+	crowdedAsked = 0.80            // load over capacity that marks a crowd, where reports tell it
+	jammedPart   = 0.55            // as crowdedPart, from where connections are moved away
+	jammedAsked  = 0.95            // as crowdedAsked, from where connections are moved away
+	shedPart     = 1.0             // as crowdedPart, from where connections are ended without another place
+	shedAsked    = 1.05            // as crowdedAsked, likewise
+	fullAsked    = 0.9             // load over capacity up to which a reported server is filled
+	roomGrowth   = 0.015           // by which a server that is not crowded may be filled further, each round
+	movePart     = 0.06            // of the connections at a jammed server, moved away at a time
+	watchBackoff = 500 * time.Millisecond
+	moveEvery    = time.Second     // between moves away from one jammed server
+	spill        = 0.25            // least share of a server in another zone in the limit
+	brakeOn      = 1.0 / 16        // by which a failed try puts the brake further on, while most tries fail
+	brakeOff     = 1.0 / 8         // by which a try that comes to stand takes it off
+	reserve      = 0.3             // part of a server's room kept from circuits of no utility, when tight
+	foundLess    = 0.7             // what is left of the trust in a zone's view after a wrong guess
+	foundLeast   = 0.25            // trust under which mid-flow arrivals are placed as newcomers
+	foundWithin  = 50              // a mid-flow arrival that stands within this part of the goal was found
+	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
+	tallyFor     = 3 * time.Second // how long setup tries count in the tally
 )
 
 // version is one frozen pool: the ready servers of one list, sorted by id.
@@ -892,9 +891,6 @@
 			// A part of what is held, rounded by chance: with many balancers each holds little of a server, and one
 			// move by each of them would empty it.
 			part := movePart
-			if b.tight() { // what leaves one server at once floods the next
-				part = movePartTight
-			}
 			if b.busy(i, 2*jammedPart, 2*jammedAsked) {
 				part *= 2
 			}
