--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,6 +44,7 @@
 	foundLess    = 0.7             // what is left of the trust in a zone's view after a wrong guess
 	foundLeast   = 0.25            // trust under which mid-flow arrivals are placed as newcomers
 	foundWithin  = 50              // a mid-flow arrival that stands within this part of the goal was found
+	loadLimit    = 1.6             // as the limit, of the load held
 	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
 )
@@ -102,6 +103,7 @@
 	tenant  []int           // the same by tenant
 	setUp   []time.Duration // what a set-up usually takes, by grade
 	found   []float64       // by zone: how often mid-flow arrivals were found as seen from there
+	loads   float64         // load of all held
 	usual   float64         // usual load of a connection, learned
 	usualOf []float64       // the same by grade
 	value   float64         // usual utility for the load of a circuit, learned
@@ -338,6 +340,7 @@
 	c.server, c.slot = i, len(b.held[i])
 	b.held[i] = append(b.held[i], c)
 	b.load[i] += c.load
+	b.loads += c.load
 	b.total++
 	b.group[c.place]++
 	b.tenant[c.tenant]++
@@ -354,6 +357,7 @@
 	h[len(h)-1] = nil
 	b.held[c.server] = h[:len(h)-1]
 	b.load[c.server] = max(0, b.load[c.server]-c.load)
+	b.loads = max(0, b.loads-c.load)
 	b.total--
 	b.tenant[c.tenant]--
 	if b.group[c.place]--; b.group[c.place] == 0 {
@@ -433,6 +437,7 @@
 		return
 	}
 	b.load[c.server] = max(0, b.load[c.server]+load-c.load)
+	b.loads = max(0, b.loads+load-c.load)
 	c.load = load
 	learn(&b.usual, load)
 	learn(&b.usualOf[c.row], load)
@@ -722,7 +727,9 @@
 	}
 	if step < byLimit {
 		w := b.weight(i, b.dep.Zone, b.heft[i], spill) * b.warmth(i)
-		if b.cool(c, i) || float64(len(b.held[i])) > 2*float64(b.total)*w/max(sum, 1e-9)+2 {
+		w /= max(sum, 1e-9)
+		if b.cool(c, i) || float64(len(b.held[i])) > 2*float64(b.total)*w+2 ||
+			b.load[i] > loadLimit*b.loads*w+2*b.usual {
 			return true
 		}
 	}
