--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,7 +44,7 @@
 	foundLess    = 0.7             // what is left of the trust in a zone's view after a wrong guess
 	foundLeast   = 0.25            // trust under which mid-flow arrivals are placed as newcomers
 	foundWithin  = 50              // a mid-flow arrival that stands within this part of the goal was found
-	loadLimit    = 1.6             // as the limit, of the load held
+	loadLimit    = 2.0             // as the limit, of the load held
 	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
 )
