--- a/policy/policy.go
+++ b/policy/policy.go
@@ -71,6 +71,7 @@
 	open     bool // the connection stands
 	answered bool // the final answer is given; nothing more is sent
 	moving   bool
+	given    bool // handed over at the start
 	tries    int
 	tried    []int // servers already tried
 	server   int   // of the newest try, -1 before the first
@@ -322,7 +323,7 @@
 		i = b.newServer(server)
 	}
 	c := b.take(a)
-	c.until, c.tries, c.open = never, 1, true
+	c.until, c.tries, c.open, c.given = never, 1, true, true
 	b.hold(c, i)
 }
 
@@ -968,13 +969,13 @@
 	return -1
 }
 
-// sendHome plans to move connections back from other zones, a few at a time, while a crossing costs more than a move:
-// those handed over at the start were placed by another balancer, and a spill outlives its cause.
+// sendHome plans to move connections that were handed over at the start, without regard to zones, back from other zones,
+// a few at a time, where a crossing costs more than a move.
 func (b *Balancer) sendHome() {
 	n := 1 + b.total/100
 	for _, i := range b.pools[len(b.pools)-1].servers {
 		for _, c := range b.held[i] {
-			if n > 0 && b.zone[i] != b.dep.Zone && c.open && !c.moving {
+			if n > 0 && b.zone[i] != b.dep.Zone && c.given && c.open && !c.moving {
 				if j := b.elsewhere(c); j >= 0 && b.zone[j] == b.dep.Zone {
 					b.moves = append(b.moves, c)
 					n--
