--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -32,7 +32,7 @@
 		Probes, RetryAfter bool
 	}
 	Prices struct {
-		CrossZone, Moves float64
+		CrossZone float64
 	}
 	Report struct {
 		Fields []string
@@ -81,8 +81,8 @@
 		Peers: *s.PeersTotal, Zone: *s.Zone, ExcessUtility: s.ExcessUtility,
 		MayProbe: l.Probes, MayAdvise: l.RetryAfter, LongestAdvice: us(l.MaxRetryAfterUs),
 		MostTries: *l.MostSetupTries, FallMultiple: *g.FallMultiple, ColdFrom: *g.ColdFrom, ColdFor: us(*g.ColdUs),
-		CrossingPrice: s.Prices.CrossZone, MovePrice: s.Prices.Moves,
-		ReportsOnAsk: s.Report.How == "probe" || s.Report.How == "answers",
+		CrossingPrice: s.Prices.CrossZone,
+		ReportsOnAsk:  s.Report.How == "probe" || s.Report.How == "answers",
 	}
 	switch *s.RegistryMode {
 	case "pushed":
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -71,7 +71,6 @@
 	open     bool // the connection stands
 	answered bool // the final answer is given; nothing more is sent
 	moving   bool
-	given    bool // handed over at the start
 	tries    int
 	tried    []int // servers already tried
 	server   int   // of the newest try, -1 before the first
@@ -323,7 +322,7 @@
 		i = b.newServer(server)
 	}
 	c := b.take(a)
-	c.until, c.tries, c.open, c.given = never, 1, true, true
+	c.until, c.tries, c.open = never, 1, true
 	b.hold(c, i)
 }
 
@@ -870,9 +869,6 @@
 // round considers moves and probes.
 func (b *Balancer) round() {
 	b.moves, b.probes = b.moves[:0], b.probes[:0]
-	if b.dep.MovePrice < b.dep.CrossingPrice/2 && !b.ailing() && !b.tight() && len(b.pools) > 0 {
-		b.sendHome()
-	}
 	for z := range b.found {
 		b.found[z] += (0.5 - b.found[z]) / 50
 	}
@@ -951,7 +947,9 @@
 		if n == 0 {
 			break
 		}
-		if j := b.elsewhere(c); j >= 0 && j != i {
+		again := *c // as it will come again
+		again.open, again.tries, again.tried, again.ranOn, again.view = false, 0, nil, -1, b.dep.Zone
+		if j, at := b.pick(&again, b.pools[len(b.pools)-1], byAll); j >= 0 && j != i && (at < b.reach || !b.tight()) {
 			b.moves = append(b.moves, c)
 			n--
 		}
@@ -959,32 +957,6 @@
 	return n
 }
 
-// elsewhere answers where a connection would be placed without a departure if it came again now, or -1.
-func (b *Balancer) elsewhere(c *circuit) int {
-	again := *c
-	again.open, again.tries, again.tried, again.ranOn, again.view = false, 0, nil, -1, b.dep.Zone
-	if i, at := b.pick(&again, b.pools[len(b.pools)-1], byAll); at < b.reach || !b.tight() {
-		return i
-	}
-	return -1
-}
-
-// sendHome plans to move connections that were handed over at the start, without regard to zones, back from other zones,
-// a few at a time, where a crossing costs more than a move.
-func (b *Balancer) sendHome() {
-	n := 1 + b.total/100
-	for _, i := range b.pools[len(b.pools)-1].servers {
-		for _, c := range b.held[i] {
-			if n > 0 && b.zone[i] != b.dep.Zone && c.given && c.open && !c.moving {
-				if j := b.elsewhere(c); j >= 0 && b.zone[j] == b.dep.Zone {
-					b.moves = append(b.moves, c)
-					n--
-				}
-			}
-		}
-	}
-}
-
 // shed plans to end n connections of a server from which none can be moved: those of least utility for their load.
 // They come again and are nacked while only jammed servers are left. Guards against a fleet in which all connections
 // are held and none is served.
--- a/policy/types.go
+++ b/policy/types.go
@@ -52,7 +52,6 @@
 	ColdFrom      float64
 	ColdFor       time.Duration
 	CrossingPrice float64
-	MovePrice     float64
 	ReportsOnAsk  bool // probes bring load reports
 }
 
