--- a/policy/policy.go
+++ b/policy/policy.go
@@ -899,7 +899,7 @@
 			}
 			n := int(part*float64(len(b.held[i])) + b.random())
 			if left := b.moveSome(i, n); left > 0 && b.busy(i, shedPart, shedAsked) {
-				b.shed(i, left)
+				b.shed(i, 3*left)
 			}
 		}
 		if b.state[i] != Ready || b.probing[i] {
