--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,6 +44,7 @@
 	foundLess    = 0.7             // what is left of the trust in a zone's view after a wrong guess
 	foundLeast   = 0.25            // trust under which mid-flow arrivals are placed as newcomers
 	foundWithin  = 50              // a mid-flow arrival that stands within this part of the goal was found
+	knownOver    = 1.3             // over what a server has held for a while, it is filled step by step
 	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
 )
@@ -137,6 +138,7 @@
 	budget  []float64 // setup tries that a cold server may still be sent
 	paidAt  []time.Duration
 	room    []float64       // load of own connections that it takes before it is crowded, as last seen
+	known   []float64       // load of own connections that it has held for a while without a crowd
 	movedBy []time.Duration // the time of the report that moves last answered
 	movedAt []time.Duration // when a move away from it was last considered
 
@@ -233,7 +235,7 @@
 	b.delay, b.delayAt = append(b.delay, 0), append(b.delayAt, -never)
 	b.asked, b.askedAt = append(b.asked, 0), append(b.askedAt, -never)
 	b.budget, b.paidAt = append(b.budget, 1), append(b.paidAt, 0)
-	b.movedBy = append(b.movedBy, -never)
+	b.movedBy, b.known = append(b.movedBy, -never), append(b.known, 0)
 	b.movedAt, b.room = append(b.movedAt, -never), append(b.room, never.Seconds())
 	return i
 }
@@ -733,7 +735,7 @@
 	if v := b.valueOf(c); v < 2*b.value && b.tight() { // what is left goes to those of more utility for their load
 		room *= 1 - reserve*(1-v/b.value/2)
 	}
-	return b.busy(i, jammedPart, jammedAsked) || b.load[i]+c.load > room
+	return b.busy(i, jammedPart, jammedAsked) || b.load[i]+c.load > min(room, knownOver*b.known[i]+2*b.usual)
 }
 
 // valueOf is a circuit's utility for its load.
@@ -876,6 +878,11 @@
 		if b.state[i] == Gone {
 			continue
 		}
+		if gap := b.load[i] - b.known[i]; gap < 0 {
+			b.known[i] += gap / 100
+		} else if !b.busy(i, crowdedPart, crowdedAsked) {
+			b.known[i] += gap / 8
+		}
 		if !b.busy(i, crowdedPart, crowdedAsked) {
 			// By a part of itself and of one connection: room that grew only by a part never came back from near nothing.
 			b.room[i] += roomGrowth*b.room[i] + 0.3*b.usual/float64(b.dep.Peers)
@@ -899,7 +906,7 @@
 			}
 			n := int(part*float64(len(b.held[i])) + b.random())
 			if left := b.moveSome(i, n); left > 0 && b.busy(i, shedPart, shedAsked) {
-				b.shed(i, 3*left)
+				b.shed(i, left)
 			}
 		}
 		if b.state[i] != Ready || b.probing[i] {
