--- a/policy/policy.go
+++ b/policy/policy.go
@@ -735,7 +735,10 @@
 	if v := b.valueOf(c); v < 2*b.value && b.tight() { // what is left goes to those of more utility for their load
 		room *= 1 - reserve*(1-v/b.value/2)
 	}
-	return b.busy(i, jammedPart, jammedAsked) || b.load[i]+c.load > min(room, knownOver*b.known[i]+2*b.usual)
+	if !b.dep.ReportsOnAsk {
+		room = min(room, knownOver*b.known[i]+max(b.usual, c.load)*max(1.5, 15/float64(b.dep.Peers)))
+	}
+	return b.busy(i, jammedPart, jammedAsked) || b.load[i]+c.load > room
 }
 
 // valueOf is a circuit's utility for its load.
