--- a/policy/policy.go
+++ b/policy/policy.go
@@ -736,7 +736,7 @@
 		room *= 1 - reserve*(1-v/b.value/2)
 	}
 	if !b.dep.ReportsOnAsk {
-		room = min(room, knownOver*b.known[i]+max(b.usual, c.load)*max(1.5, 24/float64(b.dep.Peers)))
+		room = min(room, knownOver*b.known[i]+max(b.usual, c.load)*max(1.5, 72/float64(b.dep.Peers*b.dep.Peers)))
 	}
 	return b.busy(i, jammedPart, jammedAsked) || b.load[i]+c.load > room
 }
