--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -1,5 +1,6 @@
-// Package simwire speaks the simulator's wire: binary frames of records on standard input and output. It hosts
-// many balancers, turns what it reads straight into calls on them and writes their decisions straight back.
+// Package simwire speaks the simulator's wire: binary frames of records on standard input and output. It
+// hosts many balancers, turns what it reads straight into calls on them and writes their decisions straight
+// back.
 package simwire
 
 import (
@@ -328,6 +329,9 @@
 			Server: serverAt(entries), Zone: int(le.Uint16(entries[6:])), Cell: int(le.Uint16(entries[10:])),
 			Heft: float(entries[13:]), Started: policy.LongAgo,
 		}
+		if !(l.Heft > 0 && l.Heft < math.Inf(1)) {
+			l.Heft = 1
+		}
 		switch entries[12] {
 		case 0:
 		case 1:
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,9 +1,10 @@
 // Package policy holds every decision of the balancer; it knows no wire and does no input or output.
 //
-// Calling it: New starts a Balancer from its Deployment and a seed. The host calls Clock with the time since the
-// start, then one method for each thing that came in (ListArrived, CircuitArrived, SetUp, TryEnded and so on).
-// These only update what is known. The host then calls Next until it answers false and carries out each Decision,
-// and calls again at the latest at the time that Wake names. The plain types of this interface are in types.go.
+// Calling it: New starts a Balancer from its Deployment and a seed. The host calls Clock with the time since
+// the start, then one method for each thing that came in (ListArrived, CircuitArrived, SetUp, TryEnded and so
+// on). These only update what is known. The host then calls Next until it answers false and carries out each
+// Decision, and calls again at the latest at the time that Wake names. The plain types of this interface are
+// in types.go.
 package policy
 
 import (
@@ -26,12 +27,6 @@
 	noteFresh    = 2 * time.Second // a slow-message note is repeated each second while it holds
 	reportFresh  = 4 * time.Second // a load report older than this is not used
 	reportEvery  = 2 * time.Second // how often each server's load report is asked for
-	crowdedPart  = 0.38            // of the shortest message goal: a message that takes longer marks a crowd
-	crowdedAsked = 0.80            // load over capacity that marks a crowd, where reports tell it
-	jammedPart   = 0.55            // as crowdedPart, from where connections are moved away
-	jammedAsked  = 0.95            // as crowdedAsked, from where connections are moved away
-	shedPart     = 1.0             // as crowdedPart, from where connections are ended without another place
-	shedAsked    = 1.05            // as crowdedAsked, likewise
 	fullAsked    = 0.9             // load over capacity up to which a reported server is filled
 	roomGrowth   = 0.015           // by which a server that is not crowded may be filled further, each round
 	movePart     = 0.06            // of the connections at a jammed server, moved away at a time
@@ -45,10 +40,23 @@
 	foundLeast   = 0.25            // trust under which mid-flow arrivals are placed as newcomers
 	foundWithin  = 50              // a mid-flow arrival that stands within this part of the goal was found
 	knownOver    = 1.3             // over what a server has held for a while, it is filled step by step
+	knownMore    = 1.5             // and by at least so many usual connections at once
+	knownFew     = 72.0            // by this many over the square of the number of balancers
 	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
 )
 
+// edge is how near to its capacity a server is: what a message takes, as a part of the shortest message goal,
+// and its reported load over its capacity.
+type edge struct{ delay, asked float64 }
+
+var (
+	crowded = edge{0.38, 0.80} // from here newcomers pass it
+	jammed  = edge{0.55, 0.95} // from here connections are moved away
+	far     = edge{1.10, 1.90} // from here twice as many
+	lost    = edge{1.00, 1.05} // from here they are ended where there is no other place
+)
+
 // version is one frozen pool: the ready servers of one list, sorted by id.
 type version struct {
 	servers []int // dense indices
@@ -67,7 +75,6 @@
 	tenant   int
 	until    time.Duration // the outer limit of this client's try
 	midFlow  bool
-	waiting  bool // in the queue of Next
 	out      bool // a setup try is out
 	open     bool // the connection stands
 	answered bool // the final answer is given; nothing more is sent
@@ -85,33 +92,31 @@
 
 // Balancer is one balancer's knowledge and decisions.
 type Balancer struct {
-	dep     *Deployment
-	now     time.Duration
-	chance  uint64
-	away    float64       // weight of a server in another zone, the own zone's is 1
-	goal    time.Duration // the shortest message goal
-	index   map[ServerID]int
-	circuit map[CircuitID]*circuit
-	pools   []*version // oldest first; the newest places new connections
-	queue   []*circuit // circuits that wait for a decision
-	moves   []*circuit
-	probes  []int
-	roundAt time.Duration
-	trying  int             // setup tries out
-	total   int             // connections and setup tries held
-	group   map[uint64]int  // the same by group
-	tenant  []int           // the same by tenant
-	setUp   []time.Duration // what a set-up usually takes, by grade
-	found   []float64       // by zone: how often mid-flow arrivals were found as seen from there
-	usual   float64         // usual load of a connection, learned
-	usualOf []float64       // the same by grade
-	value   float64         // usual utility for the load of a circuit, learned
-	good    float64         // setup tries that came to stand lately
-	bad     float64         // setup tries that failed lately
-	brake   float64         // part of the circuits that is nacked for it
-	full    float64         // circuits that found no server with room lately
-	fits    float64         // circuits that found one
-	tallyAt time.Duration
+	dep          *Deployment
+	now          time.Duration
+	chance       uint64
+	away         float64       // weight of a server in another zone, the own zone's is 1
+	goal         time.Duration // the shortest message goal
+	index        map[ServerID]int
+	circuit      map[CircuitID]*circuit
+	pools        []*version // oldest first; the newest places new connections
+	queue, moves []*circuit // circuits that wait for a decision, connections to be moved
+	probes       []int
+	roundAt      time.Duration
+	trying       int            // setup tries out
+	total        int            // connections and setup tries held
+	group        map[uint64]int // the same by group
+	tenant       []int          // the same by tenant
+	found        []float64      // by zone: how often mid-flow arrivals were found as seen from there
+	usual        float64        // usual load of a connection, learned
+	usualOf      []float64      // the same by grade
+	value        float64        // usual utility for the load of a circuit, learned
+	good         float64        // setup tries that came to stand lately
+	bad          float64        // setup tries that failed lately
+	brake        float64        // part of the circuits that is nacked for it
+	full         float64        // circuits that found no server with room lately
+	fits         float64        // circuits that found one
+	tallyAt      time.Duration
 
 	watchAt      time.Duration // when to ask for the list, never while subscribed
 	watchBackoff time.Duration
@@ -139,7 +144,6 @@
 	paidAt  []time.Duration
 	room    []float64       // load of own connections that it takes before it is crowded, as last seen
 	known   []float64       // load of own connections that it has held for a while without a crowd
-	movedBy []time.Duration // the time of the report that moves last answered
 	movedAt []time.Duration // when a move away from it was last considered
 
 	reach int   // how far down the ranking a circuit may go, so that its group is not spread over all servers
@@ -150,10 +154,9 @@
 // New starts a balancer.
 func New(dep *Deployment, seed uint64) *Balancer {
 	b := &Balancer{
-		dep: dep, chance: seed&0xffffffff | 1<<32, index: map[ServerID]int{}, circuit: map[CircuitID]*circuit{},
-		group: map[uint64]int{}, usualOf: make([]float64, len(dep.Grades)),
-		setUp: make([]time.Duration, len(dep.Grades)), tenant: make([]int, len(dep.Tenants)+1),
-		watchAt: never, watchBackoff: watchBackoff, goal: never,
+		dep: dep, chance: seed&0xffffffff | 1<<32, watchAt: never, watchBackoff: watchBackoff, goal: never,
+		index: map[ServerID]int{}, circuit: map[CircuitID]*circuit{}, group: map[uint64]int{},
+		usualOf: make([]float64, len(dep.Grades)), tenant: make([]int, len(dep.Tenants)+1),
 	}
 	b.away = max(0.02, 1-12*dep.CrossingPrice)
 	for _, g := range dep.Grades {
@@ -186,16 +189,16 @@
 
 // ---- The list of servers.
 
-// ListArrived takes lines of the list; whole: servers not named are gone; cached: an old list from before the start.
+// ListArrived takes lines of the list; whole: servers not named are gone; cached: an old list from before the
+// start.
 func (b *Balancer) ListArrived(lines []Listed, whole, cached bool) {
 	if b.dep.AskForList && !cached {
 		b.watchAt, b.watchBackoff = never, watchBackoff
 	}
 	named := make([]bool, len(b.id), len(b.id)+len(lines))
 	for _, l := range lines {
-		i, known := b.index[l.Server]
-		if !known {
-			i = b.newServer(l.Server)
+		i := b.server(l.Server)
+		for len(named) <= i {
 			named = append(named, false)
 		}
 		named[i] = true
@@ -205,24 +208,24 @@
 		if l.Started != b.started[i] {
 			b.fresh(i)
 		}
-		b.zone[i], b.cell[i], b.state[i], b.started[i] = l.Zone, l.Cell, l.State, l.Started
-		b.heft[i] = max(l.Heft, 1e-3)
-		if !(l.Heft < math.Inf(1)) {
-			b.heft[i] = 1
-		}
+		b.zone[i], b.cell[i], b.state[i], b.started[i], b.heft[i] = l.Zone, l.Cell, l.State, l.Started, l.Heft
 	}
 	for i := range b.id {
 		if whole && !named[i] {
 			b.state[i] = Gone
 		}
 	}
-	if cached && len(b.found) > 0 { // the more balancers a zone has, the likelier an arrival comes from its own
+	if cached && len(b.found) > 0 { // with many balancers a zone, an arrival likelier comes from its own
 		b.found[b.dep.Zone] = 0.5*float64(b.dep.Peers)/float64(len(b.found)) - 0.05
 	}
 	b.freeze()
 }
 
-func (b *Balancer) newServer(id ServerID) int {
+// server finds a server by its id, or makes room for a new one.
+func (b *Balancer) server(id ServerID) int {
+	if i, known := b.index[id]; known {
+		return i
+	}
 	i := len(b.id)
 	b.index[id] = i
 	b.id = append(b.id, id)
@@ -235,8 +238,8 @@
 	b.delay, b.delayAt = append(b.delay, 0), append(b.delayAt, -never)
 	b.asked, b.askedAt = append(b.asked, 0), append(b.askedAt, -never)
 	b.budget, b.paidAt = append(b.budget, 1), append(b.paidAt, 0)
-	b.movedBy, b.known = append(b.movedBy, -never), append(b.known, 0)
-	b.movedAt, b.room = append(b.movedAt, -never), append(b.room, never.Seconds())
+	b.movedAt, b.known = append(b.movedAt, -never), append(b.known, 0)
+	b.room = append(b.room, never.Seconds())
 	return i
 }
 
@@ -259,15 +262,15 @@
 	for _, i := range v.servers {
 		v.heft = append(v.heft, b.heft[i])
 	}
-	if n := len(b.pools); n > 0 && slices.Equal(b.pools[n-1].servers, v.servers) &&
-		slices.Equal(b.pools[n-1].heft, v.heft) {
+	if len(b.pools) > 0 && slices.Equal(b.newest().servers, v.servers) && slices.Equal(b.newest().heft, v.heft) {
 		return
 	}
 	b.pools = append(b.pools, v)
 	b.dropPools()
 }
 
-// dropPools drops versions without connections, and the oldest beyond the cap: its connections keep their server.
+// dropPools drops versions without connections, and the oldest beyond the cap: its connections keep their
+// server.
 func (b *Balancer) dropPools() {
 	kept, last := b.pools[:0], len(b.pools)-1
 	excess := len(b.pools) - versionCap
@@ -279,6 +282,8 @@
 	b.pools = kept
 }
 
+func (b *Balancer) newest() *version { return b.pools[len(b.pools)-1] }
+
 // ListFailed tells that a call for the list failed or the subscription broke; the old list still holds.
 func (b *Balancer) ListFailed() {
 	if b.dep.AskForList {
@@ -290,19 +295,12 @@
 // ---- What comes in about circuits.
 
 func (b *Balancer) take(a Arrival) *circuit {
-	a.Grade, a.Tenant = min(a.Grade, len(b.dep.Grades)-1), min(a.Tenant, len(b.dep.Tenants)) // the last: no tenant
+	a.Grade, a.Tenant = min(a.Grade, len(b.dep.Grades)-1), min(a.Tenant, len(b.dep.Tenants))
 	c := &circuit{
-		id: a.ID, key: a.Key, place: a.Group, grade: &b.dep.Grades[a.Grade], row: a.Grade, tenant: a.Tenant, view: b.dep.Zone,
-		until: b.now + a.Left, midFlow: a.MidFlow, server: -1, ranOn: -1, load: a.Load,
-	}
-	if c.key == 0 {
-		c.key = uint64(a.ID)
-	}
-	if c.place == 0 {
-		c.place = c.key
-	}
-	if c.load <= 0 {
-		c.load = b.usualOf[c.row]
+		id: a.ID, key: cmp.Or(a.Key, uint64(a.ID)), place: cmp.Or(a.Group, a.Key, uint64(a.ID)),
+		grade: &b.dep.Grades[a.Grade], row: a.Grade, tenant: a.Tenant, view: b.dep.Zone,
+		until: b.now + a.Left, midFlow: a.MidFlow, server: -1, ranOn: -1,
+		load: cmp.Or(a.Load, b.usualOf[a.Grade]),
 	}
 	b.circuit[a.ID] = c
 	return c
@@ -311,7 +309,7 @@
 // CircuitArrived takes a circuit, which is now owed one final answer.
 func (b *Balancer) CircuitArrived(a Arrival) {
 	c := b.take(a)
-	b.pend(c)
+	b.queue = append(b.queue, c)
 	if c.load > 0 { // the first few have no load to go by, and would pass for the most useful ever seen
 		learn(&b.value, b.valueOf(c))
 	}
@@ -319,20 +317,9 @@
 
 // HandedOver takes a connection that is open already; its first try counts as made.
 func (b *Balancer) HandedOver(a Arrival, server ServerID) {
-	i, known := b.index[server]
-	if !known {
-		i = b.newServer(server)
-	}
 	c := b.take(a)
 	c.until, c.tries, c.open = never, 1, true
-	b.hold(c, i)
-}
-
-func (b *Balancer) pend(c *circuit) {
-	if !c.waiting && !c.answered {
-		c.waiting = true
-		b.queue = append(b.queue, c)
-	}
+	b.hold(c, b.server(server))
 }
 
 // hold records a circuit's server and version; release clears the record.
@@ -362,7 +349,7 @@
 		delete(b.group, c.place)
 	}
 	if c.pool != nil {
-		if c.pool.users--; c.pool.users == 0 && c.pool != b.pools[len(b.pools)-1] {
+		if c.pool.users--; c.pool.users == 0 && c.pool != b.newest() {
 			b.dropPools()
 		}
 		c.pool = nil
@@ -378,14 +365,11 @@
 	c.out, c.open, c.until = false, true, never
 	b.trying--
 	if c.midFlow && try == 0 {
-		if took < min(c.grade.SetupGoal/foundWithin, cmp.Or(b.setUp[c.row]/2, never)) { // found: it cost no set-up
+		if took < c.grade.SetupGoal/foundWithin { // found: it cost no set-up
 			b.found[c.view] += (1 - b.found[c.view]) / 2
 		} else {
 			b.found[c.view] *= foundLess
 		}
-	} else {
-		b.setUp[c.row] = cmp.Or(b.setUp[c.row], took)
-		b.setUp[c.row] += (took - b.setUp[c.row]) / 16
 	}
 	b.fails[c.server] *= 0.3
 	b.tally(1, 0)
@@ -415,13 +399,13 @@
 		delete(b.circuit, id)
 		return
 	}
-	b.pend(c)
+	b.queue = append(b.queue, c)
 }
 
 // ClientLeft tells that nothing more is owed for a circuit.
 func (b *Balancer) ClientLeft(id CircuitID) {
 	if c := b.circuit[id]; c != nil {
-		c.answered = true
+		c.answered = true // what is still out is told by its TryEnded, what waits is passed by in Next
 		if !c.out && !c.open {
 			delete(b.circuit, id)
 		}
@@ -452,9 +436,9 @@
 func (b *Balancer) DelayNoted(server ServerID, delay time.Duration) {
 	if i, ok := b.index[server]; ok {
 		b.delay[i], b.delayAt[i] = delay, b.now
-		if b.busy(i, jammedPart, jammedAsked) {
+		if b.busy(i, jammed) {
 			b.room[i] = min(b.room[i], 0.9*b.load[i])
-		} else if b.busy(i, crowdedPart, crowdedAsked) {
+		} else if b.busy(i, crowded) {
 			b.room[i] = min(b.room[i], b.load[i])
 		}
 	}
@@ -467,7 +451,7 @@
 		if r.Asked < 0 {
 			b.asked[i] = r.Util
 		}
-		if b.asked[i] > crowdedAsked/2 {
+		if b.asked[i] > crowded.asked/2 {
 			b.room[i] = b.load[i] * fullAsked / b.asked[i]
 		} else {
 			b.room[i] = max(b.room[i], b.load[i]*2)
@@ -495,7 +479,7 @@
 		b.fails[i] *= 0.5
 	}
 	// A full server turns circuits away, and one with too much piled up drops connections: both are jams.
-	if (how == TurnedAway || how == Reset && c.open) && !b.busy(i, shedPart, shedAsked) {
+	if (how == TurnedAway || how == Reset && c.open) && !b.busy(i, lost) {
 		b.delay[i], b.delayAt[i] = b.goal, b.now
 		b.room[i] = min(b.room[i], max(0, b.load[i]-c.load))
 	}
@@ -503,7 +487,7 @@
 		return
 	}
 	// Guards against emptying an overloaded fleet: only a part of the ready servers is ever set aside.
-	n, ready := 0, b.pools[len(b.pools)-1].servers
+	n, ready := 0, b.newest().servers
 	for _, j := range ready {
 		if b.aside[j] {
 			n++
@@ -527,13 +511,14 @@
 	}
 }
 
-// tight tells whether many circuits lately found no server with room. Then groups keep to their reach: spread over
-// the fleet, each server would pay for each group, and less of the fleet would be left for connections.
+// tight tells whether many circuits lately found no server with room. Then groups keep to their reach: spread
+// over the fleet, each server would pay for each group, and less of the fleet would be left for connections.
 func (b *Balancer) tight() bool { return 6*b.full > b.fits }
 
-// throttled tells whether a circuit is to be nacked at once, as most setup tries fail whatever server they go to.
-// Guards against a loop of retries that keeps a shared store or the whole fleet down. Only the outcome of tries moves
-// the brake: while nacks counted too, it held itself on for many seconds after the failure had ended.
+// throttled tells whether a circuit is to be nacked at once, as most setup tries fail whatever server they go
+// to. Guards against a loop of retries that keeps a shared store or the whole fleet down. Only the outcome of
+// tries moves the brake: while nacks counted too, it held itself on for many seconds after the failure had
+// ended.
 func (b *Balancer) throttled(goal time.Duration) bool {
 	b.tally(0, 0)
 	most := 2 + 6*(b.good+1)/(b.good+b.bad+1) + 2*b.good*goal.Seconds()/tallyFor.Seconds()
@@ -567,10 +552,11 @@
 	b.aside[i], b.fails[i] = false, asideFails/2
 }
 
-// busy tells whether a server is near the edge, by notes and by reports; the parts say how near.
-func (b *Balancer) busy(i int, part, asked float64) bool {
-	return b.now-b.delayAt[i] <= noteFresh && float64(b.delay[i]) > part*float64(b.goal) && b.goal < never ||
-		b.now-b.askedAt[i] <= reportFresh && b.asked[i] > asked
+// busy tells whether a server is past an edge, by fresh notes or reports.
+func (b *Balancer) busy(i int, e edge) bool {
+	noted := b.goal < never && b.now-b.delayAt[i] <= noteFresh
+	return noted && float64(b.delay[i]) > e.delay*float64(b.goal) ||
+		b.now-b.askedAt[i] <= reportFresh && b.asked[i] > e.asked
 }
 
 // warmth is the least part of its capacity that a server can do by its age.
@@ -610,11 +596,12 @@
 		c.grade.Effect == Deduplicated && c.grade.Scope == ScopeAll && b.now < c.ranAt+c.grade.Window
 }
 
-// coldBudget fills up with this balancer's part of what a cold server can take: as many connections as its servers
-// hold on the mean, over a quarter of the warm-up, cut to its warmth. It follows what is held and not what arrives:
-// in a storm of repeats arrivals grow a hundredfold, and cold servers were pushed over by their part of them.
+// coldBudget fills up with this balancer's part of what a cold server can take: as many connections as its
+// servers hold on the mean, over a quarter of the warm-up, cut to its warmth. It follows what is held and not
+// what arrives: in a storm of repeats arrivals grow a hundredfold, and cold servers were pushed over by their
+// part of them.
 func (b *Balancer) coldBudget(i int) float64 {
-	n := max(len(b.pools[len(b.pools)-1].servers), 1)
+	n := max(len(b.newest().servers), 1)
 	mean := max(1, float64(b.total)/float64(n))
 	each := b.dep.FallMultiple * b.warmth(i) * mean / max(b.dep.ColdFor/4, time.Second).Seconds()
 	b.budget[i] = min(2, b.budget[i]+each*(b.now-b.paidAt[i]).Seconds())
@@ -634,7 +621,8 @@
 
 func unit(x uint64) float64 { return (float64(x>>11) + 0.5) / (1 << 53) }
 
-// weight of a server of some heft as seen from a zone: less elsewhere, where crossings cost, but not under the least.
+// weight of a server of some heft as seen from a zone: less elsewhere, where crossings cost, but not under
+// the least.
 func (b *Balancer) weight(i, view int, heft, least float64) float64 {
 	if b.zone[i] != view {
 		return heft * max(b.away, least)
@@ -642,9 +630,9 @@
 	return heft
 }
 
-// order ranks a version's servers for a circuit by weighted rendezvous hashing of its group. The first few, as many
-// as the group's share of this balancer's connections is worth, are the group's home; within it the client's key
-// ranks. A circuit without a group has a home of one.
+// order ranks a version's servers for a circuit by weighted rendezvous hashing of its group. The first few,
+// as many as the group's share of this balancer's connections is worth, are the group's home; within it the
+// client's key ranks. A circuit without a group has a home of one.
 func (b *Balancer) order(c *circuit, v *version) []int {
 	b.rank, b.score = b.rank[:0], b.score[:0]
 	sum, top := 0.0, 0.0
@@ -654,11 +642,10 @@
 		b.insert(i, w, mix(c.place, uint64(b.id[i])))
 	}
 	home := 1
-	if c.place != c.key && b.total > 0 {
-		home = int(math.Ceil(homeSpread * float64(b.group[c.place]) / float64(b.total) * sum / max(top, 1e-9)))
-	}
 	b.reach = len(b.rank)
-	if c.place != c.key {
+	if c.place != c.key && b.total > 0 {
+		part := float64(b.group[c.place]) / float64(b.total)
+		home = int(math.Ceil(homeSpread * part * sum / max(top, 1e-9)))
 		b.reach = min(b.reach, home+1)
 	}
 	if home = min(home, len(b.rank)); home > 1 {
@@ -728,34 +715,38 @@
 			return true
 		}
 	}
-	if step < byCrowd && b.busy(i, crowdedPart, crowdedAsked) {
+	if step < byCrowd && b.busy(i, crowded) {
 		return true
 	}
 	room := b.room[i]
-	if v := b.valueOf(c); v < 2*b.value && b.tight() { // what is left goes to those of more utility for their load
+	if v := b.valueOf(c); v < 2*b.value && b.tight() { // what is left goes to more utility for its load
 		room *= 1 - reserve*(1-v/b.value/2)
 	}
 	if !b.dep.ReportsOnAsk {
-		room = min(room, knownOver*b.known[i]+max(b.usual, c.load)*max(1.5, 72/float64(b.dep.Peers*b.dep.Peers)))
+		// Guards against a burst that is seen only when all are jammed. What may be added at once goes by the
+		// square of the number of balancers: each sees a part, and their parts add up.
+		more := max(knownMore, knownFew/float64(b.dep.Peers*b.dep.Peers))
+		room = min(room, knownOver*b.known[i]+more*max(b.usual, c.load))
 	}
-	return b.busy(i, jammedPart, jammedAsked) || b.load[i]+c.load > room
+	return b.busy(i, jammed) || b.load[i]+c.load > room
 }
 
-// valueOf is a circuit's utility for its load.
-// Beyond its tenant's share of the open connections, as far as this balancer's part of them tells, it is worth less.
+// valueOf is a circuit's utility for its load. Beyond its tenant's share of the open connections, as far as
+// this balancer's part of them tells, it is worth less.
 func (b *Balancer) valueOf(c *circuit) float64 {
 	v := c.grade.Utility / max(c.load, 1)
 	if c.tenant < len(b.dep.Tenants) {
-		if quota := b.dep.Tenants[c.tenant].Connections; quota > 0 && float64(b.tenant[c.tenant]*b.dep.Peers) > quota {
+		quota, held := b.dep.Tenants[c.tenant].Connections, float64(b.tenant[c.tenant]*b.dep.Peers)
+		if quota > 0 && held > quota {
 			v *= b.dep.ExcessUtility
 		}
 	}
 	return v
 }
 
-// holder guesses who holds a mid-flow arrival: the pick of the newest kept version that is not draining, as a balancer
-// of the zone would see it whose guesses were right of late. Guards against losing all connections of a zone whose
-// last balancer is gone: they come here, but were placed from there.
+// holder guesses who holds a mid-flow arrival: the pick of the newest kept version that is not draining, as a
+// balancer of the zone would see it whose guesses were right of late. Guards against losing all connections
+// of a zone whose last balancer is gone: they come here, but were placed from there.
 func (b *Balancer) holder(c *circuit) int {
 	best := 0.0
 	for z := range b.found { // a little chance, or two zones of equal trust would be all right or all wrong
@@ -763,7 +754,7 @@
 			best, c.view = f, z
 		}
 	}
-	if best < foundLeast { // guesses are mostly wrong: a connection that is set up anew needs a server with room
+	if best < foundLeast { // mostly wrong: a connection that is set up anew needs a server with room
 		c.view = b.dep.Zone
 		return -1
 	}
@@ -792,7 +783,6 @@
 	for len(b.queue) > 0 {
 		c := b.queue[0]
 		b.queue = b.queue[1:]
-		c.waiting = false
 		if !c.answered {
 			return b.settle(c), true
 		}
@@ -826,13 +816,14 @@
 func (b *Balancer) settle(c *circuit) Decision {
 	i := -1
 	if len(b.pools) > 0 {
-		if c.midFlow && c.tries == 0 { // costs next to nothing where it is found, so neither brake nor room count
+		if c.midFlow && c.tries == 0 { // costs next to nothing where found: neither brake nor room count
 			i = b.holder(c)
 		}
 		if throttled := b.throttled(c.grade.SetupGoal); i < 0 && !(throttled && b.mayNack(c)) {
-			// Guards against jams that no server comes out of: a newcomer that finds only jammed servers is nacked.
+			// Guards against jams that no server comes out of: a newcomer that finds only jammed servers is
+			// nacked.
 			var at int
-			if i, at = b.pick(c, b.pools[len(b.pools)-1], byAside); i < 0 {
+			if i, at = b.pick(c, b.newest(), byAside); i < 0 {
 				b.full++
 			} else if b.fits++; at >= b.reach && b.tight() {
 				i = -1
@@ -883,11 +874,12 @@
 		}
 		if gap := b.load[i] - b.known[i]; gap < 0 {
 			b.known[i] += gap / 100
-		} else if !b.busy(i, crowdedPart, crowdedAsked) {
+		} else if !b.busy(i, crowded) {
 			b.known[i] += gap / 8
 		}
-		if !b.busy(i, crowdedPart, crowdedAsked) {
-			// By a part of itself and of one connection: room that grew only by a part never came back from near nothing.
+		if !b.busy(i, crowded) {
+			// By a part of itself and of one connection: room that grew only by a part never came back from
+			// near nothing.
 			b.room[i] += roomGrowth*b.room[i] + 0.3*b.usual/float64(b.dep.Peers)
 		}
 		b.tally(0, 0)
@@ -895,20 +887,20 @@
 		case b.ailing(): // whoever is moved now may not come to stand again
 		case b.state[i] == Draining: // before it stops and cuts them off
 			b.moveSome(i, len(b.held[i])/4+1)
-		case b.busy(i, jammedPart, jammedAsked) && b.movedAt[i]+moveEvery <= b.now:
-			// Guards against thrash: the next move waits until this one shows in the notes.
-			b.movedAt[i] = b.now
-			// A part of what is held, rounded by chance: with many balancers each holds little of a server, and one
-			// move by each of them would empty it.
+		case b.busy(i, jammed) && b.movedAt[i]+moveEvery <= b.now:
+			// Guards against thrash: the next move waits until this one shows in the notes. A part of what is
+			// held, rounded by chance: with many balancers each holds little of a server, and one move by
+			// each of them would empty it.
 			part := movePart
-			if b.busy(i, 2*jammedPart, 2*jammedAsked) {
+			if b.busy(i, far) {
 				part *= 2
 			}
-			if b.askedAt[i] > b.movedBy[i] && b.asked[i] > fullAsked { // each report is answered once, by half
-				part, b.movedBy[i] = 0.5*(1-fullAsked/b.asked[i]), b.askedAt[i]
+			if b.askedAt[i] > b.movedAt[i] && b.asked[i] > fullAsked { // a report is answered once, by half
+				part = 0.5 * (1 - fullAsked/b.asked[i])
 			}
+			b.movedAt[i] = b.now
 			n := int(part*float64(len(b.held[i])) + b.random())
-			if left := b.moveSome(i, n); left > 0 && b.busy(i, shedPart, shedAsked) {
+			if left := b.moveSome(i, n); left > 0 && b.busy(i, lost) {
 				b.shed(i, left)
 			}
 		}
@@ -923,7 +915,7 @@
 			}
 		} else if b.dep.MayProbe && b.dep.ReportsOnAsk && b.probeAt[i] <= b.now {
 			b.probeAt[i] = b.now + b.jitter(reportEvery)
-			if b.busy(i, jammedPart, jammedAsked) {
+			if b.busy(i, jammed) {
 				b.probeAt[i] = b.now + b.jitter(reportEvery/2)
 			}
 			b.probes = append(b.probes, i)
@@ -943,9 +935,9 @@
 	return all
 }
 
-// moveSome plans to move up to n connections away from a server, of those that would now be placed elsewhere without
-// a departure: lone members of their group first, as they cost the server most, then the heaviest. It answers how
-// many found no other place.
+// moveSome plans to move up to n connections away from a server, of those that would now be placed elsewhere
+// without a departure: lone members of their group first, as they cost the server most, then the heaviest. It
+// answers how many found no other place.
 func (b *Balancer) moveSome(i, n int) int {
 	mates := map[uint64]int{}
 	for _, c := range b.held[i] {
@@ -959,7 +951,8 @@
 		}
 		again := *c // as it will come again
 		again.open, again.tries, again.tried, again.ranOn, again.view = false, 0, nil, -1, b.dep.Zone
-		if j, at := b.pick(&again, b.pools[len(b.pools)-1], byAll); j >= 0 && j != i && (at < b.reach || !b.tight()) {
+		j, at := b.pick(&again, b.newest(), byAll)
+		if j >= 0 && j != i && (at < b.reach || !b.tight()) {
 			b.moves = append(b.moves, c)
 			n--
 		}
@@ -967,9 +960,9 @@
 	return n
 }
 
-// shed plans to end n connections of a server from which none can be moved: those of least utility for their load.
-// They come again and are nacked while only jammed servers are left. Guards against a fleet in which all connections
-// are held and none is served.
+// shed plans to end n connections of a server from which none can be moved: those of least utility for their
+// load. They come again and are nacked while only jammed servers are left. Guards against a fleet in which
+// all connections are held and none is served.
 func (b *Balancer) shed(i, n int) {
 	worst := b.movable(i, func(x, y *circuit) int { return cmp.Compare(b.valueOf(x), b.valueOf(y)) })
 	b.moves = append(b.moves, worst[:min(n, len(worst))]...)
