--- a/policy/policy.go
+++ b/policy/policy.go
@@ -646,7 +646,7 @@
 	if c.place != c.key && b.total > 0 {
 		part := float64(b.group[c.place]) / float64(b.total)
 		home = int(math.Ceil(homeSpread * part * sum / max(top, 1e-9)))
-		b.reach = min(b.reach, home+1)
+		b.reach = min(b.reach, home)
 	}
 	if home = min(home, len(b.rank)); home > 1 {
 		first := slices.Clone(b.rank[:home])
