--- a/policy/policy.go
+++ b/policy/policy.go
@@ -521,7 +521,7 @@
 // ended.
 func (b *Balancer) throttled(goal time.Duration) bool {
 	b.tally(0, 0)
-	most := 2 + 6*(b.good+1)/(b.good+b.bad+1) + 2*b.good*goal.Seconds()/tallyFor.Seconds()
+	most := 1 + 4*(b.good+1)/(b.good+b.bad+1) + 2*b.good*goal.Seconds()/tallyFor.Seconds()
 	return float64(b.trying) >= most && b.bad > 1 || b.random() < b.brake
 }
 
@@ -646,7 +646,7 @@
 	if c.place != c.key && b.total > 0 {
 		part := float64(b.group[c.place]) / float64(b.total)
 		home = int(math.Ceil(homeSpread * part * sum / max(top, 1e-9)))
-		b.reach = min(b.reach, home)
+		b.reach = min(b.reach, home+1)
 	}
 	if home = min(home, len(b.rank)); home > 1 {
 		first := slices.Clone(b.rank[:home])
