--- a/policy/policy.go
+++ b/policy/policy.go
@@ -521,7 +521,7 @@
 // ended.
 func (b *Balancer) throttled(goal time.Duration) bool {
 	b.tally(0, 0)
-	most := 1 + 4*(b.good+1)/(b.good+b.bad+1) + 2*b.good*goal.Seconds()/tallyFor.Seconds()
+	most := 1 + 2*(b.good+1)/(b.good+b.bad+1) + b.good*goal.Seconds()/tallyFor.Seconds()
 	return float64(b.trying) >= most && b.bad > 1 || b.random() < b.brake
 }
 
