--- a/policy/policy.go
+++ b/policy/policy.go
@@ -522,7 +522,7 @@
 func (b *Balancer) throttled(goal time.Duration) bool {
 	b.tally(0, 0)
 	most := 1 + 2*(b.good+1)/(b.good+b.bad+1) + b.good*goal.Seconds()/tallyFor.Seconds()
-	return float64(b.trying) >= most && b.bad > 1 || b.random() < b.brake
+	return float64(b.trying) >= most && b.bad > 1+b.good/8 || b.random() < b.brake
 }
 
 // ailing tells whether setup tries fail so often that another server is no remedy.
