--- a/policy/policy.go
+++ b/policy/policy.go
@@ -373,6 +373,9 @@
 	}
 	b.fails[c.server] *= 0.3
 	b.tally(1, 0)
+	if took > c.grade.SetupGoal { // late: a queue somewhere, though no failure yet
+		b.bad++
+	}
 }
 
 // TryEnded tells how a setup try, or the connection it set up, ended.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -491,3 +491,21 @@
 		t.Fatalf("%d of 100 at once on servers that held 4", atOnce)
 	}
 }
+
+func TestLateSetUpsBoundTheTriesOut(t *testing.T) {
+	b := started(deployment(), fleet(6))
+	most := 0
+	for id := CircuitID(1); id < 200; id++ { // a slow store: each set-up stands, but late
+		b.Clock(b.now + 20*ms)
+		arrive(t, b, Arrival{ID: id, Key: uint64(id)})
+		if late := id - 25; late > 0 {
+			b.SetUp(late, 0, 500*ms)
+		}
+		if id > 60 {
+			most = max(most, b.trying)
+		}
+	}
+	if most == 0 || most > 8 || b.brake > 0 {
+		t.Fatalf("%d tries out, brake %v", most, b.brake)
+	}
+}
