--- a/policy/policy.go
+++ b/policy/policy.go
@@ -167,9 +167,6 @@
 	if dep.AskForList {
 		b.watchAt = 0
 	}
-	for range 4 {
-		b.random()
-	}
 	b.roundAt = time.Duration(b.random() * float64(roundEvery))
 	return b
 }
@@ -262,11 +259,11 @@
 	for _, i := range v.servers {
 		v.heft = append(v.heft, b.heft[i])
 	}
-	if len(b.pools) > 0 && slices.Equal(b.newest().servers, v.servers) && slices.Equal(b.newest().heft, v.heft) {
-		return
+	same := len(b.pools) > 0 && slices.Equal(b.newest().servers, v.servers)
+	if !same || !slices.Equal(b.newest().heft, v.heft) {
+		b.pools = append(b.pools, v)
+		b.dropPools()
 	}
-	b.pools = append(b.pools, v)
-	b.dropPools()
 }
 
 // dropPools drops versions without connections, and the oldest beyond the cap: its connections keep their
@@ -551,9 +548,7 @@
 }
 
 // back takes a server in again, on probation: one failure sets it aside once more, for longer.
-func (b *Balancer) back(i int) {
-	b.aside[i], b.fails[i] = false, asideFails/2
-}
+func (b *Balancer) back(i int) { b.aside[i], b.fails[i] = false, asideFails/2 }
 
 // busy tells whether a server is past an edge, by fresh notes or reports.
 func (b *Balancer) busy(i int, e edge) bool {
@@ -752,7 +747,7 @@
 // of a zone whose last balancer is gone: they come here, but were placed from there.
 func (b *Balancer) holder(c *circuit) int {
 	best := 0.0
-	for z := range b.found { // a little chance, or two zones of equal trust would be all right or all wrong
+	for z := range b.found { // a little chance, or two zones of equal trust were all right or all wrong
 		if f := b.found[z] + 0.02*b.random(); f > best {
 			best, c.view = f, z
 		}
@@ -917,10 +912,11 @@
 				b.back(i)
 			}
 		} else if b.dep.MayProbe && b.dep.ReportsOnAsk && b.probeAt[i] <= b.now {
-			b.probeAt[i] = b.now + b.jitter(reportEvery)
+			every := reportEvery
 			if b.busy(i, jammed) {
-				b.probeAt[i] = b.now + b.jitter(reportEvery/2)
+				every /= 2
 			}
+			b.probeAt[i] = b.now + b.jitter(every)
 			b.probes = append(b.probes, i)
 		}
 	}
