--- a/policy/policy.go
+++ b/policy/policy.go
@@ -478,8 +478,8 @@
 	case Succeeded:
 		b.fails[i] *= 0.5
 	}
-	// A full server turns circuits away or accepts none, one with too much piled up drops them: jams all. Guards
-	// also against many servers that die at once, more than may be set aside: no try goes on to them.
+	// Full servers turn away or accept none, overfull ones drop: jams. Guards also against more dead servers at
+	// once than may be set aside: no try goes on to them.
 	if (how == TurnedAway || how == ConnectFailed || how == Reset && c.open) && !b.busy(i, lost) {
 		b.delay[i], b.delayAt[i] = b.goal, b.now
 		b.room[i] = min(b.room[i], max(0, b.load[i]-c.load))
