--- a/policy/policy.go
+++ b/policy/policy.go
@@ -885,7 +885,7 @@
 		switch {
 		case b.ailing(): // whoever is moved now may not come to stand again
 		case b.state[i] == Draining: // before it stops and cuts them off
-			b.moveSome(i, len(b.held[i])/4+1)
+			b.moveSome(i, len(b.held[i])/8+1)
 		case b.busy(i, jammed) && b.movedAt[i]+moveEvery <= b.now:
 			// Guards against thrash: the next move waits until this one shows in the notes. A part of what is
 			// held, rounded by chance: with many balancers each holds little of a server, and one move by
