--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,7 +27,7 @@
 	noteFresh    = 2 * time.Second // a slow-message note is repeated each second while it holds
 	reportFresh  = 4 * time.Second // a load report older than this is not used
 	reportEvery  = 2 * time.Second // how often each server's load report is asked for
-	fullAsked    = 0.9             // load over capacity up to which a reported server is filled
+	fullAsked    = 0.85            // load over capacity up to which a reported server is filled
 	roomGrowth   = 0.015           // by which a server that is not crowded may be filled further, each round
 	movePart     = 0.06            // of the connections at a jammed server, moved away at a time
 	watchBackoff = 500 * time.Millisecond
@@ -51,9 +51,9 @@
 type edge struct{ delay, asked float64 }
 
 var (
-	crowded = edge{0.38, 0.80} // from here newcomers pass it
-	jammed  = edge{0.55, 0.95} // from here connections are moved away
-	far     = edge{1.10, 1.90} // from here twice as many
+	crowded = edge{0.38, 0.70} // from here newcomers pass it
+	jammed  = edge{0.55, 0.85} // from here connections are moved away
+	far     = edge{1.10, 1.70} // from here twice as many
 	lost    = edge{1.00, 1.05} // from here they are ended where there is no other place
 )
 
