Cold budget is dealt out anew each span and never saved up

Cause: late in the warm-up every balancer had saved up one try, and a storm spent all of them within two seconds.

--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -24,6 +24,7 @@
 	Accounts   []json.RawMessage
 	Guarantees *struct {
 		AskWithinUs, ColdUs    *int64
+		FallUs                 *int64
 		ColdFrom, FallMultiple *float64
 	}
 	Limits *struct {
@@ -76,11 +77,14 @@
 		return nil, nil, fmt.Errorf("BootInfo: Guarantees.ColdUs is missing")
 	case g.FallMultiple == nil:
 		return nil, nil, fmt.Errorf("BootInfo: Guarantees.FallMultiple is missing")
+	case g.FallUs == nil || *g.FallUs < 1:
+		return nil, nil, fmt.Errorf("BootInfo: Guarantees.FallUs is missing or below 1")
 	}
 	d := &policy.Deployment{
 		Peers: *s.PeersTotal, Zone: *s.Zone, ExcessUtility: s.ExcessUtility,
 		MayProbe: l.Probes, MayAdvise: l.RetryAfter, LongestAdvice: us(l.MaxRetryAfterUs),
 		MostTries: *l.MostSetupTries, FallMultiple: *g.FallMultiple, ColdFrom: *g.ColdFrom, ColdFor: us(*g.ColdUs),
+		FallFor:       us(*g.FallUs),
 		CrossingPrice: s.Prices.CrossZone,
 		ReportsOnAsk:  s.Report.How == "probe" || s.Report.How == "answers",
 	}
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -11,7 +11,8 @@
 func deployment() *Deployment {
 	return &Deployment{
 		Peers: 1, Grades: []Grade{{SetupGoal: 300 * ms, MessageGoal: 100 * ms, Window: 5 * time.Second, Utility: 1}},
-		MayProbe: true, MayAdvise: true, LongestAdvice: time.Second, MostTries: 4, FallMultiple: 3, ColdFrom: 0.15, ColdFor: 20 * time.Second,
+		MayProbe: true, MayAdvise: true, LongestAdvice: time.Second, MostTries: 4, FallMultiple: 3, FallFor: 2 * time.Second,
+		ColdFrom: 0.15, ColdFor: 20 * time.Second,
 	}
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -202,10 +202,11 @@
 		for len(b.found) <= max(l.Zone, b.dep.Zone) {
 			b.found = append(b.found, 0.5)
 		}
-		if l.Started != b.started[i] {
+		anew := l.Started != b.started[i]
+		b.zone[i], b.cell[i], b.state[i], b.started[i], b.heft[i] = l.Zone, l.Cell, l.State, l.Started, l.Heft
+		if anew {
 			b.fresh(i)
 		}
-		b.zone[i], b.cell[i], b.state[i], b.started[i], b.heft[i] = l.Zone, l.Cell, l.State, l.Started, l.Heft
 	}
 	for i := range b.id {
 		if whole && !named[i] {
@@ -234,7 +235,7 @@
 	b.probing, b.answers = append(b.probing, false), append(b.answers, 0)
 	b.delay, b.delayAt = append(b.delay, 0), append(b.delayAt, -never)
 	b.asked, b.askedAt = append(b.asked, 0), append(b.askedAt, -never)
-	b.budget, b.paidAt = append(b.budget, b.startBudget()), append(b.paidAt, 0)
+	b.budget, b.paidAt = append(b.budget, 0), append(b.paidAt, 0)
 	b.movedAt, b.known = append(b.movedAt, -never), append(b.known, 0)
 	b.room = append(b.room, never.Seconds())
 	return i
@@ -244,13 +245,11 @@
 func (b *Balancer) fresh(i int) {
 	b.fails[i], b.aside[i], b.span[i] = 0, false, asideFirst
 	b.delayAt[i], b.askedAt[i] = -never, -never
-	b.budget[i], b.paidAt[i], b.room[i] = b.startBudget(), b.now, never.Seconds()
+	b.deal(i)
+	b.paidAt[i] = b.now - time.Duration(b.random()*float64(b.dep.FallFor)) // not in step with the others
+	b.room[i] = never.Seconds()
 }
 
-// startBudget is at which point of its way to one setup try a cold server's budget begins: anywhere, and a part
-// for each balancer. Guards against two hundred balancers that each send one at once.
-func (b *Balancer) startBudget() float64 { return b.random() + 1/float64(b.dep.Peers) }
-
 // freeze makes a new version when the ready servers or their heft have changed.
 func (b *Balancer) freeze() {
 	v := &version{}
@@ -599,19 +598,28 @@
 		c.grade.Effect == Deduplicated && c.grade.Scope == ScopeAll && b.now < c.ranAt+c.grade.Window
 }
 
-// coldBudget fills up with this balancer's part of what a cold server can take: as many connections as its
-// servers hold on the mean, over a quarter of the warm-up, cut to its warmth. It follows what is held and not
-// what arrives: in a storm of repeats arrivals grow a hundredfold, and cold servers were pushed over by their
-// part of them. Where a balancer holds less than its part of one connection a server, that part counts.
+// coldBudget is what is left of this balancer's part of what a cold server can take: as many connections as its
+// servers hold on the mean, over a quarter of the warm-up, cut to its warmth. The part is dealt out anew for each
+// span in which the server could fall, rounded by chance, and what is not used is lost: hundreds of balancers that
+// had each saved up one try pushed cold servers over. It follows what is held and not what arrives: in a storm of
+// repeats arrivals grow a hundredfold, and cold servers were pushed over by their part of them.
 func (b *Balancer) coldBudget(i int) float64 {
-	n, part := max(len(b.newest().servers), 1), 1/float64(b.dep.Peers)
-	mean := max(part, float64(b.total)/float64(n))
-	each := b.dep.FallMultiple * b.warmth(i) * mean / max(b.dep.ColdFor/4, time.Second).Seconds()
-	b.budget[i] = min(1+part, b.budget[i]+each*(b.now-b.paidAt[i]).Seconds())
-	b.paidAt[i] = b.now
+	if b.now-b.paidAt[i] >= b.dep.FallFor {
+		b.deal(i)
+		b.paidAt[i] = b.now
+	}
 	return b.budget[i]
 }
 
+func (b *Balancer) deal(i int) {
+	mean := 1 / float64(b.dep.Peers)
+	if n := len(b.pools); n > 0 {
+		mean = max(mean, float64(b.total)/float64(max(len(b.newest().servers), 1)))
+	}
+	each := b.dep.FallMultiple * b.warmth(i) * mean / max(b.dep.ColdFor/4, time.Second).Seconds()
+	b.budget[i] = math.Floor(each*b.dep.FallFor.Seconds() + b.random())
+}
+
 // ---- The pick.
 
 func mix(a, z uint64) uint64 {
--- a/policy/types.go
+++ b/policy/types.go
@@ -49,6 +49,7 @@
 	MostTries     int
 	AskWithin     time.Duration
 	FallMultiple  float64
+	FallFor       time.Duration
 	ColdFrom      float64
 	ColdFor       time.Duration
 	CrossingPrice float64
