Load reports are asked for where a decision hangs on them, not by everybody all the time

Also: where nothing is held yet, a cold server's budget goes by four connections a server over all balancers, so that a fleet that starts cold fills up.

--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -81,7 +81,7 @@
 		return nil, nil, fmt.Errorf("BootInfo: Guarantees.FallUs is missing or below 1")
 	}
 	d := &policy.Deployment{
-		Peers: *s.PeersTotal, Zone: *s.Zone, ExcessUtility: s.ExcessUtility,
+		Peers: min(*s.PeersTotal, 1<<20), Zone: *s.Zone, ExcessUtility: s.ExcessUtility,
 		MayProbe: l.Probes, MayAdvise: l.RetryAfter, LongestAdvice: us(l.MaxRetryAfterUs),
 		MostTries: *l.MostSetupTries, FallMultiple: *g.FallMultiple, ColdFrom: *g.ColdFrom, ColdFor: us(*g.ColdUs),
 		FallFor:       us(*g.FallUs),
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,17 +19,20 @@
 	versionCap   = 64                     // kept versions; beyond it the oldest is dropped
 	roundEvery   = 250 * time.Millisecond // how often moves and probes are considered
 	never        = time.Duration(1 << 62)
-	asideFails   = 2.0             // failures, less what successes took off, that set a server aside
-	asideFirst   = time.Second     // first wait before the probes of a server set aside; doubles
-	asideLongest = 8 * time.Second //
-	asidePart    = 3               // at most one in so many ready servers is set aside
-	answersBack  = 2               // answered probes in a row that bring a server back
-	noteFresh    = 2 * time.Second // a slow-message note is repeated each second while it holds
-	reportFresh  = 4 * time.Second // a load report older than this is not used
-	reportEvery  = 2 * time.Second // how often each server's load report is asked for
-	fullAsked    = 0.85            // load over capacity up to which a reported server is filled
-	roomGrowth   = 0.015           // by which a server that is not crowded may be filled further, each round
-	movePart     = 0.06            // of the connections at a jammed server, moved away at a time
+	asideFails   = 2.0                    // failures, less what successes took off, that set a server aside
+	asideFirst   = time.Second            // first wait before the probes of a server set aside; doubles
+	asideLongest = 8 * time.Second        //
+	asidePart    = 3                      // at most one in so many ready servers is set aside
+	answersBack  = 2                      // answered probes in a row that bring a server back
+	noteFresh    = 2 * time.Second        // a slow-message note is repeated each second while it holds
+	reportFresh  = 4 * time.Second        // a load report older than this is not used
+	reportEach   = 700 * time.Millisecond // how often all balancers together ask each server for its load report
+	reportYoung  = 2 * time.Second        // a load report older than this is asked for again before a setup try
+	asksMost     = 3                      // reports that one circuit waits for
+	waitPart     = 4                      // each for one so-many-th of the latency goal at most
+	fullAsked    = 0.85                   // load over capacity up to which a reported server is filled
+	roomGrowth   = 0.015                  // by which a server that is not crowded may be filled further, each round
+	movePart     = 0.06                   // of the connections at a jammed server, moved away at a time
 	watchBackoff = 500 * time.Millisecond
 	moveEvery    = time.Second     // between moves away from one jammed server
 	spill        = 0.25            // least share of a server in another zone in the limit
@@ -42,6 +45,7 @@
 	knownOver    = 1.3             // over what a server has held for a while, it is filled step by step
 	knownMore    = 1.5             // and by at least so many usual connections at once
 	knownFew     = 72.0            // by this many over the square of the number of balancers
+	coldLeast    = 4.0             // connections that every server is thought to hold at least, over all balancers
 	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
 )
@@ -85,6 +89,9 @@
 	slot     int   // place in held[server]
 	pool     *version
 	load     float64
+	waitsOn  int           // the server whose report it waits for,
+	waits    time.Duration // until then at the latest
+	asks     int           // reports it has waited for
 	sentAt   time.Duration
 	ranAt    time.Duration // when the first try that may have run was sent
 	ranOn    int           // its server, -1 while no try can have run
@@ -101,6 +108,7 @@
 	circuit      map[CircuitID]*circuit
 	pools        []*version // oldest first; the newest places new connections
 	queue, moves []*circuit // circuits that wait for a decision, connections to be moved
+	waiting      []*circuit // circuits that wait for a load report
 	probes       []int
 	roundAt      time.Duration
 	trying       int            // setup tries out
@@ -231,7 +239,7 @@
 	b.heft, b.started = append(b.heft, 1), append(b.started, LongAgo)
 	b.held, b.load = append(b.held, nil), append(b.load, 0)
 	b.fails, b.aside = append(b.fails, 0), append(b.aside, false)
-	b.span, b.probeAt = append(b.span, asideFirst), append(b.probeAt, 0)
+	b.span, b.probeAt = append(b.span, asideFirst), append(b.probeAt, b.now+time.Duration(b.random()*float64(b.reportEvery())))
 	b.probing, b.answers = append(b.probing, false), append(b.answers, 0)
 	b.delay, b.delayAt = append(b.delay, 0), append(b.delayAt, -never)
 	b.asked, b.askedAt = append(b.asked, 0), append(b.askedAt, -never)
@@ -483,10 +491,22 @@
 	}
 	// Full servers turn away or accept none, overfull ones drop: jams. Guards also against more dead servers at
 	// once than may be set aside: no try goes on to them.
-	if (how == TurnedAway || how == ConnectFailed || how == Reset && c.open) && !b.busy(i, lost) {
+	if how == TurnedAway || how == ConnectFailed || how == Reset && c.open {
+		b.close(i, c.load)
+	}
+	b.mind(i)
+}
+
+// close holds a server for jammed for two seconds.
+func (b *Balancer) close(i int, left float64) {
+	if !b.busy(i, lost) {
 		b.delay[i], b.delayAt[i] = b.goal, b.now
-		b.room[i] = min(b.room[i], max(0, b.load[i]-c.load))
+		b.room[i] = min(b.room[i], max(0, b.load[i]-left))
 	}
+}
+
+// mind sets a server aside that has failed too often.
+func (b *Balancer) mind(i int) {
 	if b.fails[i] < asideFails || b.aside[i] || b.state[i] != Ready {
 		return
 	}
@@ -539,8 +559,17 @@
 		return
 	}
 	b.probing[i] = false
+	b.resume(i)
 	switch {
 	case !b.aside[i]:
+		switch how {
+		case ConnectFailed: // dead: found without spending a setup try
+			b.fails[i] += 2
+			b.close(i, 0)
+		case TimedOut, Reset:
+			b.close(i, 0)
+		}
+		b.mind(i)
 	case how != Succeeded:
 		b.answers[i], b.probeAt[i] = 0, b.now+b.jitter(asideFirst)
 	default:
@@ -551,6 +580,19 @@
 	}
 }
 
+// resume lets the circuits that waited for server i's report be decided; -1: those that have waited long enough.
+func (b *Balancer) resume(i int) {
+	still := b.waiting[:0]
+	for _, c := range b.waiting {
+		if c.waitsOn == i || c.waits <= b.now {
+			b.queue = append(b.queue, c)
+		} else {
+			still = append(still, c)
+		}
+	}
+	b.waiting = still
+}
+
 // back takes a server in again, on probation: one failure sets it aside once more, for longer.
 func (b *Balancer) back(i int) { b.aside[i], b.fails[i] = false, asideFails/2 }
 
@@ -612,7 +654,7 @@
 }
 
 func (b *Balancer) deal(i int) {
-	mean := 1 / float64(b.dep.Peers)
+	mean := coldLeast / float64(b.dep.Peers)
 	if n := len(b.pools); n > 0 {
 		mean = max(mean, float64(b.total)/float64(max(len(b.newest().servers), 1)))
 	}
@@ -791,11 +833,14 @@
 		b.watchAt = b.now + max(b.dep.AskWithin, time.Second) // asked again if no answer comes
 		return Decision{Do: Watch}, true
 	}
+	b.resume(-1)
 	for len(b.queue) > 0 {
 		c := b.queue[0]
 		b.queue = b.queue[1:]
 		if !c.answered {
-			return b.settle(c), true
+			if d, ok := b.settle(c); ok {
+				return d, true
+			}
 		}
 	}
 	b.queue = nil
@@ -821,14 +866,37 @@
 }
 
 // Wake answers when Next wants to be called again at the latest.
-func (b *Balancer) Wake() (time.Duration, bool) { return min(b.roundAt, b.watchAt), true }
+func (b *Balancer) Wake() (time.Duration, bool) {
+	at := min(b.roundAt, b.watchAt)
+	for _, c := range b.waiting {
+		at = min(at, c.waits)
+	}
+	return at, true
+}
+
+// asksFirst tells whether a circuit waits for server i's load report before it is sent there: the report is old,
+// and there is time. A report is asked for only where a decision hangs on it: two hundred balancers that ask every
+// server now and then cost more than the reports are worth.
+func (b *Balancer) asksFirst(c *circuit, i int) bool {
+	if !b.dep.MayProbe || !b.dep.ReportsOnAsk || b.now-b.askedAt[i] <= reportYoung || c.asks >= asksMost {
+		return false
+	}
+	c.asks++
+	c.waitsOn, c.waits = i, b.now+c.grade.SetupGoal/waitPart
+	if c.waits+c.grade.SetupGoal >= c.until {
+		return false
+	}
+	b.waiting = append(b.waiting, c)
+	return true
+}
 
 // settle decides on a circuit at once: a setup try, a nack or a break-off. None is ever held back.
-func (b *Balancer) settle(c *circuit) Decision {
-	i := -1
+func (b *Balancer) settle(c *circuit) (Decision, bool) {
+	i, found := -1, false
 	if len(b.pools) > 0 {
 		if c.midFlow && c.tries == 0 { // costs next to nothing where found: neither brake nor room count
 			i = b.holder(c)
+			found = i >= 0
 		}
 		if throttled := b.throttled(c.grade.SetupGoal); i < 0 && !(throttled && b.mayNack(c)) {
 			// Guards against jams that no server comes out of: a newcomer that finds only jammed servers is
@@ -845,13 +913,18 @@
 		c.answered = true
 		delete(b.circuit, c.id)
 		if !b.mayNack(c) {
-			return Decision{Do: BreakOff, Circuit: c.id}
+			return Decision{Do: BreakOff, Circuit: c.id}, true
 		}
 		d := Decision{Do: Nack, Circuit: c.id}
 		if b.dep.MayAdvise {
 			d.For = b.jitter(b.dep.LongestAdvice / 2)
 		}
-		return d
+		return d, true
+	}
+	if !found && b.asksFirst(c, i) {
+		asked := b.probing[i]
+		b.probing[i] = true
+		return Decision{Do: Probe, Server: b.id[i]}, !asked
 	}
 	if b.warmth(i) < 1 {
 		b.budget[i]--
@@ -861,7 +934,7 @@
 	c.tried = append(c.tried, i)
 	c.out, c.sentAt = true, b.now
 	b.trying++
-	return Decision{Do: Try, Circuit: c.id, Server: b.id[i], For: b.timeOut(c)}
+	return Decision{Do: Try, Circuit: c.id, Server: b.id[i], For: b.timeOut(c)}, true
 }
 
 // timeOut leaves room for one more setup try while there may be one.
@@ -925,7 +998,7 @@
 				b.back(i)
 			}
 		} else if b.dep.MayProbe && b.dep.ReportsOnAsk && b.probeAt[i] <= b.now {
-			every := reportEvery
+			every := b.reportEvery()
 			if b.busy(i, jammed) {
 				every /= 2
 			}
@@ -935,6 +1008,10 @@
 	}
 }
 
+// reportEvery is how often this balancer asks each server for its load report without a circuit to decide on: all
+// of them together ask a server as often as few would.
+func (b *Balancer) reportEvery() time.Duration { return time.Duration(b.dep.Peers) * reportEach }
+
 // movable answers the connections of a server that can be moved, first those that sort by less.
 func (b *Balancer) movable(i int, less func(x, y *circuit) int) []*circuit {
 	var all []*circuit
