A group's share is counted with its chance error taken off

Cause: one connection among a dozen made a home of several servers, and balancers disagreed on it. Homes are wider by half in return, where much is held.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -46,7 +46,7 @@
 	knownMore    = 1.5             // and by at least so many usual connections at once
 	knownFew     = 72.0            // by this many over the square of the number of balancers
 	coldLeast    = 4.0             // connections that every server is thought to hold at least, over all balancers
-	homeSpread   = 1.3             // servers in a group's home, over its share of the connections
+	homeSpread   = 2.0             // servers in a group's home, over its share of the connections
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
 )
 
@@ -697,7 +697,8 @@
 	home := 1
 	b.reach = len(b.rank)
 	if c.place != c.key && b.total > 0 {
-		part := float64(b.group[c.place]) / float64(b.total)
+		n := float64(b.group[c.place])
+		part := (n - math.Sqrt(n)) / float64(b.total)
 		home = int(math.Ceil(homeSpread * part * sum / max(top, 1e-9)))
 		b.reach = min(b.reach, home+1)
 	}
