--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,8 +36,6 @@
 	watchBackoff = 500 * time.Millisecond
 	moveEvery    = time.Second     // between moves away from one jammed server
 	spill        = 0.25            // least share of a server in another zone in the limit
-	brakeOn      = 1.0 / 16        // by which a failed try puts the brake further on, while most tries fail
-	brakeOff     = 1.0 / 8         // by which a try that comes to stand takes it off
 	reserve      = 0.3             // part of a server's room kept from circuits of no utility, when tight
 	foundLess    = 0.7             // what is left of the trust in a zone's view after a wrong guess
 	foundLeast   = 0.25            // trust under which mid-flow arrivals are placed as newcomers
@@ -47,6 +45,7 @@
 	knownFew     = 72.0            // by this many over the square of the number of balancers
 	coldLeast    = 4.0             // connections that every server is thought to hold at least, over all balancers
 	homeSpread   = 2.0             // servers in a group's home, over its share of the connections
+	failedMost   = 2               // servers that may fail a circuit by error or time-out before it is nacked
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
 )
 
@@ -91,6 +90,7 @@
 	load     float64
 	waitsOn  int           // the server whose report it waits for,
 	waits    time.Duration // until then at the latest
+	failed   int           // tries that ended in an error or without an answer
 	asks     int           // reports it has waited for
 	sentAt   time.Duration
 	ranAt    time.Duration // when the first try that may have run was sent
@@ -121,7 +121,6 @@
 	value        float64        // usual utility for the load of a circuit, learned
 	good         float64        // setup tries that came to stand lately
 	bad          float64        // setup tries that failed lately
-	brake        float64        // part of the circuits that is nacked for it
 	full         float64        // circuits that found no server with room lately
 	fits         float64        // circuits that found one
 	tallyAt      time.Duration
@@ -405,6 +404,9 @@
 	if how != TurnedAway && how != ConnectFailed && how != NeverSent && c.ranOn < 0 {
 		c.ranOn, c.ranAt = c.server, c.sentAt
 	}
+	if how == Failed || how == TimedOut {
+		c.failed++
+	}
 	if finished || wasOpen || c.answered || how == Succeeded {
 		c.answered = true
 		delete(b.circuit, id)
@@ -528,25 +530,21 @@
 	fade := math.Exp(-float64(b.now-b.tallyAt) / float64(tallyFor))
 	b.good, b.bad, b.tallyAt = b.good*fade+good, b.bad*fade+bad, b.now
 	b.full, b.fits = b.full*fade, b.fits*fade
-	if good > 0 {
-		b.brake *= 1 - brakeOff
-	} else if bad > 0 && b.bad > b.good+3 {
-		b.brake += (1 - b.brake) * brakeOn
-	}
 }
 
 // tight tells whether many circuits lately found no server with room. Then groups keep to their reach: spread
 // over the fleet, each server would pay for each group, and less of the fleet would be left for connections.
 func (b *Balancer) tight() bool { return 6*b.full > b.fits }
 
-// throttled tells whether a circuit is to be nacked at once, as most setup tries fail whatever server they go
-// to. Guards against a loop of retries that keeps a shared store or the whole fleet down. Only the outcome of
-// tries moves the brake: while nacks counted too, it held itself on for many seconds after the failure had
-// ended.
-func (b *Balancer) throttled(goal time.Duration) bool {
+// throttled tells whether a circuit is to be nacked at once, as setup tries fail whatever server they go to: it
+// failed at two servers itself, or by chance, the likelier the more of this balancer's tries failed lately than
+// stood. Guards against a loop of retries that keeps a shared store or the whole fleet down. Only the outcome of
+// tries counts: while nacks counted too, the brake held itself on for many seconds after the failure had ended.
+func (b *Balancer) throttled(c *circuit) bool {
 	b.tally(0, 0)
-	most := 1 + 2*(b.good+1)/(b.good+b.bad+1) + b.good*goal.Seconds()/tallyFor.Seconds()
-	return float64(b.trying) >= most && b.bad > 1+b.good/8 || b.random() < b.brake
+	most := 1 + 2*(b.good+1)/(b.good+b.bad+1) + b.good*c.grade.SetupGoal.Seconds()/tallyFor.Seconds()
+	return c.failed >= failedMost || float64(b.trying) >= most && b.bad > 1+b.good/8 ||
+		b.random() < (b.bad-b.good-1)/(b.bad+b.good+1)
 }
 
 // ailing tells whether setup tries fail so often that another server is no remedy.
@@ -899,7 +897,7 @@
 			i = b.holder(c)
 			found = i >= 0
 		}
-		if throttled := b.throttled(c.grade.SetupGoal); i < 0 && !(throttled && b.mayNack(c)) {
+		if throttled := b.throttled(c); i < 0 && !(throttled && b.mayNack(c)) {
 			// Guards against jams that no server comes out of: a newcomer that finds only jammed servers is
 			// nacked.
 			var at int
