A client that is back after a break or a move passes servers over by chance

Change: half of those that are back pass over the first server in their order that they would take, a quarter the second too, and so on; the mark comes from the client, so no balancer needs to have seen the jam.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,16 +34,17 @@
 	roomGrowth   = 0.015                  // by which a server that is not crowded may be filled further, each round
 	movePart     = 0.06                   // of the connections at a jammed server, moved away at a time
 	watchBackoff = 500 * time.Millisecond
-	moveEvery    = time.Second     // between moves away from one jammed server
-	spill        = 0.25            // least share of a server in another zone in the limit
-	reserve      = 0.3             // part of a server's room kept from circuits of no utility, when tight
-	foundLess    = 0.7             // what is left of the trust in a zone's view after a wrong guess
-	foundLeast   = 0.25            // trust under which mid-flow arrivals are placed as newcomers
-	foundWithin  = 50              // a mid-flow arrival that stands within this part of the goal was found
-	knownOver    = 1.3             // over what a server has held for a while, it is filled step by step
-	knownMore    = 1.5             // and by at least so many usual connections at once
-	knownFew     = 72.0            // by this many over the square of the number of balancers
-	coldLeast    = 4.0             // connections that every server is thought to hold at least, over all balancers
+	moveEvery    = time.Second // between moves away from one jammed server
+	spill        = 0.25        // least share of a server in another zone in the limit
+	reserve      = 0.3         // part of a server's room kept from circuits of no utility, when tight
+	foundLess    = 0.7         // what is left of the trust in a zone's view after a wrong guess
+	foundLeast   = 0.25        // trust under which mid-flow arrivals are placed as newcomers
+	foundWithin  = 50          // a mid-flow arrival that stands within this part of the goal was found
+	knownOver    = 1.3         // over what a server has held for a while, it is filled step by step
+	knownMore    = 1.5         // and by at least so many usual connections at once
+	knownFew     = 72.0        // by this many over the square of the number of balancers
+	coldLeast    = 4.0         // connections that every server is thought to hold at least, over all balancers
+	backSkip     = 0.5
 	homeSpread   = 2.0             // servers in a group's home, over its share of the connections
 	failedMost   = 2               // servers that may fail a circuit by error or time-out before it is nacked
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
@@ -91,6 +92,7 @@
 	waitsOn  int           // the server whose report it waits for,
 	waits    time.Duration // until then at the latest
 	failed   int           // tries that ended in an error or without an answer
+	skips    int           // servers that it passes over as it is back from them
 	asks     int           // reports it has waited for
 	sentAt   time.Duration
 	ranAt    time.Duration // when the first try that may have run was sent
@@ -309,6 +311,9 @@
 		until: b.now + a.Left, midFlow: a.MidFlow, server: -1, ranOn: -1,
 		load: cmp.Or(a.Load, b.usualOf[a.Grade]),
 	}
+	for a.Back && b.random() < backSkip {
+		c.skips++
+	}
 	b.circuit[a.ID] = c
 	return c
 }
@@ -740,10 +745,14 @@
 			sum += b.weight(i, b.dep.Zone, b.heft[i], spill) * b.warmth(i)
 		}
 	}
+	skips := c.skips
 	for step := byAll; step <= upTo; step++ {
 		for at, i := range rank {
 			if !b.passed(c, i, step, sum) && b.mayTry(c, i) {
-				return i, at
+				if skips == 0 {
+					return i, at
+				}
+				skips--
 			}
 		}
 	}
