Nacked by chance rather than sent blindly while most of what is held is jammed

Change: where nothing is known of the pick, the part of what is held that is at jammed servers, squared, is the chance of a nack; and a connection that is shed within three seconds counts as a failed try for the brake.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -403,6 +403,12 @@
 	if c.out && how != Succeeded && how != Cancelled {
 		b.tally(0, 1)
 	}
+	if c.open && how == Reset && b.now-c.sentAt < tallyFor {
+		// Shed as soon as it stood: no set-up came of it. Guards against thousands that come back at once and
+		// keep the servers that shed them busy with set-ups.
+		b.good = max(0, b.good-1)
+		b.tally(0, 1)
+	}
 	b.release(c)
 	wasOpen := c.open
 	c.out, c.open = false, false
@@ -912,7 +918,7 @@
 			var at int
 			if i, at = b.pick(c, b.newest(), byAside); i < 0 {
 				b.full++
-			} else if b.fits++; at >= b.reach && b.tight() {
+			} else if b.fits++; at >= b.reach && b.tight() || b.blind(i) {
 				i = -1
 			}
 		}
@@ -945,6 +951,23 @@
 	return Decision{Do: Try, Circuit: c.id, Server: b.id[i], For: b.timeOut(c)}, true
 }
 
+// blind tells whether a circuit is nacked rather than sent to a server of which nothing is known here. What is
+// known of the others counts as a sample: the more of the connections held are at jammed servers, the likelier.
+// Guards against a jam of the whole fleet of which each balancer sees a few servers, and refills the rest blindly.
+func (b *Balancer) blind(i int) bool {
+	if len(b.held[i]) > 0 || b.now-b.askedAt[i] <= reportFresh {
+		return false
+	}
+	n := 0
+	for j := range b.id {
+		if len(b.held[j]) > 0 && b.busy(j, jammed) {
+			n += len(b.held[j])
+		}
+	}
+	q := float64(n) / float64(b.total+1)
+	return b.random() < q*q
+}
+
 // timeOut leaves room for one more setup try while there may be one.
 func (b *Balancer) timeOut(c *circuit) time.Duration {
 	left := c.until - b.now
