Cold servers are taken for 1.7 times their least warmth in the warm share

Cause: releases jam the warm servers while cold ones, which warm up faster than the least told, hold little.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -768,7 +768,7 @@
 // cool tells whether a server has not warmed up yet for this key; all balancers agree on it.
 func (b *Balancer) cool(c *circuit, i int) bool {
 	w := b.warmth(i)
-	return w < 1 && unit(mix(c.key, ^uint64(b.id[i]))) >= w
+	return w < 1 && unit(mix(c.key, ^uint64(b.id[i]))) >= 1.7*w
 }
 
 // passed tells whether a circuit passes server i over at a step; sum is the weight of all servers.
