Cold servers: a chance for each circuit that comes, not a budget dealt out beforehand

A budget of a fiftieth of a try for each of 130 balancers was lost on the many to whom nobody came. Change: of the circuits that come to a cold server each balancer lets in as large a part as keeps all of them together to the rule's budget; at most its part of the budget, one at least, a span. Only errors and time-outs count for the brake: full and dead servers tell of themselves alone.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -92,6 +92,8 @@
 	waitsOn  int           // the server whose report it waits for,
 	waits    time.Duration // until then at the latest
 	failed   int           // tries that ended in an error or without an answer
+	draw     float64       // its chance at cold servers
+	wanted   bool          // it came to one
 	skips    int           // servers that it passes over as it is back from them
 	asks     int           // reports it has waited for
 	sentAt   time.Duration
@@ -125,6 +127,8 @@
 	bad          float64        // setup tries that failed lately
 	full         float64        // circuits that found no server with room lately
 	fits         float64        // circuits that found one
+	wanted       float64        // circuits that came to a cold server lately
+	colds        int            // ready servers that are cold
 	tallyAt      time.Duration
 
 	watchAt      time.Duration // when to ask for the list, never while subscribed
@@ -244,7 +248,7 @@
 	b.probing, b.answers = append(b.probing, false), append(b.answers, 0)
 	b.delay, b.delayAt = append(b.delay, 0), append(b.delayAt, -never)
 	b.asked, b.askedAt = append(b.asked, 0), append(b.askedAt, -never)
-	b.budget, b.paidAt = append(b.budget, 0), append(b.paidAt, 0)
+	b.budget, b.paidAt = append(b.budget, 0), append(b.paidAt, -never)
 	b.movedAt, b.known = append(b.movedAt, -never), append(b.known, 0)
 	b.room = append(b.room, never.Seconds())
 	return i
@@ -254,8 +258,7 @@
 func (b *Balancer) fresh(i int) {
 	b.fails[i], b.aside[i], b.span[i] = 0, false, asideFirst
 	b.delayAt[i], b.askedAt[i] = -never, -never
-	b.deal(i)
-	b.paidAt[i] = b.now - time.Duration(b.random()*float64(b.dep.FallFor)) // not in step with the others
+	b.paidAt[i] = -never
 	b.room[i] = never.Seconds()
 }
 
@@ -400,7 +403,7 @@
 	if c.out {
 		b.trying--
 	}
-	if c.out && how != Succeeded && how != Cancelled {
+	if c.out && (how == Failed || how == TimedOut) { // other ends tell of one server alone
 		b.tally(0, 1)
 	}
 	if c.open && how == Reset && b.now-c.sentAt < tallyFor {
@@ -540,7 +543,7 @@
 func (b *Balancer) tally(good, bad float64) {
 	fade := math.Exp(-float64(b.now-b.tallyAt) / float64(tallyFor))
 	b.good, b.bad, b.tallyAt = b.good*fade+good, b.bad*fade+bad, b.now
-	b.full, b.fits = b.full*fade, b.fits*fade
+	b.full, b.fits, b.wanted = b.full*fade, b.fits*fade, b.wanted*fade
 }
 
 // tight tells whether many circuits lately found no server with room. Then groups keep to their reach: spread
@@ -640,7 +643,7 @@
 	if b.state[i] != Ready { // drains are kept: at once, without using the grace
 		return false
 	}
-	return b.warmth(i) >= 1 || b.coldBudget(i) >= 1 // a cold server is not pushed over
+	return b.warmth(i) >= 1 || b.mayWarm(c, i) // a cold server is not pushed over
 }
 
 // mayNack tells whether trying again is harmless.
@@ -649,26 +652,23 @@
 		c.grade.Effect == Deduplicated && c.grade.Scope == ScopeAll && b.now < c.ranAt+c.grade.Window
 }
 
-// coldBudget is what is left of this balancer's part of what a cold server can take: as many connections as its
-// servers hold on the mean, over a quarter of the warm-up, cut to its warmth. The part is dealt out anew for each
-// span in which the server could fall, rounded by chance, and what is not used is lost: hundreds of balancers that
-// had each saved up one try pushed cold servers over. It follows what is held and not what arrives: in a storm of
-// repeats arrivals grow a hundredfold, and cold servers were pushed over by their part of them.
-func (b *Balancer) coldBudget(i int) float64 {
+// mayWarm tells whether a circuit may go to a cold server. All balancers together may send it, each span in which
+// it could fall, as many connections as servers hold on the mean, times the multiple and cut to its warmth, over a
+// quarter of the warm-up. Of the circuits that come to a cold server each lets so large a part in as keeps to that,
+// by one chance a decision. A part of the budget for each balancer, dealt out
+// beforehand, was lost on those to which nobody came: with a hundred of them cold servers stayed empty. And each
+// sends no more than its part of the budget a span, one at least: what arrives grows a hundredfold in a storm.
+func (b *Balancer) mayWarm(c *circuit, i int) bool {
+	mean := max(coldLeast/float64(b.dep.Peers), float64(b.total)/float64(max(len(b.newest().servers), 1)))
+	each := b.dep.FallMultiple * b.warmth(i) * mean / max(b.dep.ColdFor/4, time.Second).Seconds()
 	if b.now-b.paidAt[i] >= b.dep.FallFor {
-		b.deal(i)
-		b.paidAt[i] = b.now
+		b.budget[i], b.paidAt[i] = max(1, each*b.dep.FallFor.Seconds()), b.now
 	}
-	return b.budget[i]
-}
-
-func (b *Balancer) deal(i int) {
-	mean := coldLeast / float64(b.dep.Peers)
-	if n := len(b.pools); n > 0 {
-		mean = max(mean, float64(b.total)/float64(max(len(b.newest().servers), 1)))
+	if !c.wanted {
+		c.wanted = true
+		b.wanted++
 	}
-	each := b.dep.FallMultiple * b.warmth(i) * mean / max(b.dep.ColdFor/4, time.Second).Seconds()
-	b.budget[i] = math.Floor(each*b.dep.FallFor.Seconds() + b.random())
+	return b.budget[i] >= 1 && c.draw < each*float64(b.colds)*tallyFor.Seconds()/b.wanted
 }
 
 // ---- The pick.
@@ -907,6 +907,8 @@
 // settle decides on a circuit at once: a setup try, a nack or a break-off. None is ever held back.
 func (b *Balancer) settle(c *circuit) (Decision, bool) {
 	i, found := -1, false
+	b.tally(0, 0)
+	c.draw, c.wanted = b.random(), false
 	if len(b.pools) > 0 {
 		if c.midFlow && c.tries == 0 { // costs next to nothing where found: neither brake nor room count
 			i = b.holder(c)
@@ -980,6 +982,12 @@
 // round considers moves and probes.
 func (b *Balancer) round() {
 	b.moves, b.probes = b.moves[:0], b.probes[:0]
+	b.colds = 0
+	for i := range b.id {
+		if b.state[i] == Ready && b.warmth(i) < 1 {
+			b.colds++
+		}
+	}
 	for z := range b.found {
 		b.found[z] += (0.5 - b.found[z]) / 50
 	}
@@ -1070,7 +1078,7 @@
 			break
 		}
 		again := *c // as it will come again
-		again.open, again.tries, again.tried, again.ranOn, again.view = false, 0, nil, -1, b.dep.Zone
+		again.open, again.tries, again.tried, again.ranOn, again.view, again.wanted = false, 0, nil, -1, b.dep.Zone, true
 		j, at := b.pick(&again, b.newest(), byAll)
 		if j >= 0 && j != i && (at < b.reach || !b.tight()) {
 			b.moves = append(b.moves, c)
