Cold servers: the chance goes by what each draws and by the span in which it falls

Change: averaged over the span in which a server falls; by heft and warmth, other zones' cold servers for half at least; filled over a third of the warm-up instead of a quarter; the chance acts only where a balancer's part is under one.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,6 +43,8 @@
 	knownOver    = 1.3         // over what a server has held for a while, it is filled step by step
 	knownMore    = 1.5         // and by at least so many usual connections at once
 	knownFew     = 72.0        // by this many over the square of the number of balancers
+	coolMore     = 1.7         // so much of its least warmth a cold server is taken for
+	coldFill     = 3           // so-many-th of the warm-up in which a cold server may fill
 	coldLeast    = 4.0         // connections that every server is thought to hold at least, over all balancers
 	backSkip     = 0.5
 	homeSpread   = 2.0             // servers in a group's home, over its share of the connections
@@ -128,7 +130,7 @@
 	full         float64        // circuits that found no server with room lately
 	fits         float64        // circuits that found one
 	wanted       float64        // circuits that came to a cold server lately
-	colds        int            // ready servers that are cold
+	colds        float64        // what the cold servers draw together
 	tallyAt      time.Duration
 
 	watchAt      time.Duration // when to ask for the list, never while subscribed
@@ -654,23 +656,26 @@
 
 // mayWarm tells whether a circuit may go to a cold server. All balancers together may send it, each span in which
 // it could fall, as many connections as servers hold on the mean, times the multiple and cut to its warmth, over a
-// quarter of the warm-up. Of the circuits that come to a cold server each lets so large a part in as keeps to that,
+// third of the warm-up. Of the circuits that come to a cold server each lets so large a part in as keeps to that,
 // by one chance a decision. A part of the budget for each balancer, dealt out
 // beforehand, was lost on those to which nobody came: with a hundred of them cold servers stayed empty. And each
 // sends no more than its part of the budget a span, one at least: what arrives grows a hundredfold in a storm.
 func (b *Balancer) mayWarm(c *circuit, i int) bool {
 	mean := max(coldLeast/float64(b.dep.Peers), float64(b.total)/float64(max(len(b.newest().servers), 1)))
-	each := b.dep.FallMultiple * b.warmth(i) * mean / max(b.dep.ColdFor/4, time.Second).Seconds()
+	part := b.dep.FallMultiple * b.warmth(i) * mean * float64(b.dep.FallFor) / float64(max(b.dep.ColdFor/coldFill, 1))
 	if b.now-b.paidAt[i] >= b.dep.FallFor {
-		b.budget[i], b.paidAt[i] = max(1, each*b.dep.FallFor.Seconds()), b.now
+		b.budget[i], b.paidAt[i] = max(1, math.Floor(part+b.random())), b.now
 	}
 	if !c.wanted {
 		c.wanted = true
 		b.wanted++
 	}
-	return b.budget[i] >= 1 && c.draw < each*float64(b.colds)*tallyFor.Seconds()/b.wanted
+	return b.budget[i] >= 1 && (part >= 1 || c.draw < part*b.colds/b.draws(i)/b.wanted)
 }
 
+// draws is how many circuits of its zone a cold server draws by the ranking, against others.
+func (b *Balancer) draws(i int) float64 { return b.heft[i] * min(1, coolMore*b.warmth(i)) }
+
 // ---- The pick.
 
 func mix(a, z uint64) uint64 {
@@ -768,7 +773,7 @@
 // cool tells whether a server has not warmed up yet for this key; all balancers agree on it.
 func (b *Balancer) cool(c *circuit, i int) bool {
 	w := b.warmth(i)
-	return w < 1 && unit(mix(c.key, ^uint64(b.id[i]))) >= 1.7*w
+	return w < 1 && unit(mix(c.key, ^uint64(b.id[i]))) >= coolMore*w
 }
 
 // passed tells whether a circuit passes server i over at a step; sum is the weight of all servers.
@@ -985,7 +990,7 @@
 	b.colds = 0
 	for i := range b.id {
 		if b.state[i] == Ready && b.warmth(i) < 1 {
-			b.colds++
+			b.colds += b.weight(i, b.dep.Zone, b.draws(i), 2*spill)
 		}
 	}
 	for z := range b.found {
