Slow start, back skips and blind nacks taken out; tries besides are split by peers

Change: while some fail, nine tries of all balancers may be out besides those that come to stand, each balancer's part rounded by chance; two hundred balancers had three each. The ranking is sorted, not inserted: lists of thousands are decided in time.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,21 +34,18 @@
 	roomGrowth   = 0.015                  // by which a server that is not crowded may be filled further, each round
 	movePart     = 0.06                   // of the connections at a jammed server, moved away at a time
 	watchBackoff = 500 * time.Millisecond
-	moveEvery    = time.Second // between moves away from one jammed server
-	spill        = 0.25        // least share of a server in another zone in the limit
-	reserve      = 0.3         // part of a server's room kept from circuits of no utility, when tight
-	foundLess    = 0.7         // what is left of the trust in a zone's view after a wrong guess
-	foundLeast   = 0.25        // trust under which mid-flow arrivals are placed as newcomers
-	foundWithin  = 50          // a mid-flow arrival that stands within this part of the goal was found
-	knownOver    = 1.3         // over what a server has held for a while, it is filled step by step
-	knownMore    = 1.5         // and by at least so many usual connections at once
-	knownFew     = 72.0        // by this many over the square of the number of balancers
-	coolMore     = 1.7         // so much of its least warmth a cold server is taken for
-	coldFill     = 3           // so-many-th of the warm-up in which a cold server may fill
-	coldLeast    = 4.0         // connections that every server is thought to hold at least, over all balancers
-	backSkip     = 0.5
+	moveEvery    = time.Second     // between moves away from one jammed server
+	spill        = 0.25            // least share of a server in another zone in the limit
+	reserve      = 0.3             // part of a server's room kept from circuits of no utility, when tight
+	foundLess    = 0.7             // what is left of the trust in a zone's view after a wrong guess
+	foundLeast   = 0.25            // trust under which mid-flow arrivals are placed as newcomers
+	foundWithin  = 50              // a mid-flow arrival that stands within this part of the goal was found
+	coolMore     = 1.7             // so much of its least warmth a cold server is taken for
+	coldFill     = 3               // so-many-th of the warm-up in which a cold server may fill
+	coldLeast    = 4.0             // connections that every server is thought to hold at least, over all balancers
 	homeSpread   = 2.0             // servers in a group's home, over its share of the connections
 	failedMost   = 2               // servers that may fail a circuit by error or time-out before it is nacked
+	triesBesides = 9.0             // tries out of all balancers besides, while some fail
 	tallyFor     = 3 * time.Second // how long setup tries count in the tally
 )
 
@@ -96,7 +93,6 @@
 	failed   int           // tries that ended in an error or without an answer
 	draw     float64       // its chance at cold servers
 	wanted   bool          // it came to one
-	skips    int           // servers that it passes over as it is back from them
 	asks     int           // reports it has waited for
 	sentAt   time.Duration
 	ranAt    time.Duration // when the first try that may have run was sent
@@ -158,12 +154,10 @@
 	budget  []float64 // setup tries that a cold server may still be sent
 	paidAt  []time.Duration
 	room    []float64       // load of own connections that it takes before it is crowded, as last seen
-	known   []float64       // load of own connections that it has held for a while without a crowd
 	movedAt []time.Duration // when a move away from it was last considered
 
-	reach int   // how far down the ranking a circuit may go, so that its group is not spread over all servers
-	rank  []int // scratch of order
-	score []float64
+	reach int      // how far down the ranking a circuit may go, so that its group is not spread over all servers
+	rank  []ranked // scratch of order
 }
 
 // New starts a balancer.
@@ -251,8 +245,7 @@
 	b.delay, b.delayAt = append(b.delay, 0), append(b.delayAt, -never)
 	b.asked, b.askedAt = append(b.asked, 0), append(b.askedAt, -never)
 	b.budget, b.paidAt = append(b.budget, 0), append(b.paidAt, -never)
-	b.movedAt, b.known = append(b.movedAt, -never), append(b.known, 0)
-	b.room = append(b.room, never.Seconds())
+	b.movedAt, b.room = append(b.movedAt, -never), append(b.room, never.Seconds())
 	return i
 }
 
@@ -316,9 +309,6 @@
 		until: b.now + a.Left, midFlow: a.MidFlow, server: -1, ranOn: -1,
 		load: cmp.Or(a.Load, b.usualOf[a.Grade]),
 	}
-	for a.Back && b.random() < backSkip {
-		c.skips++
-	}
 	b.circuit[a.ID] = c
 	return c
 }
@@ -558,7 +548,8 @@
 // tries counts: while nacks counted too, the brake held itself on for many seconds after the failure had ended.
 func (b *Balancer) throttled(c *circuit) bool {
 	b.tally(0, 0)
-	most := 1 + 2*(b.good+1)/(b.good+b.bad+1) + b.good*c.grade.SetupGoal.Seconds()/tallyFor.Seconds()
+	besides := triesBesides * (b.good + 1) / (b.good + b.bad + 1) / float64(b.dep.Peers)
+	most := math.Floor(besides + b.good*c.grade.SetupGoal.Seconds()/tallyFor.Seconds() + b.random())
 	return c.failed >= failedMost || float64(b.trying) >= most && b.bad > 1+b.good/8 ||
 		b.random() < (b.bad-b.good-1)/(b.bad+b.good+1)
 }
@@ -697,47 +688,39 @@
 	return heft
 }
 
+// ranked is a server and its score in a circuit's order.
+type ranked struct {
+	server int
+	score  float64
+}
+
 // order ranks a version's servers for a circuit by weighted rendezvous hashing of its group. The first few,
 // as many as the group's share of this balancer's connections is worth, are the group's home; within it the
 // client's key ranks. A circuit without a group has a home of one.
-func (b *Balancer) order(c *circuit, v *version) []int {
-	b.rank, b.score = b.rank[:0], b.score[:0]
+func (b *Balancer) order(c *circuit, v *version) []ranked {
+	b.rank, b.reach = b.rank[:0], len(v.servers)
 	sum, top := 0.0, 0.0
 	for n, i := range v.servers {
 		w := b.weight(i, c.view, v.heft[n], 0)
 		sum, top = sum+w, max(top, w)
-		b.insert(i, w, mix(c.place, uint64(b.id[i])))
+		b.rank = append(b.rank, ranked{i, -w / math.Log(unit(mix(c.place, uint64(b.id[i]))))})
 	}
-	home := 1
-	b.reach = len(b.rank)
+	slices.SortFunc(b.rank, higher)
 	if c.place != c.key && b.total > 0 {
+		// With its chance error taken off, or one connection among a dozen would make a home of several.
 		n := float64(b.group[c.place])
-		part := (n - math.Sqrt(n)) / float64(b.total)
-		home = int(math.Ceil(homeSpread * part * sum / max(top, 1e-9)))
+		home := max(1, int(math.Ceil(homeSpread*(n-math.Sqrt(n))/float64(b.total)*sum/max(top, 1e-9))))
 		b.reach = min(b.reach, home+1)
-	}
-	if home = min(home, len(b.rank)); home > 1 {
-		first := slices.Clone(b.rank[:home])
-		rest := slices.Clone(b.rank[home:])
-		b.rank, b.score = b.rank[:0], b.score[:0]
-		for _, i := range first {
-			b.insert(i, b.weight(i, c.view, b.heft[i], 0), mix(c.key, uint64(b.id[i])))
+		first := b.rank[:min(home, len(b.rank))]
+		for n, r := range first {
+			first[n].score = -b.weight(r.server, c.view, b.heft[r.server], 0) / math.Log(unit(mix(c.key, uint64(b.id[r.server]))))
 		}
-		b.rank = append(b.rank, rest...)
+		slices.SortFunc(first, higher)
 	}
 	return b.rank
 }
 
-// insert puts server i into the ranking, best score first.
-func (b *Balancer) insert(i int, weight float64, hash uint64) {
-	s := -weight / math.Log(unit(hash))
-	at := len(b.rank)
-	b.rank, b.score = append(b.rank, i), append(b.score, s)
-	for ; at > 0 && b.score[at-1] < s; at-- {
-		b.rank[at], b.score[at] = b.rank[at-1], b.score[at-1]
-	}
-	b.rank[at], b.score[at] = i, s
-}
+func higher(x, y ranked) int { return cmp.Or(cmp.Compare(y.score, x.score), x.server-y.server) }
 
 // How far a pick goes: each step drops a reason to pass a server over.
 const (
@@ -756,14 +739,10 @@
 			sum += b.weight(i, b.dep.Zone, b.heft[i], spill) * b.warmth(i)
 		}
 	}
-	skips := c.skips
 	for step := byAll; step <= upTo; step++ {
-		for at, i := range rank {
-			if !b.passed(c, i, step, sum) && b.mayTry(c, i) {
-				if skips == 0 {
-					return i, at
-				}
-				skips--
+		for at, r := range rank {
+			if i := r.server; !b.passed(c, i, step, sum) && b.mayTry(c, i) {
+				return i, at
 			}
 		}
 	}
@@ -794,12 +773,6 @@
 	if v := b.valueOf(c); v < 2*b.value && b.tight() { // what is left goes to more utility for its load
 		room *= 1 - reserve*(1-v/b.value/2)
 	}
-	if !b.dep.ReportsOnAsk {
-		// Guards against a burst that is seen only when all are jammed. What may be added at once goes by the
-		// square of the number of balancers: each sees a part, and their parts add up.
-		more := max(knownMore, knownFew/float64(b.dep.Peers*b.dep.Peers))
-		room = min(room, knownOver*b.known[i]+more*max(b.usual, c.load))
-	}
 	return b.busy(i, jammed) || b.load[i]+c.load > room
 }
 
@@ -831,7 +804,8 @@
 		return -1
 	}
 	for n := len(b.pools) - 1; n >= 0; n-- {
-		for _, i := range b.order(c, b.pools[n]) {
+		for _, r := range b.order(c, b.pools[n]) {
+			i := r.server
 			if b.aside[i] || b.cool(c, i) {
 				continue
 			}
@@ -925,7 +899,7 @@
 			var at int
 			if i, at = b.pick(c, b.newest(), byAside); i < 0 {
 				b.full++
-			} else if b.fits++; at >= b.reach && b.tight() || b.blind(i) {
+			} else if b.fits++; at >= b.reach && b.tight() {
 				i = -1
 			}
 		}
@@ -958,23 +932,6 @@
 	return Decision{Do: Try, Circuit: c.id, Server: b.id[i], For: b.timeOut(c)}, true
 }
 
-// blind tells whether a circuit is nacked rather than sent to a server of which nothing is known here. What is
-// known of the others counts as a sample: the more of the connections held are at jammed servers, the likelier.
-// Guards against a jam of the whole fleet of which each balancer sees a few servers, and refills the rest blindly.
-func (b *Balancer) blind(i int) bool {
-	if len(b.held[i]) > 0 || b.now-b.askedAt[i] <= reportFresh {
-		return false
-	}
-	n := 0
-	for j := range b.id {
-		if len(b.held[j]) > 0 && b.busy(j, jammed) {
-			n += len(b.held[j])
-		}
-	}
-	q := float64(n) / float64(b.total+1)
-	return b.random() < q*q
-}
-
 // timeOut leaves room for one more setup try while there may be one.
 func (b *Balancer) timeOut(c *circuit) time.Duration {
 	left := c.until - b.now
@@ -1000,11 +957,6 @@
 		if b.state[i] == Gone {
 			continue
 		}
-		if gap := b.load[i] - b.known[i]; gap < 0 {
-			b.known[i] += gap / 100
-		} else if !b.busy(i, crowded) {
-			b.known[i] += gap / 8
-		}
 		if !b.busy(i, crowded) {
 			// By a part of itself and of one connection: room that grew only by a part never came back from
 			// near nothing.
--- a/policy/types.go
+++ b/policy/types.go
@@ -93,7 +93,6 @@
 	Grade   int
 	Left    time.Duration
 	MidFlow bool
-	Back    bool    // the client is back after a break or a move
 	Load    float64 // usual load, work in microseconds a second; 0 where not told
 }
 
