--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,7 +32,7 @@
 	waitPart     = 4                      // each for one so-many-th of the latency goal at most
 	fullAsked    = 0.85                   // load over capacity up to which a reported server is filled
 	roomGrowth   = 0.015                  // by which a server that is not crowded may be filled further, each round
-	movePart     = 0.06                   // of the connections at a jammed server, moved away at a time
+	movePart     = 0.12                   // of the load held at a jammed server, moved away at a time
 	watchBackoff = 500 * time.Millisecond
 	moveEvery    = time.Second     // between moves away from one jammed server
 	spill        = 0.25            // least share of a server in another zone in the limit
@@ -966,7 +966,7 @@
 		switch {
 		case b.ailing(): // whoever is moved now may not come to stand again
 		case b.state[i] == Draining: // before it stops and cuts them off
-			b.moveSome(i, len(b.held[i])/8+1)
+			b.moveSome(i, b.load[i]/8+b.usual/float64(b.dep.Peers))
 		case b.busy(i, jammed) && b.movedAt[i]+moveEvery <= b.now:
 			// Guards against thrash: the next move waits until this one shows in the notes. A part of what is
 			// held, rounded by chance: with many balancers each holds little of a server, and one move by
@@ -979,8 +979,7 @@
 				part = 0.5 * (1 - fullAsked/b.asked[i])
 			}
 			b.movedAt[i] = b.now
-			n := int(part*float64(len(b.held[i])) + b.random())
-			if left := b.moveSome(i, n); left > 0 && b.busy(i, lost) {
+			if left := b.moveSome(i, part*b.load[i]); left > 0 && b.busy(i, lost) {
 				b.shed(i, left)
 			}
 		}
@@ -1020,10 +1019,11 @@
 	return all
 }
 
-// moveSome plans to move up to n connections away from a server, of those that would now be placed elsewhere
-// without a departure: lone members of their group first, as they cost the server most, then the heaviest. It
-// answers how many found no other place.
-func (b *Balancer) moveSome(i, n int) int {
+// moveSome plans to move so much load away from a server, in connections that would now be placed elsewhere without
+// a departure: lone members of their group first, as they cost the server most, then the heaviest. It answers for
+// how much it found no other place. By load and not by number: where each balancer holds one connection of a server
+// none can choose the heaviest.
+func (b *Balancer) moveSome(i int, load float64) float64 {
 	mates := map[uint64]int{}
 	for _, c := range b.held[i] {
 		mates[c.place]++
@@ -1031,24 +1031,33 @@
 	for _, c := range b.movable(i, func(x, y *circuit) int {
 		return cmp.Or(mates[x.place]-mates[y.place], cmp.Compare(y.load, x.load), x.slot-y.slot)
 	}) {
-		if n == 0 {
-			break
-		}
 		again := *c // as it will come again
 		again.open, again.tries, again.tried, again.ranOn, again.view, again.wanted = false, 0, nil, -1, b.dep.Zone, true
 		j, at := b.pick(&again, b.newest(), byAll)
-		if j >= 0 && j != i && (at < b.reach || !b.tight()) {
-			b.moves = append(b.moves, c)
-			n--
+		if j >= 0 && j != i && (at < b.reach || !b.tight()) && !b.part(c, &load) {
+			return 0
 		}
 	}
-	return n
+	return load
 }
 
-// shed plans to end n connections of a server from which none can be moved: those of least utility for their
-// load. They come again and are nacked while only jammed servers are left. Guards against a fleet in which
-// all connections are held and none is served.
-func (b *Balancer) shed(i, n int) {
-	worst := b.movable(i, func(x, y *circuit) int { return cmp.Compare(b.valueOf(x), b.valueOf(y)) })
-	b.moves = append(b.moves, worst[:min(n, len(worst))]...)
+// part plans to move a connection if that much load is to go, and by chance if it is the last part; false: no more.
+func (b *Balancer) part(c *circuit, load *float64) bool {
+	left := *load - c.load
+	if left >= 0 || b.random()*c.load < *load {
+		b.moves = append(b.moves, c)
+	}
+	*load = left
+	return left > 0
+}
+
+// shed plans to end so much load at a server from which none can be moved: connections of least utility for their
+// load. They come again and are nacked while only jammed servers are left. Guards against a fleet in which all
+// connections are held and none is served.
+func (b *Balancer) shed(i int, load float64) {
+	for _, c := range b.movable(i, func(x, y *circuit) int { return cmp.Compare(b.valueOf(x), b.valueOf(y)) }) {
+		if !b.part(c, &load) {
+			return
+		}
+	}
 }
