--- a/policy/policy.go
+++ b/policy/policy.go
@@ -2,9 +2,8 @@
 //
 // Calling it: New starts a Balancer from its Deployment and a seed. The host calls Clock with the time since
 // the start, then one method for each thing that came in (ListArrived, CircuitArrived, SetUp, TryEnded and so
-// on). These only update what is known. The host then calls Next until it answers false and carries out each
-// Decision, and calls again at the latest at the time that Wake names. The plain types of this interface are
-// in types.go.
+// on); these only update what is known. It then calls Next until that answers false, carries out each
+// Decision, and calls again at the latest when Wake says. The plain types of this interface are in types.go.
 package policy
 
 import (
@@ -21,7 +20,7 @@
 	never        = time.Duration(1 << 62)
 	asideFails   = 2.0                    // failures, less what successes took off, that set a server aside
 	asideFirst   = time.Second            // first wait before the probes of a server set aside; doubles
-	asideLongest = 8 * time.Second        //
+	asideLongest = 8 * time.Second        // wait
 	asidePart    = 3                      // at most one in so many ready servers is set aside
 	answersBack  = 2                      // answered probes in a row that bring a server back
 	noteFresh    = 2 * time.Second        // a slow-message note is repeated each second while it holds
@@ -34,18 +33,19 @@
 	roomGrowth   = 0.015                  // by which an uncrowded server may be filled further, each round
 	movePart     = 0.12                   // of the load held at a jammed server, moved away at a time
 	watchBackoff = 500 * time.Millisecond
-	moveEvery    = time.Second     // between moves away from one jammed server
-	spill        = 0.25            // least share of a server in another zone in the limit
-	foundLess    = 0.7             // what is left of the trust in a zone's view after a wrong guess
-	foundLeast   = 0.25            // trust under which mid-flow arrivals are placed as newcomers
-	foundWithin  = 50              // a mid-flow arrival that stands within this part of the goal was found
-	coolMore     = 1.7             // so much of its least warmth a cold server is taken for
-	coldFill     = 3               // so-many-th of the warm-up in which a cold server may fill
-	coldLeast    = 4.0             // connections that a server is thought to hold at least, over all balancers
-	homeSpread   = 2.0             // servers in a group's home, over its share of the connections
-	failedMost   = 2               // servers that may fail a circuit by error or time-out before it is nacked
-	triesBesides = 9.0             // tries out of all balancers besides, while some fail
-	tallyFor     = 3 * time.Second // how long setup tries count in the tally
+	watchEach    = 20 * time.Millisecond // between calls for the list of all balancers
+	moveEvery    = time.Second           // between moves away from one jammed server
+	spill        = 0.25                  // least share of a server in another zone in the limit
+	foundLess    = 0.7                   // what is left of the trust in a zone's view after a wrong guess
+	foundLeast   = 0.25                  // trust under which mid-flow arrivals are placed as newcomers
+	foundWithin  = 50                    // a mid-flow arrival that stands within this part of the goal was found
+	coolMore     = 1.7                   // so much of its least warmth a cold server is taken for
+	coldFill     = 3                     // so-many-th of the warm-up in which a cold server may fill
+	coldLeast    = 4.0                   // connections that a server is thought to hold, over all balancers
+	homeSpread   = 2.0                   // servers in a group's home, over its share of the connections
+	failedMost   = 2                     // servers that may fail a circuit before it is nacked
+	triesBesides = 9.0                   // tries out of all balancers besides, while some fail
+	tallyFor     = 3 * time.Second       // how long setup tries count in the tally
 )
 
 // edge is how near to its capacity a server is: what a message takes, as a part of the shortest message goal,
@@ -59,6 +59,9 @@
 	lost    = edge{1.00, 1.05} // from here they are ended where there is no other place
 )
 
+// failsBy is what a setup try that ended so adds to a server's failures.
+var failsBy = [...]float64{Failed: 1, TimedOut: 0.5, ConnectFailed: 2, Reset: 1, NeverSent: 0}
+
 // version is one frozen pool: the ready servers of one list, sorted by id.
 type version struct {
 	servers []int // dense indices
@@ -152,17 +155,17 @@
 func New(dep *Deployment, seed uint64) *Balancer {
 	b := &Balancer{
 		dep: dep, chance: seed&0xffffffff | 1<<32, watchAt: never, watchBackoff: watchBackoff, goal: never,
+		away:  max(0.02, 1-12*dep.CrossingPrice),
 		index: map[ServerID]int{}, circuit: map[CircuitID]*circuit{}, group: map[uint64]int{},
 		usualOf: make([]float64, len(dep.Grades)), tenant: make([]int, len(dep.Tenants)+1),
 	}
-	b.away = max(0.02, 1-12*dep.CrossingPrice)
 	for _, g := range dep.Grades {
 		if g.MessageGoal > 0 {
 			b.goal = min(b.goal, g.MessageGoal)
 		}
 	}
-	if dep.AskForList {
-		b.watchAt = 0
+	if dep.AskForList { // not in step with all others: the list service takes some calls a second
+		b.watchAt = time.Duration(b.random() * float64(dep.Peers) * float64(watchEach))
 	}
 	b.roundAt = time.Duration(b.random() * float64(roundEvery))
 	return b
@@ -188,12 +191,9 @@
 	if b.dep.AskForList && !cached {
 		b.watchAt, b.watchBackoff = never, watchBackoff
 	}
-	named := make([]bool, len(b.id), len(b.id)+len(lines))
+	named := map[int]bool{}
 	for _, l := range lines {
 		i := b.server(l.Server)
-		for len(named) <= i {
-			named = append(named, false)
-		}
 		named[i] = true
 		for len(b.found) <= max(l.Zone, b.dep.Zone) {
 			b.found = append(b.found, 0.5)
@@ -255,11 +255,11 @@
 	for _, i := range v.servers {
 		v.heft = append(v.heft, b.heft[i])
 	}
-	same := len(b.pools) > 0 && slices.Equal(b.newest().servers, v.servers)
-	if !same || !slices.Equal(b.newest().heft, v.heft) {
-		b.pools = append(b.pools, v)
-		b.dropPools()
+	if len(b.pools) > 0 && slices.Equal(b.newest().servers, v.servers) && slices.Equal(b.newest().heft, v.heft) {
+		return
 	}
+	b.pools = append(b.pools, v)
+	b.dropPools()
 }
 
 // dropPools drops unused versions, and the oldest beyond the cap: its connections keep their server.
@@ -279,7 +279,7 @@
 // ListFailed tells that a call for the list failed or the subscription broke; the old list still holds.
 func (b *Balancer) ListFailed() {
 	if b.dep.AskForList {
-		b.watchAt = b.now + b.jitter(b.watchBackoff)
+		b.watchAt = b.now + b.jitter(b.watchBackoff+time.Duration(b.dep.Peers)*watchEach)
 		b.watchBackoff = min(2*b.watchBackoff, max(watchBackoff, b.dep.AskWithin/2))
 	}
 }
@@ -350,14 +350,12 @@
 	if c == nil || !c.out || try != c.tries-1 {
 		return
 	}
-	c.out, c.open, c.until = false, true, never
 	b.trying--
-	if c.midFlow && try == 0 {
-		if took < c.grade.SetupGoal/foundWithin { // found: it cost no set-up
-			b.found[c.view] += (1 - b.found[c.view]) / 2
-		} else {
-			b.found[c.view] *= foundLess
-		}
+	c.out, c.open, c.until = false, true, never
+	if c.midFlow && try == 0 && took < c.grade.SetupGoal/foundWithin { // found: it cost no set-up
+		b.found[c.view] += (1 - b.found[c.view]) / 2
+	} else if c.midFlow && try == 0 {
+		b.found[c.view] *= foundLess
 	}
 	b.fails[c.server] *= 0.3
 	b.tally(1, 0)
@@ -418,9 +416,7 @@
 
 // learn follows a figure slowly.
 func learn(mean *float64, figure float64) {
-	if *mean == 0 {
-		*mean = figure
-	}
+	*mean = cmp.Or(*mean, figure)
 	*mean += (figure - *mean) / 32
 }
 
@@ -445,10 +441,9 @@
 		if r.Asked < 0 {
 			b.asked[i] = r.Util
 		}
+		b.room[i] = max(b.room[i], b.load[i]*2)
 		if b.asked[i] > crowded.asked/2 {
 			b.room[i] = b.load[i] * fullAsked / b.asked[i]
-		} else {
-			b.room[i] = max(b.room[i], b.load[i]*2)
 		}
 	}
 }
@@ -458,17 +453,10 @@
 // judge learns from how a try ended.
 func (b *Balancer) judge(c *circuit, how Outcome) {
 	i := c.server
-	switch how {
-	case ConnectFailed:
-		b.fails[i] += 2
-	case Failed, Reset:
-		if c.out { // one that stood was shed: a jam, not a failure
-			b.fails[i]++
-		}
-	case TimedOut:
-		b.fails[i] += 0.5
-	case Succeeded:
+	if how == Succeeded {
 		b.fails[i] *= 0.5
+	} else if c.out { // one that stood was shed: a jam, not a failure
+		b.fails[i] += failsBy[how]
 	}
 	// Jams. Guards also against more dead servers at once than may be set aside: no try goes on to them.
 	if how == TurnedAway || how == ConnectFailed || how == Reset && c.open {
@@ -488,16 +476,14 @@
 // mind sets a server aside that has failed too often. Guards against emptying an overloaded fleet: only a
 // part of the ready servers is ever set aside.
 func (b *Balancer) mind(i int) {
-	if b.fails[i] < asideFails || b.aside[i] || b.state[i] != Ready {
-		return
-	}
 	n, ready := 0, b.newest().servers
 	for _, j := range ready {
 		if b.aside[j] {
 			n++
 		}
 	}
-	if n < max(1, len(ready)/asidePart) && n+1 < len(ready) {
+	bad := b.fails[i] >= asideFails && !b.aside[i] && b.state[i] == Ready
+	if bad && n < max(1, len(ready)/asidePart) && n+1 < len(ready) {
 		b.aside[i], b.answers[i], b.probeAt[i] = true, 0, b.now+b.jitter(b.span[i])
 		b.span[i] = min(2*b.span[i], asideLongest)
 	}
@@ -510,16 +496,15 @@
 	b.full, b.fits, b.wanted = b.full*fade, b.fits*fade, b.wanted*fade
 }
 
-// tight tells whether many circuits lately found no server with room. Then groups keep to their reach: spread
-// over the fleet, each server would pay for each group, and less of the fleet would be left for connections.
+// tight tells whether many circuits lately found no room. Then groups keep to their reach, or each server
+// would pay for each group.
 func (b *Balancer) tight() bool { return 6*b.full > b.fits }
 
 // throttled tells whether a circuit is to be nacked at once, as setup tries fail whatever server they go to:
 // it failed at two servers itself, or some fail and enough are out, or by chance, the likelier the more tries
 // failed than stood. Guards against a loop of retries that keeps a shared store or the whole fleet down. Only
-// the outcome of tries counts: while nacks did too, the brake held itself on for long.
+// what tries came to counts: while nacks did too, the brake held itself on.
 func (b *Balancer) throttled(c *circuit) bool {
-	b.tally(0, 0)
 	besides := triesBesides * (b.good + 1) / (b.good + b.bad + 1) / float64(b.dep.Peers)
 	most := math.Floor(besides + b.good*c.grade.SetupGoal.Seconds()/tallyFor.Seconds() + b.random())
 	return c.failed >= failedMost || float64(b.trying) >= most && b.bad > 1+b.good/8 ||
@@ -538,17 +523,11 @@
 	b.probing[i] = false
 	b.resume(i)
 	switch {
-	case !b.aside[i]:
-		if how == ConnectFailed { // dead: found without spending a setup try
-			b.fails[i] += 2
-			b.mind(i)
-		}
-		if how == ConnectFailed || how == TimedOut || how == Reset {
-			b.close(i, 0)
-		}
-	case how != Succeeded:
+	case !b.aside[i] && (how == ConnectFailed || how == TimedOut || how == Reset):
+		b.close(i, 0)
+	case b.aside[i] && how != Succeeded:
 		b.answers[i], b.probeAt[i] = 0, b.now+b.jitter(asideFirst)
-	default:
+	case b.aside[i]:
 		b.probeAt[i] = b.now + roundEvery
 		if b.answers[i]++; b.answers[i] >= answersBack {
 			b.back(i)
@@ -595,8 +574,7 @@
 	if c.answered || c.out || c.open || c.until <= b.now || c.tries >= b.dep.MostTries { // no circuit is lost
 		return false
 	}
-	if c.ranOn >= 0 && c.grade.Effect != Idempotent { // no effect happens twice
-		j := c.ranOn
+	if j := c.ranOn; j >= 0 && c.grade.Effect != Idempotent { // no effect happens twice
 		switch {
 		case c.grade.Effect == Unrepeatable, b.now >= c.ranAt+c.grade.Window,
 			c.grade.Scope == ScopeZone && b.zone[i] != b.zone[j],
@@ -659,7 +637,7 @@
 // weight of a server as seen from a zone: less elsewhere, where crossings cost, but not under the least.
 func (b *Balancer) weight(i, view int, heft, least float64) float64 {
 	if b.zone[i] != view {
-		return heft * max(b.away, least)
+		heft *= max(b.away, least)
 	}
 	return heft
 }
@@ -733,16 +711,10 @@
 
 // passed tells whether a circuit passes server i over at a step; sum is the weight of all servers.
 func (b *Balancer) passed(c *circuit, i, step int, sum float64) bool {
-	if step < byAside && (b.aside[i] || slices.Contains(c.tried, i)) {
-		return true
-	}
-	if step < byLimit {
-		w := b.weight(i, b.dep.Zone, b.heft[i], spill) * b.warmth(i)
-		if b.cool(c, i) || float64(len(b.held[i])) > 2*float64(b.total)*w/max(sum, 1e-9)+2 {
-			return true
-		}
-	}
-	if step < byCrowd && b.busy(i, crowded) {
+	w := b.weight(i, b.dep.Zone, b.heft[i], spill) * b.warmth(i)
+	limit := 2*float64(b.total)*w/max(sum, 1e-9) + 2
+	if step < byAside && (b.aside[i] || slices.Contains(c.tried, i)) || step < byCrowd && b.busy(i, crowded) ||
+		step < byLimit && (b.cool(c, i) || float64(len(b.held[i])) > limit) {
 		return true
 	}
 	// A young report that tells of room lets one in, whatever is held here: with a hundred balancers each holds
@@ -751,8 +723,7 @@
 	return b.busy(i, jammed) || b.load[i]+c.load > b.room[i] && !told
 }
 
-// valueOf is a circuit's utility for its load. Beyond its tenant's share of the open connections, as far as
-// this balancer's part of them tells, it is worth less.
+// valueOf is a circuit's utility for its load, less beyond its tenant's share as far as is seen here.
 func (b *Balancer) valueOf(c *circuit) float64 {
 	v := c.grade.Utility / max(c.load, 1)
 	if c.tenant < len(b.dep.Tenants) {
@@ -766,7 +737,7 @@
 
 // holder guesses who holds a mid-flow arrival: the pick of the newest kept version that is not draining, as a
 // balancer of the zone would see it whose guesses were right of late. Guards against losing all connections
-// of a zone whose last balancer is gone: they come here, but were placed from there.
+// of a zone whose last balancer is gone.
 func (b *Balancer) holder(c *circuit) int {
 	best := 0.0
 	for z, trust := range b.found {
@@ -822,17 +793,17 @@
 }
 
 // Wake answers when Next wants to be called again at the latest.
-func (b *Balancer) Wake() (time.Duration, bool) {
-	at := min(b.roundAt, b.watchAt)
+func (b *Balancer) Wake() (at time.Duration, ok bool) {
+	at = min(b.roundAt, b.watchAt)
 	for _, c := range b.waiting {
 		at = min(at, c.waits)
 	}
 	return at, true
 }
 
-// asksFirst tells whether a circuit waits for server i's load report before it is sent there: the report is
-// old, and there is time. A report is asked for only where a decision hangs on it: two hundred balancers that
-// ask every server now and then cost more than the reports are worth.
+// asksFirst tells whether a circuit waits for server i's load report before it is sent there: it is old, and
+// there is time. Guards against two hundred balancers that ask every server all the time: a report is asked
+// for where a decision hangs on it.
 func (b *Balancer) asksFirst(c *circuit, i int) bool {
 	if !b.dep.MayProbe || !b.dep.ReportsOnAsk || b.now-b.askedAt[i] <= reportYoung || c.asks >= asksMost {
 		return false
@@ -872,27 +843,22 @@
 	if i < 0 {
 		c.answered = true
 		delete(b.circuit, c.id)
-		if !b.mayNack(c) {
-			return Decision{Do: BreakOff, Circuit: c.id}, true
-		}
 		d := Decision{Do: Nack, Circuit: c.id}
-		if b.dep.MayAdvise {
+		if !b.mayNack(c) {
+			d.Do = BreakOff
+		} else if b.dep.MayAdvise {
 			d.For = b.jitter(b.dep.LongestAdvice / 2)
 		}
 		return d, true
 	}
-	if !found && b.asksFirst(c, i) {
-		asked := b.probing[i]
+	if asked := b.probing[i]; !found && b.asksFirst(c, i) {
 		b.probing[i] = true
 		return Decision{Do: Probe, Server: b.id[i]}, !asked
 	}
-	if b.warmth(i) < 1 {
-		b.budget[i]--
-	}
 	b.hold(c, i)
+	b.budget[i]-- // counts while the server is cold
+	c.tried, c.out, c.sentAt, b.sentAt[i] = append(c.tried, i), true, b.now, b.now
 	c.tries++
-	c.tried = append(c.tried, i)
-	c.out, c.sentAt, b.sentAt[i] = true, b.now, b.now
 	b.trying++
 	return Decision{Do: Try, Circuit: c.id, Server: b.id[i], For: b.timeOut(c)}, true
 }
@@ -917,6 +883,7 @@
 	for z := range b.found {
 		b.found[z] += (0.5 - b.found[z]) / 50
 	}
+	b.tally(0, 0)
 	for i := range b.id {
 		if b.state[i] == Gone {
 			continue
@@ -925,7 +892,6 @@
 			// Of one connection too: room that grew only by a part never came back from near nothing.
 			b.room[i] += roomGrowth*b.room[i] + 0.3*b.usual/float64(b.dep.Peers)
 		}
-		b.tally(0, 0)
 		switch held := max(b.load[i], float64(len(b.held[i]))); {
 		case b.ailing(): // whoever is moved now may not come to stand again
 		case b.state[i] == Draining: // before it stops and cuts them off
@@ -944,20 +910,16 @@
 		if b.state[i] != Ready || b.probing[i] {
 			continue
 		}
-		switch due := b.probeAt[i] <= b.now; {
-		case due && b.aside[i] && !b.dep.MayProbe:
+		if due := b.probeAt[i] <= b.now; due && b.aside[i] && !b.dep.MayProbe {
 			b.back(i)
-		case due && b.dep.MayProbe && (b.aside[i] || b.dep.ReportsOnAsk):
+		} else if due && b.dep.MayProbe && (b.aside[i] || b.dep.ReportsOnAsk) {
 			b.due, b.probing[i] = append(b.due, Decision{Do: Probe, Server: b.id[i]}), true
-			if !b.aside[i] {
-				b.probeAt[i] = b.now + b.jitter(b.reportEvery())
-			}
+			b.probeAt[i] = b.now + b.jitter(b.reportEvery()) // one set aside: by its answer
 		}
 	}
 }
 
-// reportEvery is how often this balancer asks each server for its load report without a circuit to decide on:
-// all of them together ask a server as often as few would.
+// reportEvery is how often this balancer asks a server for its report anyway: all together as often as a few.
 func (b *Balancer) reportEvery() time.Duration { return time.Duration(b.dep.Peers) * reportEach }
 
 // movable answers the connections of a server that can be moved, first those that sort by less.
@@ -973,10 +935,9 @@
 }
 
 // moveSome plans to move so much load away from a server, in connections that would now be placed elsewhere
-// without a departure: lone members of their group first, as they cost the server most, then the heaviest. It
-// answers for how much it found no other place. By load, the last connection by chance: guards against two
-// hundred balancers that hold one connection each, where none can choose the heaviest and one move by each
-// would empty the server.
+// without a departure: lone members of their group first, then the heaviest. It answers for how much it found
+// no other place. By load, the last one by chance: guards against two hundred balancers with one connection
+// each, where none can choose the heaviest and one move by each would empty the server.
 func (b *Balancer) moveSome(i int, load float64) float64 {
 	mates := map[uint64]int{}
 	for _, c := range b.held[i] {
@@ -1007,9 +968,8 @@
 	return left > 0
 }
 
-// shed plans to end so much load at a server from which none can be moved: connections of least utility for
-// their load. They come again and are nacked while only jammed servers are left. Guards against a fleet in
-// which all connections are held and none is served.
+// shed plans to end so much load at a server from which none can be moved, least utility for its load first.
+// Guards against a fleet in which all connections are held and none is served.
 func (b *Balancer) shed(i int, load float64) {
 	for _, c := range b.movable(i, func(x, y *circuit) int { return cmp.Compare(b.valueOf(x), b.valueOf(y)) }) {
 		if !b.part(c, &load) {
