--- /dev/null
+++ b/policy/many_test.go
@@ -0,0 +1,183 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// many starts n balancers on one list, each with its part of the connections that all hold together.
+func many(t *testing.T, n, connections int, d *Deployment, list []Listed) []*Balancer {
+	var all []*Balancer
+	for k := range n {
+		own := *d
+		own.Peers = n
+		b := New(&own, uint64(k)*7919+3)
+		b.ListArrived(list, true, true)
+		connect(t, b, 1, connections*(k+1)/n-connections*k/n)
+		all = append(all, b)
+	}
+	return all
+}
+
+// Without mayWarm in the gate 200 balancers send a cold server 102 tries in two seconds, without its chance 79.
+func TestManyBalancersTogetherKeepAColdServersBudget(t *testing.T) {
+	for _, n := range []int{1, 3, 40, 200} {
+		list := fleet(10)
+		all := many(t, n, 200, deployment(), list)
+		for i := range 4 {
+			list[i].Started = time.Second
+		}
+		var sent [4][]time.Duration
+		worst := 0
+		for step := range 80 { // a storm: every balancer has a circuit every quarter of a second
+			now := time.Second + time.Duration(step)*50*ms
+			for k, b := range all {
+				b.Clock(now)
+				if step == 0 {
+					b.ListArrived(list[:4], false, false)
+				}
+				if (step+k)%5 != 0 {
+					continue
+				}
+				id := CircuitID(1000 + step)
+				if d := arrive(t, b, Arrival{ID: id, Key: uint64(id)*1e6 + uint64(k)}); d.Do == Try {
+					b.SetUp(id, 0, ms)
+					b.TryEnded(id, 0, true, Succeeded)
+					if i := int(d.Server - 100); i < 4 {
+						sent[i] = append(sent[i], now)
+					}
+				}
+			}
+		}
+		for _, at := range sent {
+			for from := range at {
+				in := 0
+				for _, s := range at[from:] {
+					if s < at[from]+2*time.Second {
+						in++
+					}
+				}
+				worst = max(worst, in)
+			}
+		}
+		if worst == 0 || worst > 3*20 { // the multiple times what a server holds
+			t.Errorf("%d balancers: %d tries at one cold server in two seconds", n, worst)
+		}
+	}
+}
+
+// With every balancer asking every server each two seconds 200 of them ask 9404 times here, and without the spread
+// all call for the list at once.
+func TestManyBalancersAskLittleAfterACommonStart(t *testing.T) {
+	d := deployment()
+	d.AskForList, d.AskWithin, d.ReportsOnAsk = true, 10*time.Second, true
+	probes, calls, worst := 0, 0, 0
+	all := many(t, 200, 0, d, fleet(20))
+	for step := range 100 {
+		now, called := time.Duration(step)*50*ms, 0
+		for _, b := range all {
+			b.Clock(now)
+			for _, dec := range pull(b) {
+				switch dec.Do {
+				case Watch:
+					called++
+					b.ListFailed() // the list service is down
+				case Probe:
+					probes++
+					b.ProbeAnswered(dec.Server, TimedOut)
+				}
+			}
+		}
+		calls, worst = calls+called, max(worst, called)
+	}
+	if probes > 2*20*5 || calls < 200 || worst > 20 {
+		t.Fatalf("%d probes, %d calls for the list, at most %d of them in 50 ms", probes, calls, worst)
+	}
+}
+
+// With the plain part of a handful of connections for its share, 245 of 800 lie on one server, the others on 22.
+func TestManyBalancersBuildOneVersionAndMostlyOneHome(t *testing.T) {
+	on, first := map[ServerID]int{}, []int(nil)
+	for k, b := range many(t, 200, 0, deployment(), fleet(40)) {
+		for id := CircuitID(1); id <= 8; id++ {
+			group := uint64(id) + 10
+			if d := arrive(t, b, Arrival{ID: id, Key: uint64(id)*1e6 + uint64(k), Group: min(group, 15)}); group >= 15 {
+				on[d.Server]++
+			}
+			b.SetUp(id, 0, ms)
+		}
+		if first == nil {
+			first = b.newest().servers
+		}
+		if v := b.newest().servers; len(v) != len(first) || b.id[v[0]] != 100 || b.id[v[39]] != 139 {
+			t.Fatal("the versions differ")
+		}
+	}
+	most := 0
+	for _, n := range on {
+		most = max(most, n)
+	}
+	if 2*most < 4*200 {
+		t.Fatalf("%d of 800 connections of a group on one server, the others on %d", most, len(on)-1)
+	}
+}
+
+func TestACircuitWaitsForAReportOnlyAWhile(t *testing.T) {
+	d := deployment()
+	d.ReportsOnAsk = true
+	for _, answered := range []bool{true, false} {
+		b := started(d, fleet(3))
+		b.CircuitArrived(Arrival{ID: 1, Key: 1, Left: 2 * time.Second})
+		all := pull(b)
+		if count(all, Probe) != 1 || count(all, Try) != 0 {
+			t.Fatalf("%+v", all)
+		}
+		if answered {
+			b.Reported(all[0].Server, Report{Asked: 0.5, Piled: -1, Util: -1})
+			b.ProbeAnswered(all[0].Server, Succeeded)
+		}
+		for n := 0; n < 9 && count(all, Try) == 0; n++ { // no answer comes: the host calls when Wake says
+			if all = pull(b); count(all, Try) == 0 {
+				at, _ := b.Wake()
+				b.Clock(at)
+			}
+		}
+		if count(all, Try) != 1 || answered && b.now > 0 || b.now > 225*ms { // three servers
+			t.Fatalf("answered %v: %+v at %v", answered, all, b.now)
+		}
+	}
+}
+
+func TestAYoungReportLetsOneIn(t *testing.T) {
+	d := deployment()
+	d.ReportsOnAsk = true
+	b := started(d, fleet(1))
+	b.Clock(time.Second)
+	b.Reported(100, Report{Asked: 0.5, Piled: -1, Util: -1}) // nothing is held here: no room by the own load
+	for id, want := range []Verb{Try, Nack} {
+		b.Clock(b.now + ms)
+		if got := arrive(t, b, Arrival{ID: CircuitID(id + 1), Key: 1, Load: 500}); got.Do != want {
+			t.Fatalf("circuit %d: %+v", id+1, got)
+		}
+	}
+}
+
+func TestThousandsOfServersAndBalancers(t *testing.T) {
+	list := fleet(4000)
+	for i := range list {
+		list[i].Started, list[i].Zone = 0, 1+i%2 // all cold, none in the own zone
+	}
+	d := deployment()
+	d.Peers, d.CrossingPrice = 1<<20, 0.1
+	b := started(d, list)
+	b.HandedOver(Arrival{ID: 1e6, Key: 1}, 9)
+	tries := 0
+	for id := CircuitID(1); id <= 200; id++ {
+		if arrive(t, b, Arrival{ID: id, Key: uint64(id)}).Do == Try {
+			tries++
+		}
+	}
+	if tries > 20 {
+		t.Fatalf("one of a million balancers sent cold servers %d tries", tries)
+	}
+}
