The chance at cold servers keeps slack for luck

Change: where a balancer's part is under one it lets in 0.4 of it; parts of one and more are as before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,6 +40,7 @@
 	foundLeast   = 0.25                  // trust under which mid-flow arrivals are placed as newcomers
 	foundWithin  = 50                    // a mid-flow arrival that stands within this part of the goal was found
 	coolMore     = 1.7                   // so much of its least warmth a cold server is taken for
+	coldSlack    = 0.4                   // of its part, where that is let in by chance: by luck more come
 	coldFill     = 3                     // so-many-th of the warm-up in which a cold server may fill
 	coldLeast    = 4.0                   // connections that a server is thought to hold, over all balancers
 	homeSpread   = 2.0                   // servers in a group's home, over its share of the connections
@@ -48,8 +49,7 @@
 	tallyFor     = 3 * time.Second       // how long setup tries count in the tally
 )
 
-// edge is how near to its capacity a server is: what a message takes, as a part of the shortest message goal,
-// and its reported load over its capacity.
+// edge is what a message takes, as a part of the shortest message goal, and the reported load over capacity.
 type edge struct{ delay, asked float64 }
 
 var (
@@ -612,7 +612,7 @@
 		c.wanted = true
 		b.wanted++
 	}
-	return b.budget[i] >= 1 && (part >= 1 || c.draw < part*b.colds/b.draws(i)/b.wanted)
+	return b.budget[i] >= 1 && (part >= 1 || c.draw < coldSlack*part*b.colds/b.draws(i)/b.wanted)
 }
 
 // draws is how many circuits of its zone a cold server draws by the ranking, against others.
