--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -140,6 +140,10 @@
 		{`"pushed"`, `"shouted"`, "RegistryMode"},
 		{`"pushed"`, `"on_request"`, "Guarantees.AskWithinUs"},
 		{`"ColdUs"`, `"ColtUs"`, "Guarantees.ColdUs"},
+		{`"FallUs": 1500000`, `"FallUs": 0`, "Guarantees.FallUs"},
+		{`"PeersTotal": 1, `, ``, "PeersTotal"},
+		{`"PeersTotal": 1`, `"PeersTotal": 0`, "PeersTotal"},
+		{`"PeersTotal": 1`, `"PeersTotal": -7`, "PeersTotal"},
 		{`"MostSetupTries"`, `"Most"`, "Limits.MostSetupTries"},
 		{`"Zone": 0`, `"Specifics": {"Mode": "odd"}, "Zone": 0`, "Specifics.Mode"},
 	} {
@@ -155,6 +159,35 @@
 	}
 }
 
+func TestAHugeTotalOfBalancersWorks(t *testing.T) {
+	info := strings.Replace(bootInfo, `"PeersTotal": 1`, `"PeersTotal": 4000000000000000000`, 1)
+	out, err := serve(append(boot(info), frame(1_100_000, nil, ingress)...))
+	if err != nil || bytes.Contains(out, []byte("BootInfo")) {
+		t.Fatalf("%q, %v", out, err)
+	}
+}
+
+func TestThousandsOfInstancesComeAndGo(t *testing.T) {
+	h := &host{instances: map[uint32]*instance{}}
+	for n := range 3000 {
+		in := boot(bootInfo)
+		for _, rec := range []int{headerSize, headerSize + eventSize} {
+			binary.LittleEndian.PutUint32(in[rec+1:], uint32(n))
+		}
+		if err := h.handle(in); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for n := range 3000 {
+		if err := h.handle(frame(2_000_000, nil, "01"+u32(n*7%3000))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(h.instances) != 0 || len(h.touched) != 0 {
+		t.Fatalf("%d instances and %d touched left", len(h.instances), len(h.touched))
+	}
+}
+
 // FuzzFrames feeds broken bytes: an error or a reply, never a panic.
 func FuzzFrames(f *testing.F) {
 	whole := append(boot(bootInfo), frame(1_100_000, nil, ingress)...)
