--- a/policy/policy.go
+++ b/policy/policy.go
@@ -877,7 +877,7 @@
 	b.due, b.colds = b.due[:0], 0
 	for i := range b.id {
 		if b.state[i] == Ready && b.warmth(i) < 1 {
-			b.colds += b.weight(i, b.dep.Zone, b.draws(i), 2*spill)
+			b.colds += b.weight(i, b.dep.Zone, b.draws(i), 3*spill)
 		}
 	}
 	for z := range b.found {
