SIGHUP reads the configuration again and follows the discovery it names

Cause: cmd/sabletally caught SIGTERM, SIGINT and SIGUSR1 alone. Read beside it: EDGE_DISCOVERY wins at the start and still holds the old address, so the file's has to win on a reload; a discovery of "?127.0.0.1:1" passed for an address. Now: the file is read again, its discovery wins, the loop ends the old watch and voids what it still says, the new one begins with the whole list; a file with a fault leaves all as it was and is logged and counted. Settings and limits take a restart, and the log says so where they differ. Test: a reload under a circuit that stands, three bad files first, the old discovery's word after it, and one while leaving.

--- a/cmd/sabletally/main.go
+++ b/cmd/sabletally/main.go
@@ -33,7 +33,9 @@
 func run() int {
 	log := logger(os.Getenv("SABLETALLY_LOG"))
 	defer log.Sync()
-	s, err := deployment.ReadStation(os.Getenv)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	s, err := deployment.ReadStation(os.Getenv, false)
 	if err != nil {
 		log.Error("can't start", zap.Error(err))
 		return 2
@@ -57,20 +59,21 @@
 	l := balancer.New(log, s.Deployment, s.Seed, s.Known, s.Sockets)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	go l.Follow(s.Discovery).Run(ctx)
+	l.Follow(ctx, s.Discovery)
 	go l.Run(ctx.Done())
 	failed := make(chan error, 1)
 	go func() { failed <- l.Serve(ln) }()
 
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	var exit <-chan time.Time
 	for {
 		select {
 		case sig := <-signals:
-			if sig == syscall.SIGUSR1 {
+			switch {
+			case sig == syscall.SIGUSR1:
 				l.Report("asked")
-			} else if exit == nil {
+			case sig == syscall.SIGHUP:
+				reload(ctx, log, l, s)
+			case exit == nil:
 				longest := time.Duration(0)
 				for _, limit := range s.Deployment.OuterLimits {
 					longest = max(longest, limit)
@@ -90,6 +93,20 @@
 	}
 }
 
+// reload reads the configuration again and follows the discovery that it names; all else takes a restart.
+// Guards against a file that is bad or half written: what was told before then holds.
+func reload(ctx context.Context, log *zap.Logger, l *balancer.Loop, was *deployment.Station) {
+	s, err := deployment.ReadStation(os.Getenv, true)
+	if err != nil {
+		l.ReloadErrors.Add(1)
+		log.Error("can't reload: the old configuration holds", zap.Error(err))
+		return
+	}
+	l.Reloads.Add(1)
+	log.Info("reloaded", zap.String("discovery", s.Discovery), zap.Bool("restart-for-the-rest", s.Fixed != was.Fixed))
+	l.Follow(ctx, s.Discovery)
+}
+
 // logger writes to standard error: in full, or only what matters.
 func logger(level string) *zap.Logger {
 	at, err := zapcore.ParseLevel(level) // none told: info
--- a/cmd/sabletally/main_test.go
+++ b/cmd/sabletally/main_test.go
@@ -55,6 +55,7 @@
 	lines    map[string]string // the list, by server
 	held     []net.Conn        // all connections: one that nobody holds would be closed
 	whole    string            // what discovery answers instead, if anything
+	config   string            // the configuration's file
 	log      strings.Builder
 	logged   chan struct{}
 }
@@ -104,18 +105,18 @@
 	door := listen(t)
 	s.addr = door.Addr().String()
 	door.Close()
-	config := filepath.Join(t.TempDir(), "config.json")
+	s.config = filepath.Join(t.TempDir(), "config.json")
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
 		"limits":{"cores":1,"memory_mb":192,"sockets":64},"known":%s,"settings":%s}`,
 		s.addr, discovery.Addr(), s.answer(), settings)
 	if slices.Contains(env, "PROBES=yes") { // else a probe that is late on a busy machine could steer a test
 		text = strings.Replace(text, `"Probes":false`, `"Probes":true`, 1)
 	}
-	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(s.config, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	s.child = exec.Command(os.Args[0])
-	s.child.Env = append(append(os.Environ(), "SABLETALLY_CHILD=1", "EDGE_CONFIG="+config), env...)
+	s.child.Env = append(append(os.Environ(), "SABLETALLY_CHILD=1", "EDGE_CONFIG="+s.config, "EDGE_DISCOVERY="+discovery.Addr().String()), env...)
 	out, err := s.child.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -659,6 +660,61 @@
 	}
 }
 
+// TestAReloadFollowsTheNewDiscovery replaces the file under a circuit that stands. Guards against a SIGHUP that ends
+// the program, against the old address, which EDGE_DISCOVERY still holds, and against the old watch's late word.
+func TestAReloadFollowsTheNewDiscovery(t *testing.T) {
+	s := begin(t, nil, "s-1")
+	a, e := s.up()
+	text, err := os.ReadFile(s.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reload := func(text []byte, word string) {
+		t.Helper()
+		if err := os.WriteFile(s.config, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s.mu.Lock()
+		s.log.Reset()
+		s.mu.Unlock()
+		s.child.Process.Signal(syscall.SIGHUP)
+		s.waitLog(word)
+	}
+	for _, bad := range []string{"", string(text[:len(text)/2]), strings.Replace(string(text), `"discovery":"`, `"discovery":"?`, 1)} {
+		reload([]byte(bad), "can't reload")
+	}
+	other := &site{t: t, sessions: s.sessions, changed: make(chan struct{}), lines: map[string]string{}, rev: 100}
+	servers, discovery := listen(t), listen(t)
+	go other.serve(servers, "s-2")
+	other.list("s-2", servers.Addr().String(), "in_service")
+	go http.Serve(discovery, http.HandlerFunc(other.discover))
+	old := strings.Split(strings.SplitN(string(text), `"discovery":"`, 2)[1], `"`)[0]
+	again := []byte(strings.Replace(string(text), old, discovery.Addr().String(), 1))
+	reload(again, `"server":"s-2"`)
+	reload(again, `"reloaded"`)
+	s.list("s-3", "127.0.0.1:1", "in_service") // the old one's word, on a watch that has ended
+	other.list("s-4", servers.Addr().String(), "in_service")
+	s.waitLog(`"server":"s-4"`)
+	if s.mu.Lock(); strings.Contains(s.log.String(), `"server":"s-3"`) {
+		t.Error("the old discovery is still heard")
+	}
+	s.mu.Unlock()
+	if _, err := io.WriteString(e, "M 1\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	a.want("M 1\r\n")
+	if _, e := s.up(); e.uid != "s-2" {
+		t.Fatalf("a circuit went to %s", e.uid)
+	}
+	if good, bad, errs := s.counted("reloads"), s.counted("reload-errors"), s.counted("list-errors"); good != 2 || bad != 3 || errs != 0 {
+		t.Fatalf("%d reloads, %d refused, %d list errors", good, bad, errs)
+	}
+	s.child.Process.Signal(syscall.SIGTERM)
+	s.waitLog(`"leaving"`)
+	reload(text, `"reloaded"`)
+	a.want("MOVE\r\n")
+}
+
 func TestOutOfDescriptorsIsBusyAndNoCrash(t *testing.T) {
 	s := begin(t, []string{"SABLETALLY_FILES=1"}, "s-1")
 	var clients []*ask
--- a/internal/balancer/counters.go
+++ b/internal/balancer/counters.go
@@ -19,6 +19,7 @@
 	Moves, Silent, Relayed                    atomic.Int64
 	Open                                      atomic.Int64 // circuits that stand now
 	Lists, ListErrors, Errors, Panics, NoRoom atomic.Int64
+	Reloads, ReloadErrors                     atomic.Int64
 	Ended                                     [policy.NeverSent + 1]atomic.Int64 // tries and circuits, by outcome
 }
 
@@ -38,6 +39,7 @@
 		{"tries", &c.Tries}, {"probes", &c.Probes}, {"served", &c.Served}, {"nacked", &c.Nacked},
 		{"broken-off", &c.BrokenOff}, {"left", &c.Left}, {"moves", &c.Moves}, {"silent", &c.Silent},
 		{"relayed", &c.Relayed}, {"open", &c.Open}, {"lists", &c.Lists}, {"list-errors", &c.ListErrors},
+		{"reloads", &c.Reloads}, {"reload-errors", &c.ReloadErrors},
 		{"errors", &c.Errors}, {"panics", &c.Panics}, {"no-room", &c.NoRoom},
 	} {
 		all = append(all, zap.Int64(f.name, f.n.Load()))
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -7,6 +7,7 @@
 
 import (
 	"container/heap"
+	"context"
 	"fmt"
 	"runtime/debug"
 	"sync"
@@ -44,6 +45,7 @@
 	most  int64        // of those at most
 
 	watch    *discovery.Watch
+	unwatch  context.CancelFunc // ends it
 	servers  map[policy.ServerID]*server
 	byUID    map[string]*server
 	circuits map[policy.CircuitID]*circuit
@@ -110,12 +112,28 @@
 	return l
 }
 
-// Follow has the loop follow discovery's list.
-func (l *Loop) Follow(address string) *discovery.Watch {
-	l.watch = discovery.New(address,
-		func(list discovery.List) { l.post(event{do: func() { l.list(list, false) }}) },
-		func(err error) { l.post(event{do: func() { l.unlisted(err) }}) })
-	return l.watch
+// Follow has the loop follow discovery's list at an address, in place of the one before: that one is ended, and
+// what it still has to say is void, or an old list would win over the new one's.
+func (l *Loop) Follow(ctx context.Context, address string) {
+	l.post(event{do: func() {
+		if l.unwatch != nil {
+			l.unwatch()
+		}
+		var w *discovery.Watch
+		of := func(do func()) {
+			l.post(event{do: func() {
+				if l.watch == w {
+					do()
+				}
+			}})
+		}
+		w = discovery.New(address,
+			func(list discovery.List) { of(func() { l.list(list, false) }) },
+			func(err error) { of(func() { l.unlisted(err) }) })
+		ctx, l.unwatch = context.WithCancel(ctx)
+		l.watch = w
+		go w.Run(ctx)
+	}})
 }
 
 // post hands an event to the loop.
--- a/internal/deployment/station.go
+++ b/internal/deployment/station.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/url"
 	"os"
 	"strconv"
 
@@ -21,10 +22,12 @@
 	Sockets    int
 	Known      discovery.List
 	Deployment *Deployment
+	Fixed      string // what only a start takes in, as text
 }
 
-// ReadStation reads the file that EDGE_CONFIG names; the other variables win over it. Errors name the key.
-func ReadStation(env func(string) string) (*Station, error) {
+// ReadStation reads the file that EDGE_CONFIG names; the other variables win over it. When it is read again the
+// file has been replaced since the variables were set: its discovery then wins. Errors name the key.
+func ReadStation(env func(string) string, again bool) (*Station, error) {
 	path := env("EDGE_CONFIG")
 	if path == "" {
 		return nil, fmt.Errorf("EDGE_CONFIG is missing")
@@ -51,12 +54,18 @@
 		Discovery: or(env("EDGE_DISCOVERY"), in.Discovery),
 		Cores:     in.Limits.Cores, MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets,
 	}
+	if again {
+		s.Discovery = or(in.Discovery, s.Discovery)
+	}
 	if _, _, err := net.SplitHostPort(s.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %v", err)
 	}
 	if _, _, err := net.SplitHostPort(s.Discovery); err != nil {
 		return nil, fmt.Errorf("discovery: %v", err)
 	}
+	if u, err := url.Parse("http://" + s.Discovery); err != nil || u.Host != s.Discovery || u.Hostname() == "" {
+		return nil, fmt.Errorf("discovery: %q is no address", s.Discovery)
+	}
 	if s.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed: %q is no hexadecimal number", in.Seed)
 	}
@@ -68,6 +77,7 @@
 	case s.Sockets < 64:
 		return nil, fmt.Errorf("limits.sockets is missing or below 64")
 	}
+	s.Fixed = fmt.Sprint(s.Name, s.Listen, in.Limits, string(in.Settings))
 	if s.Known, err = discovery.Decode(in.Known); err != nil {
 		return nil, fmt.Errorf("known: %v", err)
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -116,6 +116,7 @@
 
 // Run follows the list until the context ends.
 func (w *Watch) Run(ctx context.Context) {
+	defer w.client.CloseIdleConnections()
 	rev, whole, pause := uint64(0), false, time.Duration(0)
 	for ctx.Err() == nil {
 		path, within := "/v1/endpoints", answerIn
