Bad clients are ended at the door; silent ones are shed before they use up the descriptors

Checked in the logs and sources: (1) nothing bounded silent connections, they stayed 30 s, and bytes that drip in prolonged it; (2) lines before UP were kept and passed on, so the first of hundreds at once was served; (3) ids and keys that can't be read were hashed and served; (4) an id open on another connection was served. A probe of netpoll: its poller never yields while data comes, so a sender at full speed fills its buffer for the 10 ms until it is preempted, and closing waits for the same poller (the test of the slow reader once let 1 GB through with the race detector). Lines at fault: serve.go late, circuit.go clientLine and take, line.go number, conn.go onRequest and abort. Now: 2.5 s from the accept for the first line; ended and then silent connections are shed from three quarters of the descriptors on, usual clients not; anything before the answer ends the circuit, and an OPEN with more behind it is not served; ids and keys are hexadecimal, signs that no line holds are refused; a taken id is turned away; after the answer 64 KiB are read at most, then the kernel drops the connection; the poller hands over before it reads on; ten log lines of a kind a second. Tests: floods, silent and dripping clients, hundreds of lines, taken ids, more before the answer. The tests' dead servers now hold their port: another test's program was given it now and then.

--- a/cmd/sabletally/main.go
+++ b/cmd/sabletally/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"math"
 	"net"
@@ -25,6 +26,7 @@
 	leaveMost  = 3 * time.Second        // a planned restart waits no longer than this for the longest outer limit
 	leaveExtra = 400 * time.Millisecond // and so much more until nothing is held
 	comeOn     = 400 * time.Millisecond // so long clients still come to a balancer that leaves
+	logMost    = 10                     // lines a second of one kind in the log
 	stayOn     = 5 * time.Second        // after that the program exits by itself
 )
 
@@ -44,12 +46,9 @@
 	cores := int(math.Ceil(s.Cores))
 	runtime.GOMAXPROCS(cores)
 	debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * 3 / 4)
-	std, err := zap.NewStdLogAt(log, zap.WarnLevel)
-	if err != nil {
-		log.Error("can't start", zap.Error(err))
-		return 2
-	}
-	netpoll.Configure(netpoll.Config{PollerNum: (cores + 7) / 8, BufferSize: 4096, LoggerOutput: std.Writer()})
+	netpoll.Configure(netpoll.Config{PollerNum: (cores + 7) / 8, BufferSize: 4096, LoggerOutput: aside{log},
+		// Guards against senders at full speed: what the poller has read is taken in before it reads on.
+		Runner: func(_ context.Context, f func()) { go f(); runtime.Gosched() }})
 
 	ln, err := net.Listen("tcp", s.Listen)
 	if err != nil {
@@ -107,6 +106,14 @@
 	l.Follow(ctx, s.Discovery)
 }
 
+// aside takes netpoll's own log, under one name, so that it is held to so many lines as any other.
+type aside struct{ log *zap.Logger }
+
+func (a aside) Write(text []byte) (int, error) {
+	a.log.Warn("netpoll", zap.ByteString("said", bytes.TrimSpace(text)))
+	return len(text), nil
+}
+
 // logger writes to standard error: in full, or only what matters.
 func logger(level string) *zap.Logger {
 	at, err := zapcore.ParseLevel(level) // none told: info
@@ -115,5 +122,9 @@
 	}
 	enc := zap.NewProductionEncoderConfig()
 	enc.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(os.Stderr), at))
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(os.Stderr), at)
+	if at > zapcore.DebugLevel { // guards against clients that fill the log: the counters tell how many there were
+		core = zapcore.NewSamplerWithOptions(core, time.Second, logMost, 0)
+	}
+	return zap.New(core)
 }
--- a/cmd/sabletally/main_test.go
+++ b/cmd/sabletally/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -56,6 +57,7 @@
 	held     []net.Conn        // all connections: one that nobody holds would be closed
 	whole    string            // what discovery answers instead, if anything
 	config   string            // the configuration's file
+	asked    uint64            // circuits asked for
 	log      strings.Builder
 	logged   chan struct{}
 }
@@ -84,6 +86,23 @@
 	return ln
 }
 
+// refused is an address that nobody listens at and nobody else is given.
+func refused(t *testing.T) string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+}
+
 // begin starts discovery, the named servers and the program. A name that begins with "dead" is not listened at.
 func begin(t *testing.T, env []string, servers ...string) *site {
 	t.Parallel()
@@ -92,12 +111,12 @@
 		lines: map[string]string{}, logged: make(chan struct{}, 1),
 	}
 	for _, uid := range servers {
-		ln := listen(t)
 		if strings.HasPrefix(uid, "dead") {
-			ln.Close()
-		} else {
-			go s.serve(ln, uid)
+			s.list(uid, refused(t), "in_service")
+			continue
 		}
+		ln := listen(t)
+		go s.serve(ln, uid)
 		s.list(uid, ln.Addr().String(), "in_service")
 	}
 	discovery := listen(t)
@@ -301,6 +320,8 @@
 	}
 	s.mu.Lock()
 	s.held = append(s.held, c)
+	line = strings.Replace(line, "9b1f03aa5c7e2d41", fmt.Sprintf("%x", uint64(0x9b1f03aa5c7e2d41)+s.asked), 1)
+	s.asked++
 	s.mu.Unlock()
 	c.SetDeadline(time.Now().Add(bound))
 	a := &ask{c, bufio.NewReader(c), s.t}
@@ -595,32 +616,124 @@
 	for _, text := range []string{
 		"\r\n", "HELLO\r\n", "OPEN\r\n", "OPEN 1\r\n", "OPEN 1 2 c\r\n", "OPEN 1 2 c=feed,c=feed\r\n", "OPEN 1 2 c=feed,d=-1\r\n",
 		"OPEN 1 2 c=feed,d=1e3\r\n", "OPEN 1 2 c=feed,d=99999999999\r\n", "OPEN 1 2 c=other,d=900\r\n", "OPEN 1 2 c=feed,h=x,d=900\r\n",
-		"OPEN 1 2 c=feed,d=900 z\r\n", strings.Replace(open, "\r\n", "\n", 1), "OPEN 1 2 x=" + strings.Repeat("y", 5000),
+		"OPEN 1 2 c=feed,d=900 z\r\n", "OPEN x! 2 c=feed,d=900\r\n", "OPEN 1 -2 c=feed,d=900\r\n", "OPEN 1 2 c=,d=900\r\n",
+		strings.Repeat("OPEN 1 2 c=feed,d=900\r\n", 300), "OPEN 1 2 c=feed,d=900\r\nhalf", strings.Repeat("PING\r\n", 300),
+		strings.Replace(open, "\r\n", "\n", 1), "OPEN 1 2 x=" + strings.Repeat("y", 5000),
 	} {
 		a := s.client(text)
-		if got := a.line(); !strings.HasPrefix(got, "ERR") {
+		got := a.line()
+		for strings.HasPrefix(text, "PING") && got == "PONG\r\n" {
+			got = a.line()
+		}
+		if !strings.HasPrefix(got, "ERR") {
 			t.Errorf("%.40q got %q", text, got)
 		}
 		ends(t, a.r, false)
 	}
-	// Too much before the circuit stands: it is still owed its answer.
-	a := s.client(open)
-	e := s.session()
-	a.write(strings.Repeat("x", 5000))
-	if got := a.line(); !strings.HasPrefix(got, "ERR") {
-		t.Errorf("a long second line got %q", got)
+	select { // none of them came to a server
+	case e := <-s.sessions:
+		t.Errorf("a server got %q", e.first)
+	default:
+	}
+	// Anything before the circuit stands: it is still owed its answer, and the server is let go.
+	for _, more := range []string{strings.Repeat("x", 5000), "M 1\r\n", "x", "PING\r\n"} {
+		a := s.client(open)
+		e := s.session()
+		a.write(more)
+		if got := a.line(); !strings.HasPrefix(got, "ERR") {
+			t.Errorf("%.20q before the answer got %q", more, got)
+		}
+		ends(t, e.r, false)
 	}
-	ends(t, e.r, false)
 	s.up()
 	if n := s.counted("panics"); n != 0 {
 		t.Fatalf("%d panics", n)
 	}
 }
 
+// TestAnIDIsTakenOnce guards against serving a client that names another's open circuit.
+func TestAnIDIsTakenOnce(t *testing.T) {
+	s := begin(t, nil, "s-1")
+	a, e := s.up()
+	id := strings.Fields(e.first)[1]
+	b, again := s.client(""), s.client("")
+	b.write("OPEN " + id + " 2 c=feed,d=900\r\n")
+	b.want("ERR SYNTAX\r\n")
+	ends(t, b.r, false)
+	io.WriteString(e, "M 1\r\n")
+	a.want("M 1\r\n")
+	a.Close()
+	ends(t, e.r, false)
+	again.write("OPEN " + id + " 2 c=feed,d=900\r\n")
+	io.WriteString(s.session(), "UP 1\r\n")
+	again.want("UP 1\r\n")
+	if n := s.counted("same-id"); n != 1 {
+		t.Fatal(n)
+	}
+}
+
+// TestAFloodIsAnsweredAndNotTakenIn sends a line without end at full speed. Guards against what piles up in memory,
+// and against clients beside it that wait.
+func TestAFloodIsAnsweredAndNotTakenIn(t *testing.T) {
+	s := begin(t, nil, "s-1")
+	s.allUp()
+	a := s.client("OPEN 1 2 x=")
+	sent := make(chan int)
+	go func() {
+		n, text := 0, bytes.Repeat([]byte("y"), 1<<20)
+		for n < 60<<20 {
+			k, err := a.Write(text)
+			if n += k; err != nil {
+				break
+			}
+		}
+		sent <- n
+	}()
+	a.want("ERR SYNTAX\r\n")
+	if n := <-sent; n > 20<<20 {
+		t.Errorf("%d bytes were taken in", n)
+	}
+	if got := s.client(open).line(); got != "UP 1\r\n" {
+		t.Fatalf("%q beside it", got)
+	}
+}
+
+// TestSilentClientsAreEnded counts from the accept, whatever drips in, and sheds the silent before usual clients
+// want for descriptors.
+func TestSilentClientsAreEnded(t *testing.T) {
+	s := begin(t, []string{"SABLETALLY_FILES=1"}, "s-1")
+	s.allUp()
+	began := time.Now()
+	for range 100 {
+		s.client("")
+	}
+	if got := s.client(open).line(); got != "UP 1\r\n" {
+		t.Fatalf("%q behind the silent", got)
+	}
+	if n := s.counted("shed"); n < 60 {
+		t.Fatalf("%d shed", n)
+	}
+	drip := s.client("OPEN 1")
+	go func() {
+		for range 300 {
+			if _, err := io.WriteString(drip, "0"); err != nil {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}()
+	for _, a := range []*ask{drip, s.client("")} {
+		a.want("ERR\r\n")
+		if took := time.Since(began); took > 3*time.Second {
+			t.Fatalf("after %v", took)
+		}
+	}
+}
+
 func TestAnOpenConnectionGoesBackToItsServer(t *testing.T) {
 	s := begin(t, nil, "s-1", "s-2", "s-3")
-	for _, uid := range []string{"s-1", "s-2"} {
-		a := s.client("OPEN 1 2 c=feed,d=40000,at=" + uid + "\r\n")
+	for n, uid := range []string{"s-1", "s-2"} {
+		a := s.client(fmt.Sprint("OPEN ", n) + " 2 c=feed,d=40000,at=" + uid + "\r\n")
 		e := s.session()
 		if e.uid != uid {
 			t.Fatalf("%s in place of %s", e.uid, uid)
--- a/internal/balancer/circuit.go
+++ b/internal/balancer/circuit.go
@@ -19,12 +19,10 @@
 
 const (
 	answerEarly = 10 * time.Millisecond  // so much before its outer limit a circuit is answered at the latest
-	earlyMost   = 16 << 10               // bytes that a client may send before its circuit stands
 	silentFor   = 5 * time.Second        // a server that was asked and sends nothing for so long is gone
 	standWithin = 38 * time.Second       // a circuit that was open before the run is up by then, or lost
 	standPause  = 300 * time.Millisecond // between its tries
 	lingerFor   = time.Second            // a finished connection that the other side does not end is closed then
-	firstWithin = 30 * time.Second       // a client that sends no first line by then is closed
 	beat        = time.Second            // slow messages of a server are noted so often
 	notedAbove  = 3                      // where they take over so-many-th of the shortest message goal
 	connectMost = time.Second            // a connection is up by then where no limit is told
@@ -47,7 +45,6 @@
 	calledAt time.Duration // when the newest try was decided
 	giveUp   time.Duration // when it is given up
 	cancel   context.CancelFunc
-	early    []byte        // client lines from before it stood
 	byed     bool          // the server has said that it is served to its end
 	moved    bool          // the server sends the client away
 	askedAt  time.Duration // of the oldest client line without an answer; 0 if there is none
@@ -70,6 +67,9 @@
 		if ln.Bad != nil {
 			l.log.Info("bad line", zap.Error(ln.Bad))
 		}
+		if ln.Bad == line.ErrUnasked {
+			l.Unasked.Add(1)
+		}
 		l.Malformed.Add(1)
 		l.end(c, line.BadLine)
 	}
@@ -87,11 +87,12 @@
 	if l.fds.Load() >= l.most-l.most/spareFds { // none left for the server's side
 		l.NoRoom.Add(1)
 		l.Nacked.Add(1)
-		wait := time.Duration(0)
-		if l.dep.Policy.MayAdvise {
-			wait = l.dep.Policy.LongestAdvice / 2
-		}
-		l.end(c, line.Turned(wait))
+		l.end(c, line.Turned(l.comeAgain()))
+		return
+	}
+	if l.byAsk[a.ID] != nil { // another client's, which stands or waits
+		l.SameID.Add(1)
+		l.end(c, line.BadLine)
 		return
 	}
 	tenant, known := l.dep.Tenants[a.Tenant]
@@ -108,7 +109,7 @@
 		ID: l.last, Key: a.Key, Group: a.Group, Tenant: tenant, Grade: grade, Left: left, Load: a.Hint,
 	}}
 	c.circuit = cir
-	l.circuits[cir.id] = cir
+	l.circuits[cir.id], l.byAsk[a.ID] = cir, cir
 	if a.At != "" {
 		cir.standing = true
 		cir.until = max(cir.until, l.now+standWithin)
@@ -131,6 +132,9 @@
 	}
 	c.over = true
 	c.finish()
+	if c.door != nil {
+		l.door.put(c, l.door.ended)
+	}
 	l.after(lingerFor, c.close)
 }
 
@@ -143,6 +147,9 @@
 	cir.turn++
 	cir.out, cir.open = false, false
 	delete(l.circuits, cir.id)
+	if l.byAsk[cir.ask.ID] == cir {
+		delete(l.byAsk, cir.ask.ID)
+	}
 }
 
 // answer gives a circuit its final answer.
@@ -356,22 +363,19 @@
 	} else {
 		l.bal.SetUp(cir.id, cir.tries-1, l.now-cir.calledAt)
 	}
+	cir.client.phase.Store(passing)
 	l.relay(cir.client, ln.Raw, cir)
-	if len(cir.early) > 0 && cir.open {
-		l.asked(cir)
-		l.relay(cir.server, cir.early, cir)
-		cir.early = nil
-	}
 }
 
 // clientLine takes a client's line after its first.
 func (l *Loop) clientLine(cir *circuit, ln line.Line) {
-	if ln.Bad == line.ErrTooLong || !cir.open && len(cir.early)+len(ln.Raw) > earlyMost {
-		l.broken(cir.client, &Broken{Stage: Asked, Abrupt: true, Cause: ln.Bad})
+	if !cir.open { // it has to wait for its answer: no usual client
+		l.Unasked.Add(1)
+		l.giveUp(cir, line.BadLine)
 		return
 	}
-	if !cir.open {
-		cir.early = append(cir.early, ln.Raw...)
+	if ln.Bad == line.ErrTooLong || ln.Bad == line.ErrBareLF {
+		l.broken(cir.client, &Broken{Stage: Asked, Abrupt: true, Cause: ln.Bad})
 		return
 	}
 	l.asked(cir)
--- a/internal/balancer/conn.go
+++ b/internal/balancer/conn.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+	"unsafe"
 
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
@@ -23,6 +24,8 @@
 const (
 	outMost  = 64 << 10        // bytes that wait for a slow reader before its connection is ended
 	inMost   = 64 << 10        // bytes of one connection that wait for the loop
+	restMost = 64 << 10        // bytes that are still read of a connection that can't be read any further
+	pingMost = 4               // lines that may come at once before a circuit is asked for
 	writeFor = 5 * time.Second // a write that takes longer has failed
 )
 
@@ -55,6 +58,13 @@
 	errPanic   = errors.New("a fault of the program")
 )
 
+// What a client's connection may send: one first line, nothing until its answer, then lines.
+const (
+	atFirst int32 = iota
+	waiting
+	passing
+)
+
 // sink takes what happens to connections; it is the loop.
 type sink interface {
 	post(event)
@@ -77,6 +87,9 @@
 	waits atomic.Int64  // bytes posted that the loop has not taken yet
 	split line.Splitter // the reading side's alone
 	cut   bool          // the stream can't be cut any further
+	rest  int           // bytes that came after that
+	phase atomic.Int32  // of a client: set to waiting by the reading side, to passing by the loop
+	door  *door         // of a client
 
 	mu      sync.Mutex
 	out     []byte // waits to be written
@@ -129,6 +142,10 @@
 			c.cut = true
 			c.to.post(event{conn: c, broken: &Broken{Stage: Stage(c.stage.Load()), Cause: errFlooded}})
 		}
+		// Guards against senders that go on for ever at full speed: their answer is on its way, the rest is not read.
+		if c.rest += n; c.rest > restMost {
+			c.reset()
+		}
 		return nil
 	}
 	c.split.Add(p)
@@ -139,9 +156,12 @@
 		if err != nil {
 			l, ok, c.cut = line.Line{Bad: err}, true, true
 		}
-		if !ok {
+		if !ok && !(c.door != nil && c.phase.Load() == waiting && c.split.Held()) {
 			break
 		}
+		if c.door != nil {
+			c.asked(&l, len(ev.lines))
+		}
 		ev.lines = append(ev.lines, l)
 		ev.size += len(l.Raw)
 		if c.cut {
@@ -155,6 +175,28 @@
 	return nil
 }
 
+// asked minds what a client may send before its circuit stands; l is the line that comes after so many others
+// at once. Guards against hundreds of commands at once: the first is not served before the rest is seen.
+func (c *conn) asked(l *line.Line, others int) {
+	switch phase := c.phase.Load(); {
+	case phase == passing:
+		return
+	case l.Bad != nil:
+		c.cut = true
+		return
+	case phase == atFirst:
+		c.door.spoke(c, l.Kind == line.Ping)
+		if l.Kind == line.Ping && others < pingMost {
+			return
+		}
+		c.phase.Store(waiting)
+		if l.Kind != line.Ping && !c.split.Held() {
+			return
+		}
+	}
+	l.Bad, c.cut = line.ErrUnasked, true
+}
+
 // fail has the loop end the connection, and its circuit with the answer that it is owed.
 func (c *conn) fail() {
 	c.to.post(event{conn: c, broken: &Broken{Stage: Stage(c.stage.Load()), Abrupt: true, Cause: errPanic}})
@@ -171,9 +213,30 @@
 	c.closed = true
 	c.mu.Unlock()
 	c.fds.Add(-1)
+	if c.door != nil {
+		c.door.left(c)
+	}
 	c.to.post(event{conn: c, broken: b})
 }
 
+// unread tells whether bytes wait in the kernel that nobody has read.
+func (c *conn) unread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	n, err := unix.IoctlGetInt(c.fd(), unix.TIOCINQ)
+	return err == nil && n > 0
+}
+
+// written tells whether nothing waits to be written.
+func (c *conn) written() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.writing
+}
+
 // quietFor is how long ago the newest bytes came, by the kernel's own account.
 func (c *conn) quietFor() time.Duration {
 	c.mu.Lock()
@@ -263,15 +326,34 @@
 // close ends the connection now; abort does so by a reset.
 func (c *conn) close() { c.nc.Close() }
 
-func (c *conn) abort() {
+// shut closes it beside the caller: netpoll's own goroutine would wait for itself.
+func (c *conn) shut() { go c.nc.Close() }
+
+// word writes a last line past the buffer, as far as the kernel takes it.
+func (c *conn) word(b []byte) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if !c.closed {
-		unix.SetsockoptLinger(c.fd(), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1, Linger: 0})
+		unix.Write(c.fd(), b)
 	}
-	c.mu.Unlock()
+}
+
+func (c *conn) abort() {
+	c.reset()
 	c.nc.Close()
 }
 
+// reset has the kernel drop the connection at once; netpoll then finds it ended. Guards against senders at full
+// speed: netpoll's close waits for its poller, which goes on reading meanwhile.
+func (c *conn) reset() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed {
+		nobody := unix.RawSockaddr{Family: unix.AF_UNSPEC}
+		unix.Syscall(unix.SYS_CONNECT, uintptr(c.fd()), uintptr(unsafe.Pointer(&nobody)), unsafe.Sizeof(nobody))
+	}
+}
+
 // dial sets up one connection and never a second one by itself. It runs beside the loop.
 func dial(ctx context.Context, address string, within time.Duration, to sink, fds *atomic.Int64) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -49,6 +49,8 @@
 	servers  map[policy.ServerID]*server
 	byUID    map[string]*server
 	circuits map[policy.CircuitID]*circuit
+	byAsk    map[uint64]*circuit // by the id that the client gave it
+	door     *door
 	open     int
 	last     policy.CircuitID
 	timers   timers
@@ -99,7 +101,7 @@
 		log: log, dep: dep, bal: policy.New(&p, seed), start: time.Now(),
 		wake: make(chan struct{}, 1), most: int64(max(sockets-keptFds, 2)),
 		servers: map[policy.ServerID]*server{}, byUID: map[string]*server{},
-		circuits: map[policy.CircuitID]*circuit{},
+		circuits: map[policy.CircuitID]*circuit{}, byAsk: map[uint64]*circuit{}, door: newDoor(),
 	}
 	for _, g := range p.Grades {
 		if g.MessageGoal > 0 && (l.goal == 0 || g.MessageGoal < l.goal) {
@@ -109,6 +111,7 @@
 	l.list(known, true)
 	l.after(readyWithin, l.welcome)
 	l.after(beat, l.beat)
+	l.after(sweepEach, l.sweep)
 	return l
 }
 
--- a/internal/balancer/loop_test.go
+++ b/internal/balancer/loop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -13,6 +14,7 @@
 
 	"sabletally/internal/deployment"
 	"sabletally/internal/discovery"
+	"sabletally/internal/line"
 	"sabletally/policy"
 )
 
@@ -49,13 +51,15 @@
 	defer stop()
 	go l.Run(ctx.Done())
 	go l.Serve(door)
+	last := 0
 	client := func() (net.Conn, *bufio.Reader, net.Conn) {
 		c, err := net.Dial("tcp", door.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		c.SetDeadline(time.Now().Add(20 * time.Second))
-		io.WriteString(c, "OPEN 1 2 c=feed\r\n")
+		last++
+		fmt.Fprintf(c, "OPEN %d 2 c=feed\r\n", last)
 		return c, bufio.NewReader(c), <-asked
 	}
 	in := func(do func()) { // the loop, and waits for it
@@ -130,7 +134,7 @@
 		<-l.wake
 		l.turn()
 	}
-	cir := &circuit{id: 1, client: c, at: &server{}, out: true, turn: 1, cancel: func() {}}
+	cir := &circuit{id: 1, client: c, at: &server{}, ask: &line.Ask{}, out: true, turn: 1, cancel: func() {}}
 	l.dialed(cir, 1, c, nil)
 	if cir.out || !c.over || l.Ended[policy.ConnectFailed].Load() != 1 {
 		t.Fatal("a connection that was gone by then was used")
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -20,6 +20,8 @@
 var (
 	ErrTooLong = errors.New("line over 4 KiB")
 	ErrBareLF  = errors.New("line not ended by CRLF")
+	ErrUnasked = errors.New("more before the answer has come")
+	errSigns   = errors.New("OPEN: signs that no line holds")
 )
 
 // Kind tells lines apart by their first word.
@@ -75,6 +77,9 @@
 // Add takes more bytes of the stream.
 func (s *Splitter) Add(b []byte) { s.held = append(s.held, b...) }
 
+// Held tells whether bytes are left that make no whole line, or that Next has not answered yet.
+func (s *Splitter) Held() bool { return len(s.held) > 0 }
+
 // Next answers the next whole line, false when there is none yet. After an error the stream can't be cut.
 func (s *Splitter) Next() (Line, bool, error) {
 	end := bytes.IndexByte(s.held, '\n')
@@ -142,7 +147,17 @@
 	if len(words) < 2 || len(words) > 3 || len(words[0]) == 0 || len(words[1]) == 0 {
 		return nil, errors.New("OPEN: wants an id, a key and a list of names and values")
 	}
-	a := &Ask{ID: number(words[0]), Key: number(words[1]), raw: raw}
+	if bytes.ContainsFunc(rest, func(r rune) bool { return r <= ' ' && r != ' ' || r > '~' }) {
+		return nil, errSigns
+	}
+	a := &Ask{raw: raw}
+	var err error
+	if a.ID, err = number("id", words[0]); err != nil {
+		return nil, err
+	}
+	if a.Key, err = number("key", words[1]); err != nil {
+		return nil, err
+	}
 	if len(words) == 2 || len(words[2]) == 0 {
 		return a, nil
 	}
@@ -157,14 +172,17 @@
 			return nil, fmt.Errorf("OPEN: %.40q stands twice", name)
 		}
 		seen[string(name)] = true
-		var err error
 		switch string(name) {
 		case "c":
-			a.Grade = string(value)
+			if a.Grade = string(value); a.Grade == "" {
+				err = errors.New("OPEN: c is empty")
+			}
 		case "t":
 			a.Tenant = string(value)
 		case "g":
-			a.Group = number(value)
+			if a.Group, err = number("g", value); err != nil { // a name, not a number, is as good a group
+				a.Group, err = Hash(string(value)), nil
+			}
 		case "at":
 			a.At = string(value)
 		case "h":
@@ -185,12 +203,13 @@
 	return a, nil
 }
 
-// number reads an id or a key, which are hexadecimal; of any other text it takes a hash.
-func number(text []byte) uint64 {
-	if n, err := strconv.ParseUint(string(text), 16, 64); err == nil {
-		return n
+// number reads an id or a key, which are hexadecimal. Guards against serving what nobody can have meant.
+func number(name string, text []byte) (uint64, error) {
+	n, err := strconv.ParseUint(string(text), 16, 64)
+	if err != nil {
+		return 0, fmt.Errorf("OPEN: %s: %.40q is no hexadecimal number", name, text)
 	}
-	return Hash(string(text))
+	return n, nil
 }
 
 // Hash makes a number of a name; it is the same at every balancer.
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -47,7 +47,8 @@
 	for _, text := range []string{
 		"LOAD\r\n", "LOAD -1\r\n", "LOAD NaN\r\n", "LOAD 1e999\r\n", "BUSY x\r\n", "UP\n", "OPEN 1\r\n", "OPEN  1 2\r\n", "OPEN 1 2 3 4\r\n",
 		"OPEN 1 2 c\r\n", "OPEN 1 2 =x\r\n", "OPEN 1 2 c=x,\r\n", "OPEN 1 2 d=\r\n", "OPEN 1 2 d=+5\r\n", "OPEN 1 2 d=1,d=1\r\n",
-		"OPEN 1 2 y=1,y=2\r\n", "OPEN 1 2 h=-1\r\n", "OPEN 1 2 h=Inf\r\n",
+		"OPEN 1 2 y=1,y=2\r\n", "OPEN x 2\r\n", "OPEN 1 -2\r\n", "OPEN 0x1 2\r\n", "OPEN 1 12345678123456789\r\n",
+		"OPEN 1 2 c=\r\n", "OPEN 1 2 c=a\x00\r\n", "OPEN 1 2 c=\xff\r\n", "OPEN 1 2 c=a\tb\r\n", "OPEN 1 2 h=-1\r\n", "OPEN 1 2 h=Inf\r\n",
 	} {
 		if l := Decode([]byte(text)); l.Bad == nil {
 			t.Errorf("%q is taken: %+v", text, l.Ask)
