A first line without grade or limit is turned away: it had servers set aside

Ruled out: unknown tenants, other names (none seen). Line at fault: circuit.go take, which took a lone grade and its outer limit for told.

--- a/cmd/sabletally/main_test.go
+++ b/cmd/sabletally/main_test.go
@@ -616,7 +616,7 @@
 	for _, text := range []string{
 		"\r\n", "HELLO\r\n", "OPEN\r\n", "OPEN 1\r\n", "OPEN 1 2 c\r\n", "OPEN 1 2 c=feed,c=feed\r\n", "OPEN 1 2 c=feed,d=-1\r\n",
 		"OPEN 1 2 c=feed,d=1e3\r\n", "OPEN 1 2 c=feed,d=99999999999\r\n", "OPEN 1 2 c=other,d=900\r\n", "OPEN 1 2 c=feed,h=x,d=900\r\n",
-		"OPEN 1 2 c=feed,d=900 z\r\n", "OPEN x! 2 c=feed,d=900\r\n", "OPEN 1 -2 c=feed,d=900\r\n", "OPEN 1 2 c=,d=900\r\n",
+		"OPEN 1 2 c=feed,d=900 z\r\n", "OPEN x! 2 c=feed,d=900\r\n", "OPEN 1 -2 c=feed,d=900\r\n", "OPEN 1 2 c=,d=900\r\n", "OPEN 1 2\r\n", "OPEN 1 2 c=feed\r\n", "OPEN 1 2 d=900\r\n",
 		strings.Repeat("OPEN 1 2 c=feed,d=900\r\n", 300), "OPEN 1 2 c=feed,d=900\r\nhalf", strings.Repeat("PING\r\n", 300),
 		strings.Replace(open, "\r\n", "\n", 1), "OPEN 1 2 x=" + strings.Repeat("y", 5000),
 	} {
--- a/internal/balancer/circuit.go
+++ b/internal/balancer/circuit.go
@@ -79,7 +79,9 @@
 func (l *Loop) take(c *conn, a *line.Ask) {
 	l.Taken.Add(1)
 	grade, known := l.dep.Grades[a.Grade]
-	if !known && !(a.Grade == "" && len(l.dep.Grades) == 1) {
+	// Guards against judging servers by what they turn away with reason: clients that tell neither grade nor limit
+	// had them set aside.
+	if !known || !a.Limited {
 		l.Malformed.Add(1)
 		l.end(c, line.BadLine)
 		return
@@ -99,11 +101,7 @@
 	if !known {
 		tenant = len(l.dep.Tenants)
 	}
-	left := a.Left
-	if !a.Limited {
-		left = l.dep.OuterLimits[grade]
-	}
-	left -= c.quietFor() + answerEarly
+	left := a.Left - c.quietFor() - answerEarly
 	l.last++
 	cir := &circuit{id: l.last, ask: a, client: c, until: l.now + left, arrival: policy.Arrival{
 		ID: l.last, Key: a.Key, Group: a.Group, Tenant: tenant, Grade: grade, Left: left, Load: a.Hint,
--- a/internal/balancer/loop_test.go
+++ b/internal/balancer/loop_test.go
@@ -59,7 +59,7 @@
 		}
 		c.SetDeadline(time.Now().Add(20 * time.Second))
 		last++
-		fmt.Fprintf(c, "OPEN %d 2 c=feed\r\n", last)
+		fmt.Fprintf(c, "OPEN %d 2 c=feed,d=20000\r\n", last)
 		return c, bufio.NewReader(c), <-asked
 	}
 	in := func(do func()) { // the loop, and waits for it
