Heft follows the pace that probes show; beyond an even share of load a server must show room

A log of what the module believes, once a second, beside what was sent: all five servers are listed with heft 3 (their cores), yet their probes take 3.6 to 10 ms idle; the slowest held as much as the fastest and was past the jam edge every few seconds. After a restart 73% of all came to the one sound server of the balancer's zone (115 of 156 within 1.5 s), as the limit counts zones, before any report told of it; it shed 109 of them again, and late set-ups put the brake on (400 nacks). Lines at fault: load.go, which knew the idle times and used them for the guess alone; policy.go passed and freeze. Now: three probes tell a machine's pace against the middle one, in half steps of two with play, and its heft follows by a new version; a process that starts anew shows it anew. Beyond twice the even share of load for its heft a server is passed over unless the newest report told of room at half as much. Both act only where probes bring reports.

--- a/internal/balancer/load.go
+++ b/internal/balancer/load.go
@@ -5,9 +5,12 @@
 package balancer
 
 import (
+	"math"
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"sabletally/policy"
 )
 
@@ -15,6 +18,8 @@
 	steep   = 2.5 // by which a guess rises over what the probe has waited: it gets its turn at a full server too
 	slowest = 2   // so many times slower than the middle one a server may be by its machine alone
 	trifle  = 100 // a probe that takes under so-many-th of the shortest message goal tells of no load
+	paces   = 2.0 // steps of pace in which a machine is twice as fast
+	paceFar = 4   // steps that a machine may be from the middle one
 )
 
 // timed is what probes of one server took.
@@ -34,6 +39,28 @@
 // idle is what a probe takes while there is nothing else to do: the third shortest, as some are short by luck.
 func (t *timed) idle() time.Duration { return t.low[len(t.low)-1] }
 
+// heft is what the list gives a server, for a machine that is as fast as its probes show. Guards against slow
+// machines that get as many connections as fast ones: the list may know no more than their cores.
+func (sv *server) heft() float64 { return sv.listedAs.Heft * math.Exp2(float64(sv.pace)/paces) }
+
+// weigh has a server's heft follow its pace against the middle machine, as it stood when half of them had shown
+// theirs. A step is taken when it is well passed: each new heft makes a new version.
+func (l *Loop) weigh(sv *server, idle []time.Duration) {
+	if l.middle == 0 && len(idle) > len(l.servers)/2 {
+		l.middle = idle[(len(idle)-1)/2]
+	}
+	if l.middle == 0 || len(sv.timed.low) < 3 {
+		return
+	}
+	at := paces * math.Log2(l.middle.Seconds()/sv.timed.idle().Seconds())
+	at = max(-paceFar, min(at, paceFar))
+	if math.Abs(at-float64(sv.pace)) > 0.75 {
+		sv.pace = int(math.Round(at))
+		l.log.Debug("pace", zap.String("server", sv.listedAs.UID), zap.Int("steps", sv.pace))
+		l.bal.Weighed(sv.id, sv.heft())
+	}
+}
+
 // guess takes what a probe of a server took and answers its load over capacity. The idle time is what was seen,
 // but no longer than a slow machine's against the middle one: a server that was full from the start has never
 // been seen idle. Of a server that warms up nothing is said: its probes are slow for another reason.
@@ -56,6 +83,7 @@
 	if len(idle) > 0 {
 		slices.Sort(idle)
 		alone = min(alone, slowest*idle[(len(idle)-1)/2])
+		l.weigh(sv, idle)
 	}
 	if trifle*t.took() < l.goal { // what is so short may be this machine's own doing
 		return 0, true
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -30,12 +30,13 @@
 
 // Loop is one running balancer.
 type Loop struct {
-	log   *zap.Logger
-	dep   *deployment.Deployment
-	bal   *policy.Balancer
-	start time.Time
-	now   time.Duration
-	goal  time.Duration // the shortest message goal, 0 where none is told
+	log    *zap.Logger
+	dep    *deployment.Deployment
+	bal    *policy.Balancer
+	start  time.Time
+	now    time.Duration
+	goal   time.Duration // the shortest message goal, 0 where none is told
+	middle time.Duration // what a probe of the middle machine takes, once it is known
 	Counters
 
 	mu    sync.Mutex
@@ -67,6 +68,7 @@
 	state    policy.State
 	took     []time.Duration // what messages took since the newest beat
 	timed    timed           // what probes took
+	pace     int             // how fast its machine is by them, in steps over the middle one
 	noted    bool            // the newest note was one of slow messages
 	listedAs discovery.Server
 }
@@ -322,6 +324,9 @@
 			l.log.Info("listed", zap.String("server", s.UID), zap.String("address", s.Endpoint),
 				zap.Uint8("state", uint8(s.State)), zap.Time("boot", s.Boot))
 		}
+		if !sv.listedAs.Boot.Equal(s.Boot) { // another process, maybe on another machine
+			sv.timed, sv.pace = timed{}, 0
+		}
 		sv.state, sv.listedAs = s.State, s
 		zone, told := l.dep.Zones[s.Zone]
 		if !told {
@@ -332,7 +337,7 @@
 			started = s.Boot.Sub(l.start)
 		}
 		lines = append(lines, policy.Listed{
-			Server: id, Zone: zone, Cell: s.Cell, State: s.State, Heft: s.Heft, Started: started,
+			Server: id, Zone: zone, Cell: s.Cell, State: s.State, Heft: sv.heft(), Started: started,
 		})
 	}
 	if list.Whole {
--- a/internal/balancer/loop_test.go
+++ b/internal/balancer/loop_test.go
@@ -142,7 +142,8 @@
 }
 
 func TestProbesTellOfLoad(t *testing.T) {
-	l := &Loop{dep: &deployment.Deployment{Policy: &policy.Deployment{ColdFor: 20 * time.Second}}, start: time.Now(),
+	dep := &deployment.Deployment{Policy: &policy.Deployment{ColdFor: 20 * time.Second}}
+	l := &Loop{log: zap.NewNop(), dep: dep, bal: policy.New(dep.Policy, 7), start: time.Now(),
 		now: 30 * time.Second, goal: 200 * time.Millisecond, servers: map[policy.ServerID]*server{}}
 	for id := range policy.ServerID(5) {
 		l.servers[id] = &server{id: id}
@@ -177,6 +178,13 @@
 	if load, _ := tell(4, 30*ms, 31*ms, 32*ms); load < 0.85 {
 		t.Errorf("a server that was full from the start: %v", load)
 	}
+	for id, want := range map[policy.ServerID]float64{0: 1, 2: 4, 3: 0.5} { // of machines of 8, 2 and 12 ms
+		sv := l.servers[id]
+		sv.listedAs.Heft = 1
+		if got := sv.heft(); got < want/1.5 || got > want*1.5 {
+			t.Errorf("server %d of heft %v, wanted about %v", id, got, want)
+		}
+	}
 	l.servers[1].listedAs.Boot = l.start.Add(15 * time.Second)
 	if _, told := tell(1, 40*ms); told {
 		t.Error("a cold server's probes tell of its load")
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,6 +43,7 @@
 	coldSlack    = 0.4                   // of its part, where that is let in by chance: by luck more come
 	coldFill     = 3                     // so-many-th of the warm-up in which a cold server may fill
 	coldLeast    = 4.0                   // connections that a server is thought to hold, over all balancers
+	evenMost     = 2.0                   // so many times an even share of the load a server takes unproven
 	homeSpread   = 2.0                   // servers in a group's home, over its share of the connections
 	failedMost   = 2                     // servers that may fail a circuit before it is nacked
 	triesBesides = 9.0                   // tries out of all balancers besides, while some fail
@@ -140,7 +141,7 @@
 	askedAt        []time.Duration
 	budget         []float64 // setup tries that a cold server may still be sent
 	paidAt         []time.Duration
-	room           []float64       // load of own connections that it takes before it is crowded, as last seen
+	room, shown    []float64       // load of own connections: before it is crowded; with room told since
 	movedAt        []time.Duration // when a move away from it was last considered
 	sentAt         []time.Duration // when the newest setup try went there
 
@@ -229,6 +230,7 @@
 	b.asked, b.askedAt = append(b.asked, 0), append(b.askedAt, 0)
 	b.budget, b.paidAt = append(b.budget, 0), append(b.paidAt, 0)
 	b.movedAt, b.room, b.sentAt = append(b.movedAt, -never), append(b.room, 0), append(b.sentAt, -never)
+	b.shown = append(b.shown, 0)
 	b.fresh(i)
 	b.probeAt[i] = b.now + time.Duration(b.random()*float64(b.reportEvery()))
 	return i
@@ -236,10 +238,18 @@
 
 // fresh forgets what was known of a server's earlier process.
 func (b *Balancer) fresh(i int) {
-	b.fails[i], b.aside[i], b.span[i] = 0, false, asideFirst
+	b.fails[i], b.aside[i], b.span[i], b.shown[i] = 0, false, asideFirst, 0
 	b.delayAt[i], b.askedAt[i], b.paidAt[i], b.room[i] = -never, -never, -never, never.Seconds()
 }
 
+// Weighed tells the heft of a server as it shows.
+func (b *Balancer) Weighed(server ServerID, heft float64) {
+	if i, ok := b.index[server]; ok {
+		b.heft[i] = heft
+		b.freeze()
+	}
+}
+
 // freeze makes a new version when the ready servers or their heft have changed.
 func (b *Balancer) freeze() {
 	v := &version{}
@@ -435,13 +445,12 @@
 // Reported takes a load report.
 func (b *Balancer) Reported(server ServerID, r Report) {
 	if i, ok := b.index[server]; ok && (r.Asked >= 0 || r.Util >= 0) {
-		b.asked[i], b.askedAt[i] = max(r.Asked, 0), b.now
-		if r.Asked < 0 {
+		if b.asked[i], b.askedAt[i] = r.Asked, b.now; r.Asked < 0 {
 			b.asked[i] = r.Util
 		}
 		b.room[i] = max(b.room[i], b.load[i]*2)
-		if b.asked[i] > crowded.asked/2 {
-			b.room[i] = b.load[i] * fullAsked / b.asked[i]
+		if b.shown[i] = b.load[i]; b.asked[i] > crowded.asked/2 {
+			b.room[i], b.shown[i] = b.load[i]*fullAsked/b.asked[i], 0
 		}
 	}
 }
@@ -474,12 +483,8 @@
 // mind sets a server aside that has failed too often. Guards against emptying an overloaded fleet: only a
 // part of the ready servers is ever set aside.
 func (b *Balancer) mind(i int) {
-	n, ready := 0, b.newest().servers
-	for _, j := range ready {
-		if b.aside[j] {
-			n++
-		}
-	}
+	ready := b.newest().servers
+	n := len(slices.DeleteFunc(slices.Clone(ready), func(j int) bool { return !b.aside[j] }))
 	bad := b.fails[i] >= asideFails && !b.aside[i] && b.state[i] == Ready
 	if bad && n < max(1, len(ready)/asidePart) && n+1 < len(ready) {
 		b.aside[i], b.answers[i], b.probeAt[i] = true, 0, b.now+b.jitter(b.span[i])
@@ -534,15 +539,13 @@
 
 // resume has the circuits decided that waited for server i's report, and those that waited long enough.
 func (b *Balancer) resume(i int) {
-	still := b.waiting[:0]
-	for _, c := range b.waiting {
-		if c.waitsOn == i || c.waits <= b.now {
+	b.waiting = slices.DeleteFunc(b.waiting, func(c *circuit) bool {
+		due := c.waitsOn == i || c.waits <= b.now
+		if due {
 			b.queue = append(b.queue, c)
-		} else {
-			still = append(still, c)
 		}
-	}
-	b.waiting = still
+		return due
+	})
 }
 
 // back takes a server in again, on probation: one failure sets it aside once more, for longer.
@@ -680,15 +683,16 @@
 // pick answers the first server in a circuit's order that is not passed over, or -1, and its place in it.
 func (b *Balancer) pick(c *circuit, v *version, upTo int) (int, int) {
 	rank := b.order(c, v)
-	sum := 0.0
+	sum, load, heft := 0.0, c.load, 1e-9
 	for _, i := range v.servers {
-		if !b.aside[i] {
+		if load += b.load[i]; !b.aside[i] {
 			sum += b.weight(i, b.dep.Zone, b.heft[i], spill) * b.warmth(i)
+			heft += b.heft[i]
 		}
 	}
 	for step := byAll; step <= upTo; step++ {
 		for at, r := range rank {
-			if i := r.server; !b.passed(c, i, step, sum) && b.mayTry(c, i) {
+			if i := r.server; !b.passed(c, i, step, sum, evenMost*load/heft) && b.mayTry(c, i) {
 				return i, at
 			}
 		}
@@ -702,12 +706,14 @@
 	return w < 1 && unit(mix(c.key, ^uint64(b.id[i]))) >= coolMore*w
 }
 
-// passed tells whether a circuit passes server i over at a step; sum is the weight of all servers.
-func (b *Balancer) passed(c *circuit, i, step int, sum float64) bool {
+// passed tells whether a circuit passes server i over at a step; sum is the weight of all servers, even the load
+// for its heft that one takes unproven. Guards against all of a restarted balancer on a zone's one sound server.
+func (b *Balancer) passed(c *circuit, i, step int, sum, even float64) bool {
 	w := b.weight(i, b.dep.Zone, b.heft[i], spill) * b.warmth(i)
 	limit := 2*float64(b.total)*w/max(sum, 1e-9) + 2
 	if step < byAside && (b.aside[i] || slices.Contains(c.tried, i)) || step < byCrowd && b.busy(i, crowded) ||
-		step < byLimit && (b.cool(c, i) || float64(len(b.held[i])) > limit) {
+		step < byLimit && (b.cool(c, i) || float64(len(b.held[i])) > limit ||
+			b.dep.ReportsOnAsk && b.load[i]+c.load > max(even*b.heft[i], 2*b.shown[i])) {
 		return true
 	}
 	// A young report that tells of room lets one in, whatever is held here: with a hundred balancers each holds
@@ -930,12 +936,7 @@
 
 // movable answers the connections of a server that can be moved, first those that sort by less.
 func (b *Balancer) movable(i int, less func(x, y *circuit) int) []*circuit {
-	var all []*circuit
-	for _, c := range b.held[i] {
-		if c.open && !c.moving {
-			all = append(all, c)
-		}
-	}
+	all := slices.DeleteFunc(slices.Clone(b.held[i]), func(c *circuit) bool { return !c.open || c.moving })
 	slices.SortStableFunc(all, less)
 	return all
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -496,3 +496,34 @@
 		t.Fatalf("%d moved, %d at a time, first at %v", len(moved), most, first)
 	}
 }
+
+// TestBeyondAnEvenShareRoomIsShown has all circuits come to one balancer whose zone has one of five servers. Guards
+// against all of a restarted balancer's connections on that one, before any report can tell of it.
+func TestBeyondAnEvenShareRoomIsShown(t *testing.T) {
+	d := deployment()
+	d.ReportsOnAsk, d.CrossingPrice = true, 0.08
+	list := fleet(5)
+	for i := range list[1:] {
+		list[1+i].Zone = 1
+	}
+	b := started(d, list)
+	tell := func(asked float64) {
+		b.Clock(b.now + 3*time.Second)
+		for _, l := range list {
+			b.Reported(l.Server, Report{Asked: asked, Piled: -1, Util: -1})
+		}
+	}
+	tell(0)
+	if held := connect(t, b, 1, 100); held[100] > 45 || held[100] < 30 {
+		t.Errorf("unproven it got %v", held)
+	}
+	tell(0)
+	if held := connect(t, b, 201, 40); held[100] < 30 {
+		t.Errorf("with room shown it got %v", held)
+	}
+	b = started(d, fleet(5)) // a machine that shows four times the pace is due as much more
+	b.Weighed(104, 4)
+	if held := connect(t, b, 1, 80); held[104] < 30 {
+		t.Errorf("by pace it got %v", held)
+	}
+}
