Idle times are held against the fastest; long probes tell at once; resets with room are no jam

Lines at fault: load.go guess and took; policy.go judge. Now: a server idles at five times the fastest's probe at most; a probe longer than all balancers' together tells at once; a reset of what stood closes a server only without a young report that tells of room.

--- a/internal/balancer/load.go
+++ b/internal/balancer/load.go
@@ -16,7 +16,8 @@
 
 const (
 	steep   = 2.5 // by which a guess rises over what the probe has waited: it gets its turn at a full server too
-	slowest = 2   // so many times slower than the middle one a server may be by its machine alone
+	slowest = 2   // so many times slower than the middle one a server may be by its machine alone,
+	against = 5   // and so many times slower than the fastest: more is a queue that never ends
 	trifle  = 100 // a probe that takes under so-many-th of the shortest message goal tells of no load
 	paces   = 2.0 // steps of pace in which a machine is twice as fast
 	paceFar = 4   // steps that a machine may be from the middle one
@@ -28,12 +29,13 @@
 	low          []time.Duration // the three shortest, the shortest first
 }
 
-// took is the newest figure: the less of two, as a probe may have waited for another balancer's.
-func (t *timed) took() time.Duration {
+// took is the newest figure: the less of two, as a probe may have waited for those of other balancers; what is
+// longer than all of them together tells at once.
+func (t *timed) took(peers int, alone time.Duration) time.Duration {
 	if t.before == 0 {
 		return t.last
 	}
-	return min(t.last, t.before)
+	return max(min(t.last, t.before), t.last-time.Duration(peers)*alone)
 }
 
 // idle is what a probe takes while there is nothing else to do: the third shortest, as some are short by luck.
@@ -45,14 +47,14 @@
 
 // weigh has a server's heft follow its pace against the middle machine, as it stood when half of them had shown
 // theirs. A step is taken when it is well passed: each new heft makes a new version.
-func (l *Loop) weigh(sv *server, idle []time.Duration) {
+func (l *Loop) weigh(sv *server, idle []time.Duration, alone time.Duration) {
 	if l.middle == 0 && len(idle) > len(l.servers)/2 {
 		l.middle = idle[(len(idle)-1)/2]
 	}
 	if l.middle == 0 || len(sv.timed.low) < 3 {
 		return
 	}
-	at := paces * math.Log2(l.middle.Seconds()/sv.timed.idle().Seconds())
+	at := paces * math.Log2(l.middle.Seconds()/alone.Seconds())
 	at = max(-paceFar, min(at, paceFar))
 	if math.Abs(at-float64(sv.pace)) > 0.75 {
 		sv.pace = int(math.Round(at))
@@ -62,8 +64,8 @@
 }
 
 // guess takes what a probe of a server took and answers its load over capacity. The idle time is what was seen,
-// but no longer than a slow machine's against the middle one: a server that was full from the start has never
-// been seen idle. Of a server that warms up nothing is said: its probes are slow for another reason.
+// but no longer than a slow machine's against the middle one and the fastest: a server that was full from the
+// start has never been seen idle, and so may most of them. Of a server that warms up nothing is said: its probes are slow for another reason.
 func (l *Loop) guess(sv *server, took time.Duration) (float64, bool) {
 	t := &sv.timed
 	t.before, t.last = t.last, max(took, time.Microsecond)
@@ -82,13 +84,14 @@
 	alone := t.idle()
 	if len(idle) > 0 {
 		slices.Sort(idle)
-		alone = min(alone, slowest*idle[(len(idle)-1)/2])
-		l.weigh(sv, idle)
+		alone = min(alone, slowest*idle[(len(idle)-1)/2], against*idle[0])
+		l.weigh(sv, idle, alone)
 	}
-	if trifle*t.took() < l.goal { // what is so short may be this machine's own doing
+	figure := t.took(l.dep.Policy.Peers, alone)
+	if trifle*figure < l.goal { // what is so short may be this machine's own doing
 		return 0, true
 	}
-	return max(0, steep*(1-alone.Seconds()/t.took().Seconds())), true
+	return max(0, steep*(1-alone.Seconds()/figure.Seconds())), true
 }
 
 // cold tells whether a server still warms up.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -244,10 +244,8 @@
 
 // Weighed tells the heft of a server as it shows.
 func (b *Balancer) Weighed(server ServerID, heft float64) {
-	if i, ok := b.index[server]; ok {
-		b.heft[i] = heft
-		b.freeze()
-	}
+	b.heft[b.server(server)] = heft
+	b.freeze()
 }
 
 // freeze makes a new version when the ready servers or their heft have changed.
@@ -466,7 +464,9 @@
 		b.fails[i] += failsBy[how]
 	}
 	// Jams. Guards also against more dead servers at once than may be set aside: no try goes on to them.
-	if how == TurnedAway || how == ConnectFailed || how == Reset && c.open {
+	// Resets of what stood are no jam where a young report tells of room: with all servers resetting, none was left.
+	told := b.now-b.askedAt[i] <= reportYoung && b.asked[i] < crowded.asked/2
+	if how == TurnedAway || how == ConnectFailed || how == Reset && c.open && !told {
 		b.close(i, c.load)
 	}
 	b.mind(i)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -425,6 +425,23 @@
 	}
 }
 
+// TestResetsWithRoomAreNoJam guards against nacking all while every server resets what stands now and then.
+func TestResetsWithRoomAreNoJam(t *testing.T) {
+	for asked, want := range map[float64]Verb{0.1: Try, 0.6: Nack} {
+		b := started(deployment(), fleet(3))
+		connect(t, b, 1, 30)
+		for _, l := range fleet(3) {
+			b.Reported(l.Server, Report{Asked: asked, Piled: -1, Util: -1})
+		}
+		for id := CircuitID(1); id <= 30; id += 4 {
+			b.TryEnded(id, 0, true, Reset)
+		}
+		if d := arrive(t, b, Arrival{ID: 99, Key: 99}); d.Do != want {
+			t.Errorf("%v asked: %+v", asked, d)
+		}
+	}
+}
+
 func TestMidFlowViewFollowsWhatWasFound(t *testing.T) {
 	d := deployment()
 	d.CrossingPrice = 0.1
@@ -522,6 +539,7 @@
 		t.Errorf("with room shown it got %v", held)
 	}
 	b = started(d, fleet(5)) // a machine that shows four times the pace is due as much more
+	tell(0)
 	b.Weighed(104, 4)
 	if held := connect(t, b, 1, 80); held[104] < 30 {
 		t.Errorf("by pace it got %v", held)
