--- a/internal/balancer/load.go
+++ b/internal/balancer/load.go
@@ -17,7 +17,7 @@
 const (
 	steep   = 2.5 // by which a guess rises over what the probe has waited: it gets its turn at a full server too
 	slowest = 2   // so many times slower than the middle one a server may be by its machine alone,
-	against = 5   // and so many times slower than the fastest: more is a queue that never ends
+	against = 4   // and so many times slower than the fastest: more is a queue that never ends
 	trifle  = 100 // a probe that takes under so-many-th of the shortest message goal tells of no load
 	paces   = 2.0 // steps of pace in which a machine is twice as fast
 	paceFar = 4   // steps that a machine may be from the middle one
@@ -51,7 +51,7 @@
 	if l.middle == 0 && len(idle) > len(l.servers)/2 {
 		l.middle = idle[(len(idle)-1)/2]
 	}
-	if l.middle == 0 || len(sv.timed.low) < 3 {
+	if l.middle == 0 || len(sv.timed.low) < 2 {
 		return
 	}
 	at := paces * math.Log2(l.middle.Seconds()/alone.Seconds())
