--- a/policy/policy.go
+++ b/policy/policy.go
@@ -846,7 +846,7 @@
 		if !b.mayNack(c) {
 			d.Do = BreakOff
 		} else if b.dep.MayAdvise {
-			d.For = b.jitter(b.dep.LongestAdvice / 2)
+			d.For = b.jitter(b.dep.LongestAdvice * 2 / 3)
 		}
 		return d, true
 	}
