--- a/policy/policy.go
+++ b/policy/policy.go
@@ -300,7 +300,7 @@
 		id: a.ID, key: cmp.Or(a.Key, uint64(a.ID)), place: cmp.Or(a.Group, a.Key, uint64(a.ID)),
 		grade: &b.dep.Grades[a.Grade], row: a.Grade, tenant: a.Tenant, view: b.dep.Zone,
 		until: b.now + a.Left, midFlow: a.MidFlow, server: -1, ranOn: -1,
-		load: cmp.Or(a.Load, b.usualOf[a.Grade]),
+		load: cmp.Or(a.Load, b.usualOf[a.Grade], 1),
 	}
 	b.circuit[a.ID] = c
 	return c
