A group keeps to its home and two servers at all times, and reasons yield within that reach

Cause: order() let a group go anywhere until one circuit in seven found no room, pick() then nacked what the first pass found beyond. Now pick() looks at home and two alone; tight() is gone. Room grows of one connection where no load is known; a note where nothing is held closes no room (seen by a test).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,6 +44,7 @@
 	coldFill     = 3                     // so-many-th of the warm-up in which a cold server may fill
 	coldLeast    = 4.0                   // connections that a server is thought to hold, over all balancers
 	evenMost     = 2.0                   // so many times an even share of the load a server takes unproven
+	reachFar     = 2                     // servers past a group's home that its members may go to
 	homeSpread   = 2.0                   // servers in a group's home, over its share of the connections
 	failedMost   = 2                     // servers that may fail a circuit before it is nacked
 	triesBesides = 9.0                   // tries out of all balancers besides, while some fail
@@ -118,7 +119,6 @@
 	usual              float64        // usual load of a connection, learned
 	usualOf            []float64      // the same by grade
 	good, bad          float64        // setup tries that came to stand lately, and that failed
-	full, fits         float64        // circuits that found no server with room lately, and that found one
 	wanted, colds      float64        // circuits that came to a cold server lately; what those draw together
 	tallyAt            time.Duration
 	watchAt            time.Duration // when to ask for the list, never while subscribed
@@ -145,7 +145,7 @@
 	movedAt        []time.Duration // when a move away from it was last considered
 	sentAt         []time.Duration // when the newest setup try went there
 
-	reach int      // how far down the ranking a circuit may go when tight, so that its group is not spread
+	reach int      // how far down the ranking a circuit may go, so that its group is not spread
 	rank  []ranked // scratch of order
 }
 
@@ -433,6 +433,9 @@
 		return
 	}
 	b.delay[i], b.delayAt[i] = delay, b.now
+	if len(b.held[i]) == 0 { // nothing of this balancer's had a part in it; guards against no room there for ever
+		return
+	}
 	if b.busy(i, jammed) {
 		b.room[i] = min(b.room[i], 0.9*b.load[i])
 	} else if b.busy(i, crowded) {
@@ -496,12 +499,9 @@
 func (b *Balancer) tally(good, bad float64) {
 	fade := math.Exp(-float64(b.now-b.tallyAt) / float64(tallyFor))
 	b.good, b.bad, b.tallyAt = b.good*fade+good, b.bad*fade+bad, b.now
-	b.full, b.fits, b.wanted = b.full*fade, b.fits*fade, b.wanted*fade
+	b.wanted *= fade
 }
 
-// tight tells whether many circuits lately found no room: then groups keep to their reach, or all pay.
-func (b *Balancer) tight() bool { return 6*b.full > b.fits }
-
 // throttled tells whether a circuit is to be nacked at once, as setup tries fail whatever server they go to:
 // it failed at two servers itself, or some fail and enough are out, or by chance, the likelier the more
 // failed than stood. Guards against retries that keep a shared store or the whole fleet down. Only tries
@@ -660,7 +660,7 @@
 		// With its chance error taken off, or one connection among a dozen would make a home of several.
 		n := float64(b.group[c.place])
 		home := max(1, int(math.Ceil(homeSpread*(n-math.Sqrt(n))/float64(b.total)*sum/max(top, 1e-9))))
-		b.reach = min(b.reach, home+1)
+		b.reach = min(b.reach, home+reachFar)
 		first := b.rank[:min(home, len(b.rank))]
 		for n, r := range first {
 			first[n].score = score(b.weight(r.server, c.view, b.heft[r.server], 0), c.key, b.id[r.server])
@@ -680,8 +680,8 @@
 	byAside        // nor do being set aside and having been tried: only jams count
 )
 
-// pick answers the first server in a circuit's order that is not passed over, or -1, and its place in it.
-func (b *Balancer) pick(c *circuit, v *version, upTo int) (int, int) {
+// pick answers the first server in a circuit's order, within its reach, that is not passed over, or -1.
+func (b *Balancer) pick(c *circuit, v *version, upTo int) int {
 	rank := b.order(c, v)
 	sum, load, heft := 0.0, c.load, 1e-9
 	for _, i := range v.servers {
@@ -691,13 +691,13 @@
 		}
 	}
 	for step := byAll; step <= upTo; step++ {
-		for at, r := range rank {
+		for _, r := range rank[:b.reach] {
 			if i := r.server; !b.passed(c, i, step, sum, evenMost*load/heft) && b.mayTry(c, i) {
-				return i, at
+				return i
 			}
 		}
 	}
-	return -1, byAside + 1
+	return -1
 }
 
 // cool tells whether a server has not warmed up yet for this key; all balancers agree on it.
@@ -831,12 +831,7 @@
 		}
 		// Guards against jams that no server comes out of: a newcomer that finds only jammed servers is nacked.
 		if throttled := b.throttled(c); i < 0 && !(throttled && b.mayNack(c)) {
-			var at int
-			if i, at = b.pick(c, b.newest(), byAside); i < 0 {
-				b.full++
-			} else if b.fits++; at >= b.reach && b.tight() {
-				i = -1
-			}
+			i = b.pick(c, b.newest(), byAside)
 		}
 	}
 	if i < 0 {
@@ -893,7 +888,7 @@
 		}
 		if !b.busy(i, crowded) {
 			// Of one connection too: room that grew only by a part never came back from near nothing.
-			b.room[i] += roomGrowth*b.room[i] + 0.3*b.usual/float64(b.dep.Peers)
+			b.room[i] += roomGrowth*b.room[i] + 0.3*cmp.Or(b.usual, 1)/float64(b.dep.Peers)
 		}
 		switch held := max(b.load[i], float64(len(b.held[i]))); {
 		case b.ailing(): // whoever is moved now may not come to stand again
@@ -957,8 +952,8 @@
 		again := *c // as it will come again
 		again.open, again.tries, again.tried, again.ranOn = false, 0, nil, -1
 		again.view, again.wanted = b.dep.Zone, true
-		j, at := b.pick(&again, b.newest(), byAll)
-		if j >= 0 && j != i && (at < b.reach || !b.tight()) && !b.part(c, &load) {
+		j := b.pick(&again, b.newest(), byAll)
+		if j >= 0 && j != i && !b.part(c, &load) {
 			return
 		}
 	}
