--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -28,6 +28,7 @@
 	Zone          *int
 	Areas         []string
 	RegistryMode  *string
+	Weights       string
 	ExcessUtility float64
 	ServiceGrades []struct {
 		Name          string
@@ -49,6 +50,7 @@
 		MaxRetryAfterUs    int64
 		MostSetupTries     *int
 		Probes, RetryAfter bool
+		Peers              bool
 	}
 	Prices struct {
 		CrossZone float64
@@ -100,7 +102,7 @@
 	}
 	p := &policy.Deployment{
 		Peers: min(*s.PeersTotal, 1<<20), Zone: *s.Zone, ExcessUtility: s.ExcessUtility,
-		MayProbe: l.Probes, MayAdvise: l.RetryAfter, LongestAdvice: us(l.MaxRetryAfterUs),
+		MayProbe: l.Probes, MayTell: l.Peers, HeftExact: s.Weights == "nominal", MayAdvise: l.RetryAfter, LongestAdvice: us(l.MaxRetryAfterUs),
 		MostTries: *l.MostSetupTries, FallMultiple: *g.FallMultiple, ColdFrom: *g.ColdFrom, ColdFor: us(*g.ColdUs),
 		FallFor:       us(*g.FallUs),
 		CrossingPrice: s.Prices.CrossZone,
@@ -126,6 +128,11 @@
 	default:
 		return nil, fmt.Errorf("Specifics.Mode %q is not known", s.Specifics.Mode)
 	}
+	switch s.Weights {
+	case "", "none", "nominal", "rough", "live":
+	default:
+		return nil, fmt.Errorf("Weights %q is not known", s.Weights)
+	}
 	switch s.Report.How {
 	case "", "none", "probe", "answers":
 	default:
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -22,6 +22,7 @@
 	actionSize = 24
 	entrySize  = 25
 	replySize  = 8
+	everyPeer  = 0xffff
 )
 
 // Events, by their code on the wire.
@@ -47,6 +48,7 @@
 	acGiveUp        = 2
 	acSchedule      = 4
 	acAskLoad       = 5
+	acSignal        = 7
 	acDie           = 9
 	acStreamChanges = 10
 	acBounce        = 12
@@ -235,9 +237,11 @@
 		b.ProbeAnswered(serverAt(rec[5:]), outcome)
 		b.Reported(serverAt(rec[5:]), rep)
 	case evInbox:
-		if _, err := span(rec, tail, "Octets", 9, base, 1); err != nil {
+		text, err := span(rec, tail, "Octets", 9, base, 1)
+		if err != nil {
 			return err
 		}
+		b.PeerTold(int(le.Uint32(rec[5:])), text)
 	case evFired:
 		if due := us(int64(h.clock - in.opened)); in.timerOn && in.timerAt <= due {
 			in.timerOn = false
@@ -396,6 +400,12 @@
 			h.put(acBounce, in.number, d.Circuit)
 		case policy.Probe:
 			putServer(h.put(acAskLoad, in.number, 0)[5:], d.Server)
+		case policy.Tell:
+			rec := h.put(acSignal, in.number, 0)
+			le.PutUint16(rec[5:], everyPeer)
+			le.PutUint32(rec[7:], uint32(len(h.tail)))
+			le.PutUint32(rec[11:], uint32(len(d.Text)))
+			h.tail = append(h.tail, d.Text...)
 		case policy.Watch:
 			h.put(acStreamChanges, in.number, 0)[5] = 1
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math"
 	"math/bits"
 	"slices"
@@ -15,6 +16,9 @@
 )
 
 const (
+	tellEvery    = 2 * time.Second        // between two messages to the other balancers
+	tellSpan     = 240                    // servers told of in one
+	toldFor      = 7 * time.Second        // how long a message counts: some are lost
 	versionCap   = 64                     // kept versions; beyond it the oldest is dropped
 	roundEvery   = 250 * time.Millisecond // how often moves and probes are considered
 	never        = time.Duration(1 << 62)
@@ -43,7 +47,8 @@
 	coldSlack    = 0.4                   // of its part, where that is let in by chance: by luck more come
 	coldFill     = 3                     // so-many-th of the warm-up in which a cold server may fill
 	coldLeast    = 4.0                   // connections that a server is thought to hold, over all balancers
-	evenMost     = 2.0                   // so many times an even share of the load a server takes unproven
+	evenMost     = 2.0                   // so many times an even share of the load a server takes unproven,
+	evenTold     = 1.2                   // and where the others tell what they hold
 	reachFar     = 2                     // servers past a group's home that its members may go to
 	homeSpread   = 2.0                   // servers in a group's home, over its share of the connections
 	failedMost   = 2                     // servers that may fail a circuit before it is nacked
@@ -68,7 +73,8 @@
 type version struct {
 	servers []int // dense indices
 	heft    []float64
-	users   int // connections that were placed by it
+	mark    uint32 // the same at every balancer that has the same list
+	users   int    // connections that were placed by it
 }
 
 // circuit is one circuit taken, from its arrival to its end.
@@ -98,6 +104,12 @@
 	ranOn        int           // its server, -1 while no try can have run
 }
 
+// peer is what another balancer told, by dense index of the servers.
+type peer struct {
+	load []float64
+	at   []time.Duration // when
+}
+
 // Balancer is one balancer's knowledge and decisions.
 type Balancer struct {
 	dep                *Deployment
@@ -105,6 +117,7 @@
 	chance             uint64
 	away               float64       // weight of a server in another zone, the own zone's is 1
 	goal               time.Duration // the shortest message goal
+	evenMost           float64       // so many times an even share a server takes, for what is known of loads
 	index              map[ServerID]int
 	circuit            map[CircuitID]*circuit
 	pools              []*version // oldest first; the newest places new connections
@@ -124,6 +137,9 @@
 	watchAt            time.Duration // when to ask for the list, never while subscribed
 	watchBackoff       time.Duration
 	leaveFrom, leaveBy time.Duration // all that is held is moved between these, never while it stays
+	tellAt             time.Duration // when the others are told next, never where they are not,
+	tellFrom           int           // of which part of the list
+	peers              []peer        // what they told
 
 	// Figures about servers, by dense index.
 	id             []ServerID
@@ -142,6 +158,7 @@
 	budget         []float64 // setup tries that a cold server may still be sent
 	paidAt         []time.Duration
 	room, shown    []float64       // load of own connections: before it is crowded; with room told since
+	others         []float64       // load of connections that the other balancers told of
 	movedAt        []time.Duration // when a move away from it was last considered
 	sentAt         []time.Duration // when the newest setup try went there
 
@@ -166,6 +183,14 @@
 		b.watchAt = time.Duration(b.random() * float64(dep.Peers) * float64(watchEach))
 	}
 	b.roundAt = time.Duration(b.random() * float64(roundEvery))
+	if b.evenMost, b.tellAt = math.Inf(1), never; dep.ReportsOnAsk || dep.HeftExact {
+		b.evenMost = evenMost
+	}
+	if dep.MayTell {
+		b.evenMost = evenTold
+		b.tellAt = time.Duration(b.random() * float64(tellEvery))
+		b.peers = make([]peer, dep.Peers)
+	}
 	return b
 }
 
@@ -230,7 +255,7 @@
 	b.asked, b.askedAt = append(b.asked, 0), append(b.askedAt, 0)
 	b.budget, b.paidAt = append(b.budget, 0), append(b.paidAt, 0)
 	b.movedAt, b.room, b.sentAt = append(b.movedAt, -never), append(b.room, 0), append(b.sentAt, -never)
-	b.shown = append(b.shown, 0)
+	b.shown, b.others = append(b.shown, 0), append(b.others, 0)
 	b.fresh(i)
 	b.probeAt[i] = b.now + time.Duration(b.random()*float64(b.reportEvery()))
 	return i
@@ -259,6 +284,7 @@
 	slices.SortFunc(v.servers, func(i, j int) int { return cmp.Compare(b.id[i], b.id[j]) })
 	for _, i := range v.servers {
 		v.heft = append(v.heft, b.heft[i])
+		v.mark = uint32(mix(uint64(v.mark), uint64(b.id[i])))
 	}
 	if len(b.pools) > 0 && slices.Equal(b.newest().servers, v.servers) && slices.Equal(b.newest().heft, v.heft) {
 		return
@@ -437,9 +463,9 @@
 		return
 	}
 	if b.busy(i, jammed) {
-		b.room[i] = min(b.room[i], 0.9*b.load[i])
+		b.room[i] = min(b.room[i], 0.9*b.known(i))
 	} else if b.busy(i, crowded) {
-		b.room[i] = min(b.room[i], b.load[i])
+		b.room[i] = min(b.room[i], b.known(i))
 	}
 }
 
@@ -456,6 +482,81 @@
 	}
 }
 
+// ---- The other balancers.
+
+// tell words what this balancer holds and finds crowded: the mark of its newest version, the place of the first server
+// told of, the unit of load (a float32), then a byte for each server: its load in 127ths, and the high bit where its
+// messages take long. Lists differ for seconds: what does not fit the reader's newest version is not read.
+func (b *Balancer) tell() []byte {
+	v := b.newest()
+	if b.tellFrom >= len(v.servers) {
+		b.tellFrom = 0
+	}
+	part := v.servers[b.tellFrom:min(b.tellFrom+tellSpan, len(v.servers))]
+	unit := float32(1e-9)
+	for _, i := range part {
+		unit = max(unit, float32(b.load[i]/127))
+	}
+	text := binary.LittleEndian.AppendUint32(make([]byte, 0, tellSpan+10), v.mark)
+	text = binary.LittleEndian.AppendUint16(text, uint16(b.tellFrom))
+	text = binary.LittleEndian.AppendUint32(text, math.Float32bits(unit))
+	for _, i := range part {
+		told := byte(min(math.Round(b.load[i]/float64(unit)), 127))
+		if len(b.held[i]) > 0 && b.now-b.delayAt[i] <= noteFresh && b.busy(i, jammed) {
+			told |= 0x80
+		}
+		text = append(text, told)
+	}
+	b.tellFrom += tellSpan
+	return text
+}
+
+// PeerTold takes another balancer's message; from is its number. What cannot be read is passed by.
+func (b *Balancer) PeerTold(from int, text []byte) {
+	if len(text) < 10 || from < 0 || from >= len(b.peers) || len(b.pools) == 0 ||
+		binary.LittleEndian.Uint32(text) != b.newest().mark {
+		return
+	}
+	first, unit := int(binary.LittleEndian.Uint16(text[4:])), float64(math.Float32frombits(binary.LittleEndian.Uint32(text[6:])))
+	p, servers := &b.peers[from], b.newest().servers
+	for len(p.load) < len(b.id) {
+		p.load, p.at = append(p.load, 0), append(p.at, -never)
+	}
+	for n, told := range text[10:] {
+		if first+n >= len(servers) || !(unit >= 0 && unit < math.MaxFloat32) {
+			return
+		}
+		i := servers[first+n]
+		p.load[i], p.at[i] = float64(told&0x7f)*unit, b.now
+		if told&0x80 != 0 {
+			b.close(i, 0)
+		}
+	}
+}
+
+// sumPeers adds up what the others told of late.
+func (b *Balancer) sumPeers() {
+	clear(b.others)
+	for _, p := range b.peers {
+		for i, load := range p.load {
+			if b.now-p.at[i] <= toldFor {
+				b.others[i] += load
+			}
+		}
+	}
+}
+
+// known is the load of all connections at a server that this balancer knows of.
+func (b *Balancer) known(i int) float64 { return b.load[i] + b.others[i] }
+
+// apart is how many balancers there are that know nothing of each other's connections.
+func (b *Balancer) apart() int {
+	if b.dep.MayTell {
+		return 1
+	}
+	return b.dep.Peers
+}
+
 // ---- Health.
 
 // judge learns from how a try ended.
@@ -479,7 +580,7 @@
 func (b *Balancer) close(i int, left float64) {
 	if !b.busy(i, lost) {
 		b.delay[i], b.delayAt[i] = b.goal, b.now
-		b.room[i] = min(b.room[i], max(0, b.load[i]-left))
+		b.room[i] = min(b.room[i], max(0, b.known(i)-left))
 	}
 }
 
@@ -685,14 +786,14 @@
 	rank := b.order(c, v)
 	sum, load, heft := 0.0, c.load, 1e-9
 	for _, i := range v.servers {
-		if load += b.load[i]; !b.aside[i] {
+		if load += b.known(i); !b.aside[i] {
 			sum += b.weight(i, b.dep.Zone, b.heft[i], spill) * b.warmth(i)
-			heft += b.heft[i]
+			heft += b.heft[i] * b.warmth(i)
 		}
 	}
 	for step := byAll; step <= upTo; step++ {
 		for _, r := range rank[:b.reach] {
-			if i := r.server; !b.passed(c, i, step, sum, evenMost*load/heft) && b.mayTry(c, i) {
+			if i := r.server; !b.passed(c, i, step, sum, b.evenMost*load/heft) && b.mayTry(c, i) {
 				return i
 			}
 		}
@@ -713,13 +814,13 @@
 	limit := 2*float64(b.total)*w/max(sum, 1e-9) + 2
 	if step < byAside && (b.aside[i] || slices.Contains(c.tried, i)) || step < byCrowd && b.busy(i, crowded) ||
 		step < byLimit && (b.cool(c, i) || float64(len(b.held[i])) > limit ||
-			b.dep.ReportsOnAsk && b.load[i]+c.load > max(even*b.heft[i], 2*b.shown[i])) {
+			b.known(i)+c.load > max(even*b.heft[i]*b.warmth(i), 2*b.shown[i])) {
 		return true
 	}
 	// A young report that tells of room lets one in, whatever is held here: with a hundred balancers each holds
 	// one connection of a server or none, and took a half empty one for full.
 	told := b.now-b.askedAt[i] <= reportYoung && b.asked[i] < crowded.asked && b.sentAt[i] < b.askedAt[i]
-	return b.busy(i, jammed) || b.load[i]+c.load > b.room[i] && !told
+	return b.busy(i, jammed) || b.known(i)+c.load > b.room[i] && !told
 }
 
 // valueOf is a circuit's utility for its load, less beyond its tenant's share as far as is seen here.
@@ -770,6 +871,10 @@
 		b.watchAt = b.now + max(b.dep.AskWithin, time.Second) // asked again if no answer comes
 		return Decision{Do: Watch}, true
 	}
+	if b.tellAt <= b.now && len(b.pools) > 0 {
+		b.tellAt = b.now + tellEvery
+		return Decision{Do: Tell, Text: b.tell()}, true
+	}
 	b.resume(-1)
 	for len(b.queue) > 0 {
 		c := b.queue[0]
@@ -793,7 +898,7 @@
 
 // Wake answers when Next wants to be called again at the latest.
 func (b *Balancer) Wake() (at time.Duration, ok bool) {
-	at = min(b.roundAt, b.watchAt)
+	at = min(b.roundAt, b.watchAt, b.tellAt)
 	for _, c := range b.waiting {
 		at = min(at, c.waits)
 	}
@@ -869,6 +974,7 @@
 // round considers moves and probes.
 func (b *Balancer) round() {
 	b.due, b.colds = b.due[:0], 0
+	b.sumPeers()
 	if b.leaveBy < never {
 		b.leave()
 		return
@@ -888,7 +994,7 @@
 		}
 		if !b.busy(i, crowded) {
 			// Of one connection too: room that grew only by a part never came back from near nothing.
-			b.room[i] += roomGrowth*b.room[i] + 0.3*cmp.Or(b.usual, 1)/float64(b.dep.Peers)
+			b.room[i] += roomGrowth*b.room[i] + 0.3*cmp.Or(b.usual, 1)/float64(b.apart())
 		}
 		switch held := max(b.load[i], float64(len(b.held[i]))); {
 		case b.ailing(): // whoever is moved now may not come to stand again
--- a/policy/types.go
+++ b/policy/types.go
@@ -44,6 +44,8 @@
 	ExcessUtility float64 // utility beyond a tenant's share, as a part of the usual
 	AskForList    bool    // the list of servers comes only when asked for
 	MayProbe      bool
+	MayTell       bool // balancers may send each other short messages, which come late or never
+	HeftExact     bool // heft is the size that a server was registered with, not a guess
 	MayAdvise     bool // nacks may carry a wait
 	LongestAdvice time.Duration
 	MostTries     int
@@ -130,6 +132,7 @@
 	Move                 // end an open connection politely
 	Probe                // probe Server
 	Watch                // ask for the list of servers and its changes
+	Tell                 // send Text to every other balancer
 )
 
 // Decision is one thing for the host to do.
@@ -138,4 +141,5 @@
 	Circuit CircuitID
 	Server  ServerID
 	For     time.Duration
+	Text    []byte // of at most 256 bytes
 }
