--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -284,11 +284,6 @@
 	case policy.Probe:
 		l.ask(d.Server)
 		return
-	case policy.Watch:
-		if l.watch != nil {
-			l.watch.Again()
-		}
-		return
 	}
 	c := l.circuits[d.Circuit]
 	if c == nil {
@@ -352,7 +347,7 @@
 			}
 		}
 	}
-	l.bal.ListArrived(lines, list.Whole || known, known)
+	l.bal.ListArrived(lines, list.Whole || known)
 	if !known {
 		l.Lists.Add(1)
 		if !l.listed {
@@ -365,7 +360,6 @@
 func (l *Loop) unlisted(err error) {
 	l.ListErrors.Add(1)
 	l.log.Warn("no list", zap.Error(err))
-	l.bal.ListFailed()
 }
 
 // welcome answers that the balancer is ready, once the newest list is here or has not come for long.
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -16,7 +16,7 @@
 // Decider is what a host needs of a policy; *policy.Balancer is one.
 type Decider interface {
 	Clock(now time.Duration)
-	ListArrived(lines []policy.Listed, whole, cached bool)
+	ListArrived(lines []policy.Listed, whole bool)
 	CircuitArrived(a policy.Arrival)
 	SetUp(id policy.CircuitID, try int, took time.Duration)
 	TryEnded(id policy.CircuitID, try int, finished bool, how policy.Outcome)
@@ -102,7 +102,7 @@
 
 func (p *plain) Clock(now time.Duration) { p.now = now }
 
-func (p *plain) ListArrived(lines []policy.Listed, whole, _ bool) {
+func (p *plain) ListArrived(lines []policy.Listed, whole bool) {
 	if whole {
 		clear(p.ready)
 	}
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -264,7 +264,7 @@
 var stateNames = map[policy.State]string{policy.Ready: "ready", policy.Draining: "draining", policy.Gone: "gone"}
 
 // tell has a balancer take lines of the list.
-func (s *world) tell(n *node, lines []policy.Listed, whole, cached bool) {
+func (s *world) tell(n *node, lines []policy.Listed, whole bool) {
 	for _, l := range lines {
 		i := s.byID[l.Server]
 		for len(n.list) <= i {
@@ -274,7 +274,7 @@
 		s.note(record.Event{What: record.Told, Balancer: n.num, Server: int32(i), Text: stateNames[l.State]})
 	}
 	n.d.Clock(s.now - n.start)
-	n.d.ListArrived(lines, whole, cached)
+	n.d.ListArrived(lines, whole)
 	s.pump(n)
 }
 
@@ -287,7 +287,7 @@
 	for _, n := range s.nodes {
 		s.after(s.between(wait)+s.late, func() {
 			if n := s.nodes[n.num]; n.alive {
-				s.tell(n, []policy.Listed{s.line(m, n)}, false, false)
+				s.tell(n, []policy.Listed{s.line(m, n)}, false)
 			}
 		})
 	}
@@ -509,7 +509,7 @@
 		}
 		lines = append(lines, l)
 	}
-	s.tell(n, lines, true, old != nil)
+	s.tell(n, lines, true)
 	if old != nil { // the list's word comes to a new start as to any other
 		s.whole(n)
 	}
@@ -529,7 +529,7 @@
 		for _, m := range s.machines {
 			lines = append(lines, s.line(m, n))
 		}
-		s.tell(n, lines, true, false)
+		s.tell(n, lines, true)
 	})
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,24 +36,19 @@
 	fullAsked    = 0.85                   // load over capacity up to which a reported server is filled
 	roomGrowth   = 0.015                  // by which an uncrowded server may be filled further, each round
 	movePart     = 0.12                   // of the load held at a jammed server, moved away at a time
-	watchBackoff = 500 * time.Millisecond
-	watchEach    = 20 * time.Millisecond // between calls for the list of all balancers
-	moveEvery    = time.Second           // between moves away from one jammed server
-	spill        = 0.25                  // least share of a server in another zone in the limit
-	foundLess    = 0.7                   // what is left of the trust in a zone's view after a wrong guess
-	foundLeast   = 0.25                  // trust under which mid-flow arrivals are placed as newcomers
-	foundWithin  = 50                    // a mid-flow arrival that stands within this part of the goal was found
-	coolMore     = 1.7                   // so much of its least warmth a cold server is taken for
-	coldSlack    = 0.4                   // of its part, where that is let in by chance: by luck more come
-	coldFill     = 3                     // so-many-th of the warm-up in which a cold server may fill
-	coldLeast    = 4.0                   // connections that a server is thought to hold, over all balancers
-	evenMost     = 2.0                   // so many times an even share of the load a server takes unproven,
-	evenTold     = 1.2                   // and where the others tell what they hold
-	reachFar     = 2                     // servers past a group's home that its members may go to
-	homeSpread   = 2.0                   // servers in a group's home, over its share of the connections
-	failedMost   = 2                     // servers that may fail a circuit before it is nacked
-	triesBesides = 9.0                   // tries out of all balancers besides, while some fail
-	tallyFor     = 3 * time.Second       // how long setup tries count in the tally
+	moveEvery    = time.Second            // between moves away from one jammed server
+	spill        = 0.25                   // least share of a server in another zone in the limit
+	coolMore     = 1.7                    // so much of its least warmth a cold server is taken for
+	coldSlack    = 0.4                    // of its part, where that is let in by chance: by luck more come
+	coldFill     = 3                      // so-many-th of the warm-up in which a cold server may fill
+	coldLeast    = 4.0                    // connections that a server is thought to hold, over all balancers
+	evenMost     = 2.0                    // so many times an even share of the load a server takes unproven,
+	evenTold     = 1.2                    // and where the others tell what they hold
+	reachFar     = 2                      // servers past a group's home that its members may go to
+	homeSpread   = 2.0                    // servers in a group's home, over its share of the connections
+	failedMost   = 2                      // servers that may fail a circuit before it is nacked
+	triesBesides = 9.0                    // tries out of all balancers besides, while some fail
+	tallyFor     = 3 * time.Second        // how long setup tries count in the tally
 )
 
 // edge is what a message takes, as a part of the shortest message goal, and the reported load over capacity.
@@ -84,11 +79,9 @@
 	place        uint64 // what the ranking hashes: the group where there is one, else the client's key
 	grade        *Grade
 	row, tenant  int           // of its grade, of its tenant
-	view         int           // the zone from which its servers are ranked
 	until        time.Duration // the outer limit of this client's try
-	midFlow      bool
-	out, open    bool // a setup try is out; the connection stands
-	answered     bool // the final answer is given; nothing more is sent
+	out, open    bool          // a setup try is out; the connection stands
+	answered     bool          // the final answer is given; nothing more is sent
 	moving       bool
 	tries        int
 	tried        []int // servers already tried
@@ -128,14 +121,11 @@
 	trying, total      int            // setup tries out; connections and setup tries held
 	group              map[uint64]int // the same by group
 	tenant             []int          // the same by tenant
-	found              []float64      // by zone: how often mid-flow arrivals were found as seen from there
 	usual              float64        // usual load of a connection, learned
 	usualOf            []float64      // the same by grade
 	good, bad          float64        // setup tries that came to stand lately, and that failed
 	wanted, colds      float64        // circuits that came to a cold server lately; what those draw together
 	tallyAt            time.Duration
-	watchAt            time.Duration // when to ask for the list, never while subscribed
-	watchBackoff       time.Duration
 	leaveFrom, leaveBy time.Duration // all that is held is moved between these, never while it stays
 	tellAt             time.Duration // when the others are told next, never where they are not,
 	tellFrom           int           // of which part of the list
@@ -169,7 +159,7 @@
 // New starts a balancer.
 func New(dep *Deployment, seed uint64) *Balancer {
 	b := &Balancer{
-		dep: dep, chance: seed&0xffffffff | 1<<32, watchAt: never, watchBackoff: watchBackoff, goal: never,
+		dep: dep, chance: seed&0xffffffff | 1<<32, goal: never,
 		leaveBy: never, away: max(0.02, 1-12*dep.CrossingPrice),
 		index: map[ServerID]int{}, circuit: map[CircuitID]*circuit{}, group: map[uint64]int{},
 		usualOf: make([]float64, len(dep.Grades)), tenant: make([]int, len(dep.Tenants)+1),
@@ -179,9 +169,6 @@
 			b.goal = min(b.goal, g.MessageGoal)
 		}
 	}
-	if dep.AskForList { // not in step with all others: the list service takes some calls a second
-		b.watchAt = time.Duration(b.random() * float64(dep.Peers) * float64(watchEach))
-	}
 	b.roundAt = time.Duration(b.random() * float64(roundEvery))
 	if b.evenMost, b.tellAt = math.Inf(1), never; dep.ReportsOnAsk || dep.HeftExact {
 		b.evenMost = evenMost
@@ -209,18 +196,12 @@
 
 // ---- The list of servers.
 
-// ListArrived takes lines of the list; whole: servers not named are gone; cached: from before the start.
-func (b *Balancer) ListArrived(lines []Listed, whole, cached bool) {
-	if b.dep.AskForList && !cached {
-		b.watchAt, b.watchBackoff = never, watchBackoff
-	}
+// ListArrived takes lines of the list; whole: servers not named are gone.
+func (b *Balancer) ListArrived(lines []Listed, whole bool) {
 	named := map[int]bool{}
 	for _, l := range lines {
 		i := b.server(l.Server)
 		named[i] = true
-		for len(b.found) <= max(l.Zone, b.dep.Zone) {
-			b.found = append(b.found, 0.5)
-		}
 		anew := l.Started != b.started[i]
 		b.zone[i], b.cell[i], b.state[i], b.started[i], b.heft[i] = l.Zone, l.Cell, l.State, l.Started, l.Heft
 		if anew {
@@ -232,9 +213,6 @@
 			b.state[i] = Gone
 		}
 	}
-	if cached && len(b.found) > 0 { // with many balancers a zone, an arrival likelier comes from its own
-		b.found[b.dep.Zone] = 0.5*float64(b.dep.Peers)/float64(len(b.found)) - 0.05
-	}
 	b.freeze()
 }
 
@@ -307,14 +285,6 @@
 
 func (b *Balancer) newest() *version { return b.pools[len(b.pools)-1] }
 
-// ListFailed tells that a call for the list failed or the subscription broke; the old list still holds.
-func (b *Balancer) ListFailed() {
-	if b.dep.AskForList {
-		b.watchAt = b.now + b.jitter(b.watchBackoff+time.Duration(b.dep.Peers)*watchEach)
-		b.watchBackoff = min(2*b.watchBackoff, max(watchBackoff, b.dep.AskWithin/2))
-	}
-}
-
 // Leave tells of a planned restart: from the one time on all that is open is moved, up to the other.
 func (b *Balancer) Leave(from, by time.Duration) { b.leaveFrom, b.leaveBy = from, by }
 
@@ -324,8 +294,8 @@
 	a.Grade, a.Tenant = min(a.Grade, len(b.dep.Grades)-1), min(a.Tenant, len(b.dep.Tenants))
 	c := &circuit{
 		id: a.ID, key: cmp.Or(a.Key, uint64(a.ID)), place: cmp.Or(a.Group, a.Key, uint64(a.ID)),
-		grade: &b.dep.Grades[a.Grade], row: a.Grade, tenant: a.Tenant, view: b.dep.Zone,
-		until: b.now + a.Left, midFlow: a.MidFlow, server: -1, ranOn: -1,
+		grade: &b.dep.Grades[a.Grade], row: a.Grade, tenant: a.Tenant,
+		until: b.now + a.Left, server: -1, ranOn: -1,
 		load: cmp.Or(a.Load, b.usualOf[a.Grade], 1),
 	}
 	b.circuit[a.ID] = c
@@ -384,11 +354,6 @@
 	}
 	b.trying--
 	c.out, c.open, c.until = false, true, never
-	if c.midFlow && try == 0 && took < c.grade.SetupGoal/foundWithin { // found: it cost no set-up
-		b.found[c.view] += (1 - b.found[c.view]) / 2
-	} else if c.midFlow && try == 0 {
-		b.found[c.view] *= foundLess
-	}
 	b.fails[c.server] *= 0.3
 	b.tally(1, 0)
 	if took > c.grade.SetupGoal { // late: a queue somewhere, though no failure yet
@@ -732,9 +697,9 @@
 	return -weight / math.Log(unit(mix(key, uint64(id))))
 }
 
-// weight of a server as seen from a zone: less elsewhere, where crossings cost, but not under the least.
-func (b *Balancer) weight(i, view int, heft, least float64) float64 {
-	if b.zone[i] != view {
+// weight of a server: less elsewhere, where crossings cost, but not under the least.
+func (b *Balancer) weight(i int, heft, least float64) float64 {
+	if b.zone[i] != b.dep.Zone {
 		heft *= max(b.away, least)
 	}
 	return heft
@@ -752,7 +717,7 @@
 	b.rank, b.reach = b.rank[:0], len(v.servers)
 	sum, top := 0.0, 0.0
 	for n, i := range v.servers {
-		w := b.weight(i, c.view, v.heft[n], 0)
+		w := b.weight(i, v.heft[n], 0)
 		sum, top = sum+w, max(top, w)
 		b.rank = append(b.rank, ranked{i, score(w, c.place, b.id[i])})
 	}
@@ -764,7 +729,7 @@
 		b.reach = min(b.reach, home+reachFar)
 		first := b.rank[:min(home, len(b.rank))]
 		for n, r := range first {
-			first[n].score = score(b.weight(r.server, c.view, b.heft[r.server], 0), c.key, b.id[r.server])
+			first[n].score = score(b.weight(r.server, b.heft[r.server], 0), c.key, b.id[r.server])
 		}
 		slices.SortFunc(first, higher)
 	}
@@ -787,7 +752,7 @@
 	sum, load, heft := 0.0, c.load, 1e-9
 	for _, i := range v.servers {
 		if load += b.known(i); !b.aside[i] {
-			sum += b.weight(i, b.dep.Zone, b.heft[i], spill) * b.warmth(i)
+			sum += b.weight(i, b.heft[i], spill) * b.warmth(i)
 			heft += b.heft[i] * b.warmth(i)
 		}
 	}
@@ -810,7 +775,7 @@
 // passed tells whether a circuit passes server i over at a step; sum is the weight of all servers, even the load
 // for its heft that one takes unproven. Guards against all of a restarted balancer on a zone's one sound server.
 func (b *Balancer) passed(c *circuit, i, step int, sum, even float64) bool {
-	w := b.weight(i, b.dep.Zone, b.heft[i], spill) * b.warmth(i)
+	w := b.weight(i, b.heft[i], spill) * b.warmth(i)
 	limit := 2*float64(b.total)*w/max(sum, 1e-9) + 2
 	if step < byAside && (b.aside[i] || slices.Contains(c.tried, i)) || step < byCrowd && b.busy(i, crowded) ||
 		step < byLimit && (b.cool(c, i) || float64(len(b.held[i])) > limit ||
@@ -835,42 +800,10 @@
 	return v
 }
 
-// holder guesses who holds a mid-flow arrival: the pick of the newest kept version that is not draining, as a
-// balancer of the zone would see it whose guesses were right of late. Guards against losing all connections
-// of a zone whose last balancer is gone.
-func (b *Balancer) holder(c *circuit) int {
-	best := 0.0
-	for z, trust := range b.found {
-		// A little chance, or two zones of equal trust were all right or all wrong.
-		if f := trust + 0.02*b.random(); f > best {
-			best, c.view = f, z
-		}
-	}
-	if best < foundLeast { // mostly wrong: a connection that is set up anew needs a server with room
-		c.view = b.dep.Zone
-		return -1
-	}
-	for n := len(b.pools) - 1; n >= 0; n-- {
-		for _, r := range b.order(c, b.pools[n]) {
-			if i := r.server; b.aside[i] || b.cool(c, i) {
-				continue
-			} else if b.mayTry(c, i) {
-				return i
-			}
-			break
-		}
-	}
-	return -1
-}
-
 // ---- Decisions.
 
 // Next answers one decision; false when there is none for now.
 func (b *Balancer) Next() (Decision, bool) {
-	if b.watchAt <= b.now {
-		b.watchAt = b.now + max(b.dep.AskWithin, time.Second) // asked again if no answer comes
-		return Decision{Do: Watch}, true
-	}
 	if b.tellAt <= b.now && len(b.pools) > 0 {
 		b.tellAt = b.now + tellEvery
 		return Decision{Do: Tell, Text: b.tell()}, true
@@ -898,7 +831,7 @@
 
 // Wake answers when Next wants to be called again at the latest.
 func (b *Balancer) Wake() (at time.Duration, ok bool) {
-	at = min(b.roundAt, b.watchAt, b.tellAt)
+	at = min(b.roundAt, b.tellAt)
 	for _, c := range b.waiting {
 		at = min(at, c.waits)
 	}
@@ -923,21 +856,16 @@
 
 // settle decides on a circuit: a setup try, a nack or a break-off. None that is given up is ever held back.
 func (b *Balancer) settle(c *circuit) (Decision, bool) {
-	i, found := -1, false
 	if c.answered {
 		return Decision{}, false
 	}
 	b.tally(0, 0)
 	c.draw, c.wanted = b.random(), false
-	if len(b.pools) > 0 && b.leaveBy == never { // whoever is set up now would have to move at once
-		if c.midFlow && c.tries == 0 { // costs next to nothing where found: neither brake nor room count
-			i = b.holder(c)
-			found = i >= 0
-		}
+	i := -1
+	// While it leaves, whoever is set up now would have to move at once.
+	if len(b.pools) > 0 && b.leaveBy == never && !(b.throttled(c) && b.mayNack(c)) {
 		// Guards against jams that no server comes out of: a newcomer that finds only jammed servers is nacked.
-		if throttled := b.throttled(c); i < 0 && !(throttled && b.mayNack(c)) {
-			i = b.pick(c, b.newest(), byAside)
-		}
+		i = b.pick(c, b.newest(), byAside)
 	}
 	if i < 0 {
 		c.answered = true
@@ -950,7 +878,7 @@
 		}
 		return d, true
 	}
-	if asked := b.probing[i]; !found && b.asksFirst(c, i) {
+	if asked := b.probing[i]; b.asksFirst(c, i) {
 		b.probing[i] = true
 		return Decision{Do: Probe, Server: b.id[i]}, !asked
 	}
@@ -981,12 +909,9 @@
 	}
 	for i := range b.id {
 		if b.state[i] == Ready && b.warmth(i) < 1 {
-			b.colds += b.weight(i, b.dep.Zone, b.draws(i), 3*spill)
+			b.colds += b.weight(i, b.draws(i), 3*spill)
 		}
 	}
-	for z := range b.found {
-		b.found[z] += (0.5 - b.found[z]) / 50
-	}
 	b.tally(0, 0)
 	for i := range b.id {
 		if b.state[i] == Gone {
@@ -1057,7 +982,7 @@
 	}) {
 		again := *c // as it will come again
 		again.open, again.tries, again.tried, again.ranOn = false, 0, nil, -1
-		again.view, again.wanted = b.dep.Zone, true
+		again.wanted = true
 		j := b.pick(&again, b.newest(), byAll)
 		if j >= 0 && j != i && !b.part(c, &load) {
 			return
--- a/policy/types.go
+++ b/policy/types.go
@@ -42,14 +42,12 @@
 	Grades        []Grade
 	Tenants       []Tenant
 	ExcessUtility float64 // utility beyond a tenant's share, as a part of the usual
-	AskForList    bool    // the list of servers comes only when asked for
 	MayProbe      bool
 	MayTell       bool // balancers may send each other short messages, which come late or never
 	HeftExact     bool // heft is the size that a server was registered with, not a guess
 	MayAdvise     bool // nacks may carry a wait
 	LongestAdvice time.Duration
 	MostTries     int
-	AskWithin     time.Duration
 	FallMultiple  float64
 	FallFor       time.Duration
 	ColdFrom      float64
@@ -88,14 +86,13 @@
 
 // Arrival is a circuit as it is taken. Left is what remains of its outer limit.
 type Arrival struct {
-	ID      CircuitID
-	Key     uint64
-	Group   uint64
-	Tenant  int
-	Grade   int
-	Left    time.Duration
-	MidFlow bool
-	Load    float64 // usual load, work in microseconds a second; 0 where not told
+	ID     CircuitID
+	Key    uint64
+	Group  uint64
+	Tenant int
+	Grade  int
+	Left   time.Duration
+	Load   float64 // usual load, work in microseconds a second; 0 where not told
 }
 
 // Outcome is how a setup try or a probe ended.
@@ -131,7 +128,6 @@
 	BreakOff             // final answer without a promise
 	Move                 // end an open connection politely
 	Probe                // probe Server
-	Watch                // ask for the list of servers and its changes
 	Tell                 // send Text to every other balancer
 )
 
