--- a/policy/policy.go
+++ b/policy/policy.go
@@ -121,6 +121,7 @@
 	trying, total      int            // setup tries out; connections and setup tries held
 	group              map[uint64]int // the same by group
 	tenant             []int          // the same by tenant
+	warmMean           float64        // connections held at a warm server
 	usual              float64        // usual load of a connection, learned
 	usualOf            []float64      // the same by grade
 	good, bad          float64        // setup tries that came to stand lately, and that failed
@@ -661,12 +662,12 @@
 }
 
 // mayWarm tells whether a circuit may go to a cold server. All balancers together may send it, each span in
-// which it could fall, as many connections as servers hold on the mean, times the multiple and cut to its
+// which it could fall, as many connections as warm servers hold on the mean, times the multiple and cut to its
 // warmth, over a third of the warm-up. A balancer's part of that may be far under one: then it lets in so
 // much of what comes to a cold server, by one chance a decision. Guards against two hundred balancers that
 // send one each, and against cold servers that stay empty: a part dealt out before is lost where none comes.
 func (b *Balancer) mayWarm(c *circuit, i int) bool {
-	mean := max(coldLeast/float64(b.dep.Peers), float64(b.total)/float64(max(len(b.newest().servers), 1)))
+	mean := max(coldLeast/float64(b.dep.Peers), b.warmMean)
 	spans := max(float64(b.dep.ColdFor)/coldFill/float64(max(b.dep.FallFor, 1)), 1)
 	part := b.dep.FallMultiple * b.warmth(i) * mean / spans
 	if b.now-b.paidAt[i] >= b.dep.FallFor { // what is not used is lost, or all would spend it at once
@@ -907,11 +908,16 @@
 		b.leave()
 		return
 	}
+	held, warm := 0, 0
 	for i := range b.id {
-		if b.state[i] == Ready && b.warmth(i) < 1 {
+		if b.state[i] == Ready && b.warmth(i) >= 1 {
+			held, warm = held+len(b.held[i]), warm+1
+		} else if b.state[i] == Ready {
 			b.colds += b.weight(i, b.draws(i), 3*spill)
 		}
 	}
+	// Of the warm ones alone: the mean of all sinks while many are cold, and those were never filled.
+	b.warmMean = float64(held) / float64(max(warm, 1))
 	b.tally(0, 0)
 	for i := range b.id {
 		if b.state[i] == Gone {
