Newcomers pass a server over from the first slow note on

Notes come from a third of the shortest goal on, the edge stood at 0.38 of it: the first told nothing.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,7 +55,7 @@
 type edge struct{ delay, asked float64 }
 
 var (
-	crowded = edge{0.38, 0.70} // from here newcomers pass it
+	crowded = edge{0.30, 0.70} // from here newcomers pass it
 	jammed  = edge{0.55, 0.85} // from here connections are moved away
 	far     = edge{1.10, 1.70} // from here twice as many
 	lost    = edge{1.00, 1.05} // from here they are ended where there is no other place
