Settings are loaded without a restart, both ways; messages between balancers on sockets

SIGHUP now has settings and peers hold in one turn of the loop: circuits that wait, are out or stand keep their grade's promise and get the new rows by name; the list is taken again for its zones; a fault anywhere leaves all as it was. internal/peers words the messages for both programs and carries them by UDP. Tests: the move and the way back, twice, with a circuit standing and a try out, under the race detector; a strange sender, garbled messages; module: what others hold, grades and tenants that are gone.

--- a/cmd/sabletally/main.go
+++ b/cmd/sabletally/main.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"math"
 	"net"
 	"os"
@@ -62,6 +63,10 @@
 		log.Error("can't start", zap.Error(err))
 		return 2
 	}
+	if err := l.Reconfigure(s.Deployment, s.Peers); err != nil {
+		log.Error("can't start", zap.NamedError("peers.listen", err))
+		return 2
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	l.Follow(ctx, s.Discovery)
@@ -77,7 +82,7 @@
 			case sig == syscall.SIGUSR1:
 				l.Report("asked")
 			case sig == syscall.SIGHUP:
-				reload(ctx, log, l, s)
+				s = reload(ctx, log, l, s)
 			case exit == nil:
 				longest := time.Duration(0)
 				for _, limit := range s.Deployment.OuterLimits {
@@ -98,18 +103,26 @@
 	}
 }
 
-// reload reads the configuration again and follows the discovery that it names; all else takes a restart.
-// Guards against a file that is bad or half written: what was told before then holds.
-func reload(ctx context.Context, log *zap.Logger, l *balancer.Loop, was *deployment.Station) {
+// reload reads the configuration again, has its settings and peers hold and follows the discovery that it names; the
+// rest takes a restart. It answers what holds now. Guards against a file that is bad or half written: what was told
+// before then holds whole.
+func reload(ctx context.Context, log *zap.Logger, l *balancer.Loop, was *deployment.Station) *deployment.Station {
 	s, err := deployment.ReadStation(os.Getenv, true)
+	if err == nil {
+		if err = l.Reconfigure(s.Deployment, s.Peers); err != nil {
+			err = fmt.Errorf("peers.listen: %w", err)
+		}
+	}
 	if err != nil {
 		l.ReloadErrors.Add(1)
 		log.Error("can't reload: the old configuration holds", zap.Error(err))
-		return
+		return was
 	}
 	l.Reloads.Add(1)
 	log.Info("reloaded", zap.String("discovery", s.Discovery), zap.Bool("restart-for-the-rest", s.Fixed != was.Fixed))
 	l.Follow(ctx, s.Discovery)
+	s.Fixed = was.Fixed
+	return s
 }
 
 // aside takes netpoll's own log, under one name, so that it is held to so many lines as any other.
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -6,11 +6,13 @@
 package balancer
 
 import (
+	"cmp"
 	"container/heap"
 	"context"
 	"fmt"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +22,7 @@
 	"sabletally/internal/deployment"
 	"sabletally/internal/discovery"
 	"sabletally/internal/line"
+	"sabletally/internal/peers"
 	"sabletally/internal/relay"
 	"sabletally/policy"
 )
@@ -47,6 +50,8 @@
 	fds   atomic.Int64 // descriptors of connections
 	most  int64        // of those at most
 
+	link     *peers.Link // to the other balancers, nil where they are not told
+	linked   *peers.Link // the newest one that was opened, which only Reconfigure looks at
 	relays   *relay.Shards
 	watch    *discovery.Watch
 	unwatch  context.CancelFunc // ends it
@@ -98,20 +103,13 @@
 
 // New makes a balancer from what it was told at its start; sockets is the most descriptors it may hold.
 func New(log *zap.Logger, dep *deployment.Deployment, seed uint64, known discovery.List, sockets int) (*Loop, error) {
-	// Where servers report no load a probe's time tells of it: to the module that is a report all the same.
-	p := *dep.Policy
-	p.ReportsOnAsk = p.MayProbe
 	l := &Loop{
-		log: log, dep: dep, bal: policy.New(&p, seed), start: time.Now(),
+		log: log, bal: policy.New(onSockets(dep), seed), start: time.Now(),
 		wake: make(chan struct{}, 1), most: int64(max(sockets-keptFds, 2)),
 		servers: map[policy.ServerID]*server{}, byUID: map[string]*server{},
 		circuits: map[policy.CircuitID]*circuit{}, byAsk: map[uint64]*circuit{}, door: newDoor(),
 	}
-	for _, g := range p.Grades {
-		if g.MessageGoal > 0 && (l.goal == 0 || g.MessageGoal < l.goal) {
-			l.goal = g.MessageGoal
-		}
-	}
+	l.settings(dep)
 	var err error
 	if l.relays, err = relay.New(runtime.GOMAXPROCS(0)-1, relays{l}, &l.fds); err != nil {
 		return nil, err
@@ -123,6 +121,99 @@
 	return l, nil
 }
 
+// onSockets is what the module goes by here: where servers report no load a probe's time tells of it, which is a
+// report all the same.
+func onSockets(dep *deployment.Deployment) *policy.Deployment {
+	p := *dep.Policy
+	p.ReportsOnAsk = p.MayProbe
+	return &p
+}
+
+// settings has a deployment hold for the loop itself.
+func (l *Loop) settings(dep *deployment.Deployment) {
+	l.dep, l.goal = dep, 0
+	for _, g := range dep.Policy.Grades {
+		if g.MessageGoal > 0 && (l.goal == 0 || g.MessageGoal < l.goal) {
+			l.goal = g.MessageGoal
+		}
+	}
+}
+
+// Reconfigure has new settings and other peers hold, in one turn of the loop. What is taken in stays: circuits that
+// wait, tries that are out and what stands go on, known by the new rows of their grade and tenant. An error means that
+// all is as before.
+func (l *Loop) Reconfigure(dep *deployment.Deployment, at deployment.Peers) error {
+	link, err := l.connect(dep, at)
+	if err != nil {
+		return err
+	}
+	l.post(event{do: func() {
+		grades, tenants := rows(l.dep.Grades, dep.Grades), rows(l.dep.Tenants, dep.Tenants)
+		for _, cir := range l.circuits {
+			cir.arrival.Grade = policy.Moved(grades, cir.arrival.Grade, len(dep.Grades))
+			cir.arrival.Tenant = policy.Moved(tenants, cir.arrival.Tenant, len(dep.Tenants))
+		}
+		l.settings(dep)
+		l.bal.Reconfigure(onSockets(dep), grades, tenants)
+		if l.link != nil && l.link != link {
+			l.link.Close()
+		}
+		l.link = link
+		// The list again: its zones have other numbers now.
+		again := discovery.List{Whole: true}
+		for _, sv := range l.servers {
+			if sv.state != policy.Gone {
+				again.Servers = append(again.Servers, sv.listedAs)
+			}
+		}
+		slices.SortFunc(again.Servers, func(x, y discovery.Server) int { return cmp.Compare(x.UID, y.UID) })
+		l.list(again, true)
+		l.log.Info("settings", zap.Int("held", len(l.circuits)), zap.Int("open", l.open), zap.Bool("told", link != nil))
+	}})
+	return nil
+}
+
+// connect opens the link to the other balancers, or takes the one that there is where it listens at the same address.
+// It is called by one goroutine, which is not the loop's.
+func (l *Loop) connect(dep *deployment.Deployment, at deployment.Peers) (*peers.Link, error) {
+	if !dep.Policy.MayTell {
+		l.linked = nil
+		return nil, nil
+	}
+	if l.linked != nil && l.linked.At() == at.Listen {
+		l.linked.Know(at.Others)
+		return l.linked, nil
+	}
+	var link *peers.Link
+	ready := make(chan struct{})
+	link, err := peers.Open(at.Listen, at.Others, func(from int, t policy.Told, done func()) {
+		<-ready
+		l.post(event{do: func() {
+			if done(); l.link == link {
+				l.bal.PeerTold(from, t)
+			}
+		}})
+	})
+	close(ready)
+	if err != nil {
+		return nil, err
+	}
+	l.linked = link
+	return link, nil
+}
+
+// rows tells the new place of each old name, -1 for one that is gone.
+func rows(was, now map[string]int) []int {
+	all := make([]int, len(was))
+	for name, i := range was {
+		all[i] = -1
+		if j, stays := now[name]; stays {
+			all[i] = j
+		}
+	}
+	return all
+}
+
 // Follow has the loop follow discovery's list at an address, in place of the one before: that one is ended, and
 // what it still has to say is void, or an old list would win over the new one's.
 func (l *Loop) Follow(ctx context.Context, address string) {
@@ -284,6 +375,11 @@
 	case policy.Probe:
 		l.ask(d.Server)
 		return
+	case policy.Tell:
+		if l.link != nil {
+			l.link.Tell(d.Told)
+		}
+		return
 	}
 	c := l.circuits[d.Circuit]
 	if c == nil {
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -55,6 +55,9 @@
 	Prices struct {
 		CrossZone float64
 	}
+	Goal struct {
+		Nines, NinesWanted float64
+	}
 	Report struct {
 		Fields []string
 		How    string
@@ -124,6 +127,9 @@
 	default:
 		return nil, fmt.Errorf("Specifics.Mode %q is not known", s.Specifics.Mode)
 	}
+	if p.Nines, p.NinesWanted = s.Goal.Nines, s.Goal.NinesWanted; p.Nines < 0 || p.NinesWanted < 0 {
+		return nil, fmt.Errorf("Goal.Nines or Goal.NinesWanted is below 0")
+	}
 	switch s.Weights {
 	case "", "none", "nominal", "rough", "live":
 	default:
--- a/internal/deployment/station.go
+++ b/internal/deployment/station.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/netip"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 
 	"sabletally/internal/discovery"
@@ -22,9 +24,16 @@
 	Sockets    int
 	Known      discovery.List
 	Deployment *Deployment
+	Peers      Peers
 	Fixed      string // what only a start takes in, as text
 }
 
+// Peers is where a balancer hears of the others and where it tells them; nothing where none are told.
+type Peers struct {
+	Listen netip.AddrPort
+	Others []netip.AddrPort
+}
+
 // ReadStation reads the file that EDGE_CONFIG names; the other variables win over it. When it is read again the
 // file has been replaced since the variables were set: its discovery then wins. Errors name the key.
 func ReadStation(env func(string) string, again bool) (*Station, error) {
@@ -45,6 +54,10 @@
 		}
 		Known    json.RawMessage
 		Settings json.RawMessage
+		Peers    *struct {
+			Listen string
+			Others []string
+		}
 	}
 	if err := json.Unmarshal(text, &in); err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG: %v", err)
@@ -77,13 +90,36 @@
 	case s.Sockets < 64:
 		return nil, fmt.Errorf("limits.sockets is missing or below 64")
 	}
-	s.Fixed = fmt.Sprint(s.Name, s.Listen, in.Limits, string(in.Settings))
+	s.Fixed = fmt.Sprint(s.Name, s.Listen, in.Limits, in.Seed)
 	if s.Known, err = discovery.Decode(in.Known); err != nil {
 		return nil, fmt.Errorf("known: %v", err)
 	}
 	if s.Deployment, err = Read(in.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %v", err)
 	}
+	if !s.Deployment.Policy.MayTell {
+		return s, nil
+	}
+	// Guards against balancers that take themselves for told of what the others hold, and are not.
+	if in.Peers == nil {
+		return nil, fmt.Errorf("peers is missing while settings.Limits.Peers is true")
+	}
+	if s.Peers.Listen, err = netip.ParseAddrPort(in.Peers.Listen); err != nil {
+		return nil, fmt.Errorf("peers.listen: %v", err)
+	}
+	for i, other := range in.Peers.Others {
+		a, err := netip.ParseAddrPort(other)
+		if err != nil {
+			return nil, fmt.Errorf("peers.others[%d]: %v", i, err)
+		}
+		if a == s.Peers.Listen || slices.Contains(s.Peers.Others, a) {
+			return nil, fmt.Errorf("peers.others[%d]: %v stands there twice or is this balancer's own", i, a)
+		}
+		s.Peers.Others = append(s.Peers.Others, a)
+	}
+	if n := s.Deployment.Policy.Peers - 1; len(s.Peers.Others) != n {
+		return nil, fmt.Errorf("peers.others: %d addresses, settings.PeersTotal asks for %d", len(s.Peers.Others), n)
+	}
 	return s, nil
 }
 
--- /dev/null
+++ b/internal/peers/link.go
@@ -0,0 +1,95 @@
+package peers
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+
+	"sabletally/policy"
+)
+
+const (
+	waitMost  = 4    // messages that wait to be sent; more are dropped
+	heardMost = 1024 // messages that wait to be taken in; more are dropped
+)
+
+// Link is one balancer's socket for the messages. Others are known by the address that they send from, which is the one
+// that they listen at.
+type Link struct {
+	conn   *net.UDPConn
+	others atomic.Pointer[[]netip.AddrPort]
+	send   chan []byte
+	told   func(from int, t policy.Told, done func())
+	wait   atomic.Int64
+
+	Sent, Heard, Dropped atomic.Int64 // messages; dropped: of strangers, unreadable, or too many
+}
+
+// Open listens at an address and knows the others, whose numbers are their places. What they tell goes to told, which
+// must not block and calls done when the message is taken in.
+func Open(listen netip.AddrPort, others []netip.AddrPort, told func(from int, t policy.Told, done func())) (*Link, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(listen))
+	if err != nil {
+		return nil, err
+	}
+	l := &Link{conn: conn, send: make(chan []byte, waitMost), told: told}
+	l.Know(others)
+	go l.read()
+	go l.write()
+	return l, nil
+}
+
+// Know has others take the place of those known before.
+func (l *Link) Know(others []netip.AddrPort) { l.others.Store(&others) }
+
+// At is the address that it listens at.
+func (l *Link) At() netip.AddrPort { return l.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// Tell sends a message to every other balancer, beside the caller. It is called by one goroutine, none after Close.
+func (l *Link) Tell(t policy.Told) {
+	select {
+	case l.send <- Encode(t):
+	default:
+		l.Dropped.Add(1)
+	}
+}
+
+// Close ends both ways at once; what has not been sent is lost.
+func (l *Link) Close() {
+	close(l.send)
+	l.conn.Close()
+}
+
+func (l *Link) write() {
+	for text := range l.send {
+		for _, other := range *l.others.Load() {
+			if _, err := l.conn.WriteToUDPAddrPort(text, other); err == nil {
+				l.Sent.Add(1)
+			}
+		}
+	}
+}
+
+func (l *Link) read() {
+	text := make([]byte, Most+1)
+	for {
+		n, from, err := l.conn.ReadFromUDPAddrPort(text)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue // nobody listened at an address that was sent to: the kernel tells it with the next read
+		}
+		number := slices.Index(*l.others.Load(), netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		t, err := Decode(text[:n])
+		if number < 0 || err != nil || l.wait.Load() >= heardMost {
+			l.Dropped.Add(1)
+			continue
+		}
+		l.Heard.Add(1)
+		l.wait.Add(1)
+		l.told(number, t, func() { l.wait.Add(-1) })
+	}
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,72 @@
+package peers
+
+import (
+	"math"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"sabletally/policy"
+)
+
+func TestWhatIsToldIsRead(t *testing.T) {
+	for _, loads := range [][]float64{nil, {0, 0}, {1, 0, 3}, {18410.5, 92000, 1}, slices.Repeat([]float64{7e4}, policy.MostTold)} {
+		told := policy.Told{Mark: 0xdeadbeef, First: 240, Loads: loads, Jammed: make([]bool, len(loads))}
+		if len(loads) > 1 {
+			told.Jammed[1] = true
+		}
+		text := Encode(told)
+		if len(text) > Most {
+			t.Fatalf("%d bytes", len(text))
+		}
+		got, err := Decode(text)
+		if err != nil || got.Mark != told.Mark || got.First != 240 || !slices.Equal(got.Jammed, told.Jammed) {
+			t.Fatalf("%+v, %v", got, err)
+		}
+		for n, load := range loads {
+			if math.Abs(got.Loads[n]-load) > slices.Max(loads)/250 {
+				t.Errorf("%v is read as %v", load, got.Loads[n])
+			}
+		}
+	}
+	nan := Encode(policy.Told{})
+	copy(nan[6:], []byte{0, 0, 0xc0, 0x7f})
+	for _, bad := range [][]byte{nil, make([]byte, head-1), make([]byte, Most+1), nan} {
+		if _, err := Decode(bad); err == nil {
+			t.Errorf("%d bytes are read", len(bad))
+		}
+	}
+}
+
+func TestOnlyTheOthersAreHeard(t *testing.T) {
+	heard := make(chan int, 8)
+	told := func(from int, _ policy.Told, done func()) { done(); heard <- from }
+	any := netip.MustParseAddrPort("127.0.0.1:0")
+	var links []*Link
+	for range 3 {
+		l, err := Open(any, nil, told)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		links = append(links, l)
+	}
+	a, b, stranger := links[0], links[1], links[2]
+	a.Know([]netip.AddrPort{any, b.At()}) // nobody listens at the first
+	b.Know([]netip.AddrPort{a.At()})
+	stranger.Know([]netip.AddrPort{a.At()})
+	stranger.Tell(policy.Told{})
+	for end := time.Now().Add(10 * time.Second); a.Dropped.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the stranger's message is not seen")
+		}
+	}
+	b.Tell(policy.Told{})
+	if from := <-heard; from != 1 || a.Heard.Load() != 1 {
+		t.Fatalf("heard from %d, %d messages", from, a.Heard.Load())
+	}
+	if _, err := Open(a.At(), nil, told); err == nil {
+		t.Fatal("two listen at one address")
+	}
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"sabletally/internal/deployment"
+	"sabletally/internal/peers"
 	"sabletally/policy"
 )
 
@@ -243,7 +244,9 @@
 		if err != nil {
 			return err
 		}
-		b.PeerTold(int(le.Uint32(rec[5:])), text)
+		if t, err := peers.Decode(text); err == nil { // another's fault is no reason to end
+			b.PeerTold(int(le.Uint32(rec[5:])), t)
+		}
 	case evFired:
 		if due := us(int64(h.clock - in.opened)); in.timerOn && in.timerAt <= due {
 			in.timerOn = false
@@ -409,8 +412,9 @@
 			rec := h.put(acSignal, in.number, 0)
 			le.PutUint16(rec[5:], everyPeer)
 			le.PutUint32(rec[7:], uint32(len(h.tail)))
-			le.PutUint32(rec[11:], uint32(len(d.Text)))
-			h.tail = append(h.tail, d.Text...)
+			text := peers.Encode(d.Told)
+			le.PutUint32(rec[11:], uint32(len(text)))
+			h.tail = append(h.tail, text...)
 		}
 	}
 	if at, ok := in.bal.Wake(); ok && (!in.timerOn || at < in.timerAt) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -8,7 +8,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"math"
 	"math/bits"
 	"slices"
@@ -17,7 +16,6 @@
 
 const (
 	tellEvery    = 2 * time.Second        // between two messages to the other balancers
-	tellSpan     = 240                    // servers told of in one
 	toldFor      = 7 * time.Second        // how long a message counts: some are lost
 	versionCap   = 64                     // kept versions; beyond it the oldest is dropped
 	roundEvery   = 250 * time.Millisecond // how often moves and probes are considered
@@ -160,26 +158,45 @@
 // New starts a balancer.
 func New(dep *Deployment, seed uint64) *Balancer {
 	b := &Balancer{
-		dep: dep, chance: seed&0xffffffff | 1<<32, goal: never,
-		leaveBy: never, away: max(0.02, 1-12*dep.CrossingPrice),
+		chance: seed&0xffffffff | 1<<32, leaveBy: never,
 		index: map[ServerID]int{}, circuit: map[CircuitID]*circuit{}, group: map[uint64]int{},
-		usualOf: make([]float64, len(dep.Grades)), tenant: make([]int, len(dep.Tenants)+1),
 	}
+	b.Reconfigure(dep, nil, nil)
+	b.roundAt = time.Duration(b.random() * float64(roundEvery))
+	return b
+}
+
+// Reconfigure has a Deployment hold in place of the one before; the other two tell the new rows of the grades and
+// tenants before, -1 for those that are gone. What is held stays, and each circuit keeps the grade that it came with:
+// what it was promised holds. Learned loads of a grade that is gone are forgotten.
+func (b *Balancer) Reconfigure(dep *Deployment, grades, tenants []int) {
+	usual := make([]float64, len(dep.Grades)+1)
+	for row, now := range grades {
+		if now >= 0 {
+			usual[now] = b.usualOf[row]
+		}
+	}
+	b.dep, b.usualOf, b.tenant = dep, usual, make([]int, len(dep.Tenants)+1)
+	for _, c := range b.circuit {
+		c.row, c.tenant = Moved(grades, c.row, len(dep.Grades)), Moved(tenants, c.tenant, len(dep.Tenants))
+		if c.out || c.open {
+			b.tenant[c.tenant]++
+		}
+	}
+	b.goal, b.away = never, max(0.02, 1-12*dep.CrossingPrice)
 	for _, g := range dep.Grades {
 		if g.MessageGoal > 0 {
 			b.goal = min(b.goal, g.MessageGoal)
 		}
 	}
-	b.roundAt = time.Duration(b.random() * float64(roundEvery))
-	if b.evenMost, b.tellAt = math.Inf(1), never; dep.ReportsOnAsk || dep.HeftExact {
+	if b.evenMost = math.Inf(1); dep.ReportsOnAsk || dep.HeftExact {
 		b.evenMost = evenMost
 	}
+	b.tellAt, b.peers = never, nil
 	if dep.MayTell {
-		b.evenMost = evenTold
-		b.tellAt = time.Duration(b.random() * float64(tellEvery))
-		b.peers = make([]peer, dep.Peers)
+		b.evenMost, b.peers = evenTold, make([]peer, dep.Peers)
+		b.tellAt = b.now + time.Duration(b.random()*float64(tellEvery))
 	}
-	return b
 }
 
 // random draws from [0, 1) with a multiply-with-carry generator.
@@ -450,51 +467,34 @@
 
 // ---- The other balancers.
 
-// tell words what this balancer holds and finds crowded: the mark of its newest version, the place of the first server
-// told of, the unit of load (a float32), then a byte for each server: its load in 127ths, and the high bit where its
-// messages take long. Lists differ for seconds: what does not fit the reader's newest version is not read.
-func (b *Balancer) tell() []byte {
+// tell gathers what this balancer holds and finds jammed, of the next part of its newest version.
+func (b *Balancer) tell() Told {
 	v := b.newest()
 	if b.tellFrom >= len(v.servers) {
 		b.tellFrom = 0
 	}
-	part := v.servers[b.tellFrom:min(b.tellFrom+tellSpan, len(v.servers))]
-	unit := float32(1e-9)
-	for _, i := range part {
-		unit = max(unit, float32(b.load[i]/127))
+	t := Told{Mark: v.mark, First: b.tellFrom}
+	for _, i := range v.servers[b.tellFrom:min(b.tellFrom+MostTold, len(v.servers))] {
+		t.Loads = append(t.Loads, b.load[i])
+		t.Jammed = append(t.Jammed, len(b.held[i]) > 0 && b.busy(i, jammed))
 	}
-	text := binary.LittleEndian.AppendUint32(make([]byte, 0, tellSpan+10), v.mark)
-	text = binary.LittleEndian.AppendUint16(text, uint16(b.tellFrom))
-	text = binary.LittleEndian.AppendUint32(text, math.Float32bits(unit))
-	for _, i := range part {
-		told := byte(min(math.Round(b.load[i]/float64(unit)), 127))
-		if len(b.held[i]) > 0 && b.now-b.delayAt[i] <= noteFresh && b.busy(i, jammed) {
-			told |= 0x80
-		}
-		text = append(text, told)
-	}
-	b.tellFrom += tellSpan
-	return text
+	b.tellFrom += MostTold
+	return t
 }
 
-// PeerTold takes another balancer's message; from is its number. What cannot be read is passed by.
-func (b *Balancer) PeerTold(from int, text []byte) {
-	if len(text) < 10 || from < 0 || from >= len(b.peers) || len(b.pools) == 0 ||
-		binary.LittleEndian.Uint32(text) != b.newest().mark {
+// PeerTold takes another balancer's message; from is its number. Lists differ for seconds: what does not fit the
+// newest version is passed by.
+func (b *Balancer) PeerTold(from int, t Told) {
+	if from < 0 || from >= len(b.peers) || len(b.pools) == 0 || t.Mark != b.newest().mark {
 		return
 	}
-	first, unit := int(binary.LittleEndian.Uint16(text[4:])), float64(math.Float32frombits(binary.LittleEndian.Uint32(text[6:])))
 	p, servers := &b.peers[from], b.newest().servers
 	for len(p.load) < len(b.id) {
 		p.load, p.at = append(p.load, 0), append(p.at, -never)
 	}
-	for n, told := range text[10:] {
-		if first+n >= len(servers) || !(unit >= 0 && unit < math.MaxFloat32) {
-			return
-		}
-		i := servers[first+n]
-		p.load[i], p.at[i] = float64(told&0x7f)*unit, b.now
-		if told&0x80 != 0 {
+	for n := 0; n < len(t.Loads) && t.First+n < len(servers); n++ {
+		i := servers[t.First+n]
+		if p.load[i], p.at[i] = t.Loads[n], b.now; t.Jammed[n] {
 			b.close(i, 0)
 		}
 	}
@@ -807,7 +807,7 @@
 func (b *Balancer) Next() (Decision, bool) {
 	if b.tellAt <= b.now && len(b.pools) > 0 {
 		b.tellAt = b.now + tellEvery
-		return Decision{Do: Tell, Text: b.tell()}, true
+		return Decision{Do: Tell, Told: b.tell()}, true
 	}
 	b.resume(-1)
 	for len(b.queue) > 0 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -480,3 +480,69 @@
 		t.Errorf("by pace it got %v", held)
 	}
 }
+
+// TestWhatOthersHoldFillsAServer guards against balancers that each take a full server for empty; a message of another
+// list says nothing, and what is old no longer counts.
+func TestWhatOthersHoldFillsAServer(t *testing.T) {
+	d := deployment()
+	d.Peers, d.MayTell, d.HeftExact = 3, true, true
+	b, o := started(d, fleet(4)), started(d, fleet(4))
+	key := uint64(0)
+	for id := CircuitID(1); key == 0; id++ { // a key whose first server is 100
+		if arrive(t, b, Arrival{ID: id, Key: uint64(id)}).Server == 100 {
+			key = uint64(id)
+		}
+	}
+	told := o.tell()
+	told.Loads[0] = 500
+	first := func(id CircuitID) ServerID {
+		d := arrive(t, b, Arrival{ID: id, Key: key})
+		b.SetUp(id, 0, ms)
+		return d.Server
+	}
+	bad := told
+	bad.Mark++
+	for n, m := range []Told{bad, told} {
+		b.PeerTold(1, m)
+		b.Clock(b.now + roundEvery)
+		pull(b)
+		if got := first(CircuitID(1000 + n)); (got == 100) != (n == 0) {
+			t.Fatalf("message %d: a circuit went to %d", n, got)
+		}
+	}
+	b.Clock(b.now + toldFor + roundEvery)
+	pull(b)
+	if b.others[b.index[100]] != 0 {
+		t.Fatalf("%v still counts", b.others)
+	}
+	if n := count(pull(o), Tell); n > 1 {
+		t.Fatalf("%d messages at once", n)
+	}
+}
+
+// TestNewSettingsKeepWhatIsHeld guards against circuits that lose their grade's promise, their place or their tenant's
+// count when settings of another shape come.
+func TestNewSettingsKeepWhatIsHeld(t *testing.T) {
+	d := deployment()
+	d.Grades[0].Effect = Unrepeatable
+	d.Tenants = []Tenant{{Connections: 5}}
+	b := started(d, fleet(3))
+	x := arrive(t, b, Arrival{ID: 1, Key: 1})
+	y := arrive(t, b, Arrival{ID: 2, Key: 2})
+	b.SetUp(2, 0, ms)
+	now := deployment()
+	now.Grades = append(now.Grades, now.Grades[0])
+	b.Reconfigure(now, []int{-1}, []int{-1})
+	if b.tenant[0] != 2 || b.total != 2 {
+		t.Fatalf("%d of the tenants that are gone, %d held", b.tenant[0], b.total)
+	}
+	b.TryEnded(1, 0, false, Failed) // it may have run: no other try, by the grade that it came with
+	if got := pull(b); len(got) != 1 || got[0].Do != BreakOff {
+		t.Fatalf("%+v at %d", got, x.Server)
+	}
+	b.Reconfigure(d, []int{0, -1}, nil)
+	b.TryEnded(2, 0, true, Succeeded)
+	if b.tenant[0] != 0 || b.total != 0 || len(b.held[b.index[y.Server]]) != 0 {
+		t.Fatalf("%v by tenant, %d held", b.tenant, b.total)
+	}
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -53,7 +53,17 @@
 	ColdFrom      float64
 	ColdFor       time.Duration
 	CrossingPrice float64
-	ReportsOnAsk  bool // probes bring load reports
+	Nines         float64 // weight of the nines in the goal, and how many are worth all of it; no decision
+	NinesWanted   float64 // goes by them yet: docs/assumptions.md tells what was tried
+	ReportsOnAsk  bool    // probes bring load reports
+}
+
+// Moved is the new row of an old one, and the last where that is gone; rows tells the new ones, -1 for what is gone.
+func Moved(rows []int, row, last int) int {
+	if row < len(rows) && rows[row] >= 0 {
+		return rows[row]
+	}
+	return last
 }
 
 // ServerID and CircuitID are used only at the door.
@@ -119,6 +129,18 @@
 // NoReport is a report that tells nothing.
 var NoReport = Report{-1, -1, -1}
 
+// MostTold is how many servers one message tells of.
+const MostTold = 240
+
+// Told is what a balancer tells the others: the load that it holds at servers of its newest version, as many as Jammed,
+// and whether they are jammed as it sees them.
+type Told struct {
+	Mark   uint32 // of that version: the same at every balancer that has the same list
+	First  int    // the place in it of the first server told of
+	Loads  []float64
+	Jammed []bool
+}
+
 // Verb is what a decision asks the host to do.
 type Verb uint8
 
@@ -128,7 +150,7 @@
 	BreakOff             // final answer without a promise
 	Move                 // end an open connection politely
 	Probe                // probe Server
-	Tell                 // send Text to every other balancer
+	Tell                 // send Told to every other balancer
 )
 
 // Decision is one thing for the host to do.
@@ -137,5 +159,5 @@
 	Circuit CircuitID
 	Server  ServerID
 	For     time.Duration
-	Text    []byte // of at most 256 bytes
+	Told    Told
 }
