--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -186,7 +186,7 @@
 	}
 	var link *peers.Link
 	ready := make(chan struct{})
-	link, err := peers.Open(at.Listen, at.Others, func(from int, t policy.Told, done func()) {
+	link, err := peers.Open(at.Listen, at.Others, &peers.Counts{Sent: &l.Sent, Heard: &l.Heard, Dropped: &l.Dropped}, func(from int, t policy.Told, done func()) {
 		<-ready
 		l.post(event{do: func() {
 			if done(); l.link == link {
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -24,17 +24,20 @@
 	told   func(from int, t policy.Told, done func())
 	wait   atomic.Int64
 
-	Sent, Heard, Dropped atomic.Int64 // messages; dropped: of strangers, unreadable, or too many
+	n *Counts
 }
 
+// Counts are sums over all links: messages sent and taken in, and those of strangers, unreadable, or too many.
+type Counts struct{ Sent, Heard, Dropped *atomic.Int64 }
+
 // Open listens at an address and knows the others, whose numbers are their places. What they tell goes to told, which
 // must not block and calls done when the message is taken in.
-func Open(listen netip.AddrPort, others []netip.AddrPort, told func(from int, t policy.Told, done func())) (*Link, error) {
+func Open(listen netip.AddrPort, others []netip.AddrPort, n *Counts, told func(from int, t policy.Told, done func())) (*Link, error) {
 	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(listen))
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{conn: conn, send: make(chan []byte, waitMost), told: told}
+	l := &Link{conn: conn, send: make(chan []byte, waitMost), told: told, n: n}
 	l.Know(others)
 	go l.read()
 	go l.write()
@@ -52,7 +55,7 @@
 	select {
 	case l.send <- Encode(t):
 	default:
-		l.Dropped.Add(1)
+		l.n.Dropped.Add(1)
 	}
 }
 
@@ -66,7 +69,7 @@
 	for text := range l.send {
 		for _, other := range *l.others.Load() {
 			if _, err := l.conn.WriteToUDPAddrPort(text, other); err == nil {
-				l.Sent.Add(1)
+				l.n.Sent.Add(1)
 			}
 		}
 	}
@@ -85,10 +88,10 @@
 		number := slices.Index(*l.others.Load(), netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 		t, err := Decode(text[:n])
 		if number < 0 || err != nil || l.wait.Load() >= heardMost {
-			l.Dropped.Add(1)
+			l.n.Dropped.Add(1)
 			continue
 		}
-		l.Heard.Add(1)
+		l.n.Heard.Add(1)
 		l.wait.Add(1)
 		l.told(number, t, func() { l.wait.Add(-1) })
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,8 +45,10 @@
 	told := func(from int, _ policy.Told, done func()) { done(); heard <- from }
 	any := netip.MustParseAddrPort("127.0.0.1:0")
 	var links []*Link
-	for range 3 {
-		l, err := Open(any, nil, told)
+	counts := make([]Counts, 3)
+	for n := range 3 {
+		counts[n] = Counts{new(atomic.Int64), new(atomic.Int64), new(atomic.Int64)}
+		l, err := Open(any, nil, &counts[n], told)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -57,16 +60,16 @@
 	b.Know([]netip.AddrPort{a.At()})
 	stranger.Know([]netip.AddrPort{a.At()})
 	stranger.Tell(policy.Told{})
-	for end := time.Now().Add(10 * time.Second); a.Dropped.Load() == 0; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(10 * time.Second); counts[0].Dropped.Load() == 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("the stranger's message is not seen")
 		}
 	}
 	b.Tell(policy.Told{})
-	if from := <-heard; from != 1 || a.Heard.Load() != 1 {
-		t.Fatalf("heard from %d, %d messages", from, a.Heard.Load())
+	if from := <-heard; from != 1 || counts[0].Heard.Load() != 1 {
+		t.Fatalf("heard from %d, %d messages", from, counts[0].Heard.Load())
 	}
-	if _, err := Open(a.At(), nil, told); err == nil {
+	if _, err := Open(a.At(), nil, &counts[0], told); err == nil {
 		t.Fatal("two listen at one address")
 	}
 }
