--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,6 +44,7 @@
 	evenTold     = 1.2                    // and where the others tell what they hold
 	reachFar     = 2                      // servers past a group's home that its members may go to
 	homeSpread   = 2.0                    // servers in a group's home, over its share of the connections
+	lateFrom     = 3                      // a set-up is late that takes over so-many-th of its goal: a queue somewhere
 	failedMost   = 2                      // servers that may fail a circuit before it is nacked
 	triesBesides = 9.0                    // tries out of all balancers besides, while some fail
 	tallyFor     = 3 * time.Second        // how long setup tries count in the tally
@@ -374,7 +375,7 @@
 	c.out, c.open, c.until = false, true, never
 	b.fails[c.server] *= 0.3
 	b.tally(1, 0)
-	if took > c.grade.SetupGoal { // late: a queue somewhere, though no failure yet
+	if took > c.grade.SetupGoal/lateFrom {
 		b.bad++
 	}
 }
