--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,7 +38,8 @@
 	spill        = 0.25                   // least share of a server in another zone in the limit
 	coolMore     = 1.7                    // so much of its least warmth a cold server is taken for
 	coldSlack    = 0.4                    // of its part, where that is let in by chance: by luck more come
-	coldFill     = 3                      // so-many-th of the warm-up in which a cold server may fill
+	coldFill     = 3.0                    // so-many-th of the warm-up in which a cold server may fill,
+	coldTold     = 6.0                    // and where the others tell what they hold
 	coldLeast    = 4.0                    // connections that a server is thought to hold, over all balancers
 	evenMost     = 2.0                    // so many times an even share of the load a server takes unproven,
 	evenTold     = 1.2                    // and where the others tell what they hold
@@ -663,13 +664,17 @@
 }
 
 // mayWarm tells whether a circuit may go to a cold server. All balancers together may send it, each span in
-// which it could fall, as many connections as warm servers hold on the mean, times the multiple and cut to its
+// which it could fall, as many connections as servers hold on the mean, times the multiple and cut to its
 // warmth, over a third of the warm-up. A balancer's part of that may be far under one: then it lets in so
 // much of what comes to a cold server, by one chance a decision. Guards against two hundred balancers that
 // send one each, and against cold servers that stay empty: a part dealt out before is lost where none comes.
 func (b *Balancer) mayWarm(c *circuit, i int) bool {
-	mean := max(coldLeast/float64(b.dep.Peers), b.warmMean)
-	spans := max(float64(b.dep.ColdFor)/coldFill/float64(max(b.dep.FallFor, 1)), 1)
+	mean, fill := float64(b.total)/float64(max(len(b.newest().servers), 1)), coldFill
+	if b.dep.MayTell { // less is left to chance: two hundred that tell nothing came near the rule with this
+		mean, fill = b.warmMean, coldTold
+	}
+	mean = max(mean, coldLeast/float64(b.dep.Peers))
+	spans := max(float64(b.dep.ColdFor)/fill/float64(max(b.dep.FallFor, 1)), 1)
 	part := b.dep.FallMultiple * b.warmth(i) * mean / spans
 	if b.now-b.paidAt[i] >= b.dep.FallFor { // what is not used is lost, or all would spend it at once
 		b.budget[i], b.paidAt[i] = max(1, math.Floor(part+b.random())), b.now
@@ -926,6 +931,9 @@
 		}
 		if !b.busy(i, crowded) {
 			// Of one connection too: room that grew only by a part never came back from near nothing.
+			if w := b.warmth(i); w < 1 { // what it can do grows, not only what is known of it
+				b.room[i] *= 1 + (1-b.dep.ColdFrom)*float64(roundEvery)/float64(b.dep.ColdFor)/w
+			}
 			b.room[i] += roomGrowth*b.room[i] + 0.3*cmp.Or(b.usual, 1)/float64(b.apart())
 		}
 		switch held := max(b.load[i], float64(len(b.held[i]))); {
