--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -95,25 +95,16 @@
 	client  *http.Client
 	news    func(List)
 	failed  func(error)
-	again   chan struct{}
 }
 
 // New prepares a watch; news and failed are called one at a time.
 func New(address string, news func(List), failed func(error)) *Watch {
 	return &Watch{
-		address: address, news: news, failed: failed, again: make(chan struct{}, 1),
+		address: address, news: news, failed: failed,
 		client: &http.Client{Transport: &http.Transport{Proxy: nil, MaxIdleConns: 1, MaxConnsPerHost: 2}},
 	}
 }
 
-// Again has a call that pauses after a failure made at once.
-func (w *Watch) Again() {
-	select {
-	case w.again <- struct{}{}:
-	default:
-	}
-}
-
 // Run follows the list until the context ends.
 func (w *Watch) Run(ctx context.Context) {
 	defer w.client.CloseIdleConnections()
@@ -141,7 +132,6 @@
 		pause = min(2*pause+50*time.Millisecond, pauseMost)
 		select {
 		case <-ctx.Done():
-		case <-w.again:
 		case <-time.After(pause):
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -45,7 +45,7 @@
 	evenTold     = 1.2                    // and where the others tell what they hold
 	reachFar     = 2                      // servers past a group's home that its members may go to
 	homeSpread   = 2.0                    // servers in a group's home, over its share of the connections
-	lateFrom     = 3                      // a set-up is late that takes over so-many-th of its goal: a queue somewhere
+	lateFrom     = 3                      // over so-many-th of its goal a set-up is late: a queue somewhere
 	failedMost   = 2                      // servers that may fail a circuit before it is nacked
 	triesBesides = 9.0                    // tries out of all balancers besides, while some fail
 	tallyFor     = 3 * time.Second        // how long setup tries count in the tally
@@ -168,9 +168,9 @@
 	return b
 }
 
-// Reconfigure has a Deployment hold in place of the one before; the other two tell the new rows of the grades and
-// tenants before, -1 for those that are gone. What is held stays, and each circuit keeps the grade that it came with:
-// what it was promised holds. Learned loads of a grade that is gone are forgotten.
+// Reconfigure has a Deployment hold in place of the one before; the other two tell the new rows of the old
+// grades and tenants, -1 for those that are gone. What is held stays; each circuit keeps the grade that it
+// came with: what it was promised holds. Learned loads of a grade that is gone are forgotten.
 func (b *Balancer) Reconfigure(dep *Deployment, grades, tenants []int) {
 	usual := make([]float64, len(dep.Grades)+1)
 	for row, now := range grades {
@@ -444,7 +444,7 @@
 		return
 	}
 	b.delay[i], b.delayAt[i] = delay, b.now
-	if len(b.held[i]) == 0 { // nothing of this balancer's had a part in it; guards against no room there for ever
+	if len(b.held[i]) == 0 { // nothing of ours had a part in it; guards against no room there for ever
 		return
 	}
 	if b.busy(i, jammed) {
@@ -484,8 +484,8 @@
 	return t
 }
 
-// PeerTold takes another balancer's message; from is its number. Lists differ for seconds: what does not fit the
-// newest version is passed by.
+// PeerTold takes another balancer's message; from is its number. Lists differ for seconds: what does not fit
+// the newest version is passed by.
 func (b *Balancer) PeerTold(from int, t Told) {
 	if from < 0 || from >= len(b.peers) || len(b.pools) == 0 || t.Mark != b.newest().mark {
 		return
@@ -536,7 +536,7 @@
 		b.fails[i] += failsBy[how]
 	}
 	// Jams. Guards also against more dead servers at once than may be set aside: no try goes on to them.
-	// Resets of what stood are no jam where a young report tells of room: with all servers resetting, none was left.
+	// Resets of what stood are no jam where a young report tells of room: once all reset, none was left.
 	told := b.now-b.askedAt[i] <= reportYoung && b.asked[i] < crowded.asked/2
 	if how == TurnedAway || how == ConnectFailed || how == Reset && c.open && !told {
 		b.close(i, c.load)
@@ -779,8 +779,8 @@
 	return w < 1 && unit(mix(c.key, ^uint64(b.id[i]))) >= coolMore*w
 }
 
-// passed tells whether a circuit passes server i over at a step; sum is the weight of all servers, even the load
-// for its heft that one takes unproven. Guards against all of a restarted balancer on a zone's one sound server.
+// passed tells whether a circuit passes server i over at a step; sum is the weight of all servers, even the
+// load for its heft that one takes. Guards against all of a restarted balancer on a zone's one sound server.
 func (b *Balancer) passed(c *circuit, i, step int, sum, even float64) bool {
 	w := b.weight(i, b.heft[i], spill) * b.warmth(i)
 	limit := 2*float64(b.total)*w/max(sum, 1e-9) + 2
