--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,6 +16,7 @@
 
 const (
 	tellEvery    = 2 * time.Second        // between two messages to the other balancers
+	tellMost     = 128                    // bytes told for each circuit that arrives, over all receivers
 	toldFor      = 7 * time.Second        // how long a message counts: some are lost
 	versionCap   = 64                     // kept versions; beyond it the oldest is dropped
 	roundEvery   = 250 * time.Millisecond // how often moves and probes are considered
@@ -122,6 +123,9 @@
 	group              map[uint64]int // the same by group
 	tenant             []int          // the same by tenant
 	warmMean           float64        // connections held at a warm server
+	gloom              float64        // part of the servers that hold something that are jammed
+	salt               uint64         // by which servers without notes are taken for jammed,
+	saltAt             time.Duration  // anew since then
 	usual              float64        // usual load of a connection, learned
 	usualOf            []float64      // the same by grade
 	good, bad          float64        // setup tries that came to stand lately, and that failed
@@ -129,7 +133,7 @@
 	tallyAt            time.Duration
 	leaveFrom, leaveBy time.Duration // all that is held is moved between these, never while it stays
 	tellAt             time.Duration // when the others are told next, never where they are not,
-	tellFrom           int           // of which part of the list
+	tellFrom, arrived  int           // of which part of the list; circuits since the last time
 	peers              []peer        // what they told
 
 	// Figures about servers, by dense index.
@@ -323,7 +327,10 @@
 }
 
 // CircuitArrived takes a circuit, which is now owed one final answer.
-func (b *Balancer) CircuitArrived(a Arrival) { b.queue = append(b.queue, b.take(a)) }
+func (b *Balancer) CircuitArrived(a Arrival) {
+	b.queue = append(b.queue, b.take(a))
+	b.arrived++
+}
 
 // HandedOver takes a connection that is open already; its first try counts as made.
 func (b *Balancer) HandedOver(a Arrival, server ServerID) {
@@ -792,7 +799,10 @@
 	// A young report that tells of room lets one in, whatever is held here: with a hundred balancers each holds
 	// one connection of a server or none, and took a half empty one for full.
 	told := b.now-b.askedAt[i] <= reportYoung && b.asked[i] < crowded.asked && b.sentAt[i] < b.askedAt[i]
-	return b.busy(i, jammed) || b.known(i)+c.load > b.room[i] && !told
+	// Of a server where nothing is held no notes come: it is taken for jammed as often as those are where some is.
+	// Guards against dozens of balancers that each fill a jammed fleet up where they are blind.
+	blind := len(b.held[i]) == 0 && unit(mix(uint64(b.id[i]), b.salt)) < b.gloom
+	return b.busy(i, jammed) || blind && !told || b.known(i)+c.load > b.room[i] && !told
 }
 
 // valueOf is a circuit's utility for its load, less beyond its tenant's share as far as is seen here.
@@ -813,7 +823,11 @@
 func (b *Balancer) Next() (Decision, bool) {
 	if b.tellAt <= b.now && len(b.pools) > 0 {
 		b.tellAt = b.now + tellEvery
-		return Decision{Do: Tell, Told: b.tell()}, true
+		// Guards against messages that grow with balancers times servers, and cost more than they tell.
+		if size := min(len(b.newest().servers), MostTold) * (b.dep.Peers - 1); size <= tellMost*b.arrived {
+			b.arrived = 0
+			return Decision{Do: Tell, Told: b.tell()}, true
+		}
 	}
 	b.resume(-1)
 	for len(b.queue) > 0 {
@@ -914,8 +928,13 @@
 		b.leave()
 		return
 	}
-	held, warm := 0, 0
+	held, warm, seen, bad := 0, 0, 0, 0
 	for i := range b.id {
+		if b.state[i] == Ready && len(b.held[i]) > 0 {
+			if seen++; b.busy(i, jammed) {
+				bad++
+			}
+		}
 		if b.state[i] == Ready && b.warmth(i) >= 1 {
 			held, warm = held+len(b.held[i]), warm+1
 		} else if b.state[i] == Ready {
@@ -923,6 +942,10 @@
 		}
 	}
 	// Of the warm ones alone: the mean of all sinks while many are cold, and those were never filled.
+	b.gloom = float64(bad) / float64(max(seen, 1))
+	if b.now-b.saltAt > noteFresh {
+		b.salt, b.saltAt = mix(b.salt, b.chance), b.now
+	}
 	b.warmMean = float64(held) / float64(max(warm, 1))
 	b.tally(0, 0)
 	for i := range b.id {
