Late set-ups stop moves only while few servers are jammed

Late ones now count by themselves: for the brake always, for ailing while under a fifth of the servers that hold something are jammed.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,6 +47,7 @@
 	reachFar     = 2                      // servers past a group's home that its members may go to
 	homeSpread   = 2.0                    // servers in a group's home, over its share of the connections
 	lateFrom     = 3                      // over so-many-th of its goal a set-up is late: a queue somewhere
+	fewJammed    = 0.2                    // part of the servers that hold something
 	failedMost   = 2                      // servers that may fail a circuit before it is nacked
 	triesBesides = 9.0                    // tries out of all balancers besides, while some fail
 	tallyFor     = 3 * time.Second        // how long setup tries count in the tally
@@ -128,7 +129,7 @@
 	saltAt             time.Duration  // anew since then
 	usual              float64        // usual load of a connection, learned
 	usualOf            []float64      // the same by grade
-	good, bad          float64        // setup tries that came to stand lately, and that failed
+	good, bad, late    float64        // setup tries that came to stand lately, that failed, that stood late
 	wanted, colds      float64        // circuits that came to a cold server lately; what those draw together
 	tallyAt            time.Duration
 	leaveFrom, leaveBy time.Duration // all that is held is moved between these, never while it stays
@@ -384,7 +385,7 @@
 	b.fails[c.server] *= 0.3
 	b.tally(1, 0)
 	if took > c.grade.SetupGoal/lateFrom {
-		b.bad++
+		b.late++
 	}
 }
 
@@ -574,7 +575,7 @@
 // tally counts setup tries by how they ended; older ones fade.
 func (b *Balancer) tally(good, bad float64) {
 	fade := math.Exp(-float64(b.now-b.tallyAt) / float64(tallyFor))
-	b.good, b.bad, b.tallyAt = b.good*fade+good, b.bad*fade+bad, b.now
+	b.good, b.bad, b.late, b.tallyAt = b.good*fade+good, b.bad*fade+bad, b.late*fade, b.now
 	b.wanted *= fade
 }
 
@@ -583,14 +584,22 @@
 // failed than stood. Guards against retries that keep a shared store or the whole fleet down. Only tries
 // count: while nacks did too, the brake held itself on.
 func (b *Balancer) throttled(c *circuit) bool {
-	besides := triesBesides * (b.good + 1) / (b.good + b.bad + 1) / float64(b.dep.Peers)
+	bad := b.bad + b.late
+	besides := triesBesides * (b.good + 1) / (b.good + bad + 1) / float64(b.dep.Peers)
 	most := math.Floor(besides + b.good*c.grade.SetupGoal.Seconds()/tallyFor.Seconds() + b.random())
-	return c.failed >= failedMost || float64(b.trying) >= most && b.bad > 1+b.good/8 ||
-		b.random() < (b.bad-b.good-1)/(b.bad+b.good+1)
+	return c.failed >= failedMost || float64(b.trying) >= most && bad > 1+b.good/8 ||
+		b.random() < (bad-b.good-1)/(bad+b.good+1)
 }
 
-// ailing tells whether setup tries fail so often that another server is no remedy.
-func (b *Balancer) ailing() bool { return 2*b.bad > b.good+4 }
+// ailing tells whether setup tries fail so often that another server is no remedy. Late ones tell of it only
+// while few servers are jammed, or a fleet that is jammed would never be unloaded.
+func (b *Balancer) ailing() bool {
+	bad := b.bad
+	if b.gloom < fewJammed {
+		bad += b.late
+	}
+	return 2*bad > b.good+4
+}
 
 // ProbeAnswered tells how a probe ended. A server set aside comes back after answered probes.
 func (b *Balancer) ProbeAnswered(server ServerID, how Outcome) {
@@ -799,7 +808,7 @@
 	// A young report that tells of room lets one in, whatever is held here: with a hundred balancers each holds
 	// one connection of a server or none, and took a half empty one for full.
 	told := b.now-b.askedAt[i] <= reportYoung && b.asked[i] < crowded.asked && b.sentAt[i] < b.askedAt[i]
-	// Of a server where nothing is held no notes come: it is taken for jammed as often as those are where some is.
+	// Of a server where nothing is held no notes come: it is taken for jammed as often as those with some are.
 	// Guards against dozens of balancers that each fill a jammed fleet up where they are blind.
 	blind := len(b.held[i]) == 0 && unit(mix(uint64(b.id[i]), b.salt)) < b.gloom
 	return b.busy(i, jammed) || blind && !told || b.known(i)+c.load > b.room[i] && !told
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -546,3 +546,50 @@
 		t.Fatalf("%v by tenant, %d held", b.tenant, b.total)
 	}
 }
+
+// TestABlindBalancerIsAsGloomyAsWhatItSees guards against dozens of balancers that fill a jammed fleet up where they
+// hold nothing and hear nothing; as long as nothing is jammed, all is open.
+func TestABlindBalancerIsAsGloomyAsWhatItSees(t *testing.T) {
+	nacked := map[bool]int{}
+	for _, bad := range []bool{false, true} {
+		for seed := range uint64(40) {
+			b := New(deployment(), seed*7919)
+			b.ListArrived(fleet(40), true)
+			connect(t, b, 1, 8)
+			b.Clock(time.Second)
+			for _, i := range b.newest().servers {
+				if bad && len(b.held[i]) > 0 {
+					b.DelayNoted(b.id[i], time.Second)
+				}
+			}
+			pull(b)
+			for id := CircuitID(1000); id < 1020; id++ {
+				if arrive(t, b, Arrival{ID: id, Key: uint64(id) * seed, Group: uint64(id)}).Do == Nack {
+					nacked[bad]++
+				}
+			}
+		}
+	}
+	if nacked[false] > 0 || nacked[true] < 600 {
+		t.Fatalf("%v of 800 nacked", nacked)
+	}
+}
+
+// TestLateSetUpsStopNoMovesInAJammedFleet guards against a jammed fleet that is never unloaded, as its set-ups are late.
+func TestLateSetUpsStopNoMovesInAJammedFleet(t *testing.T) {
+	for _, jams := range []int{0, 4} {
+		b := started(deployment(), fleet(4))
+		for id := CircuitID(1); id <= 20; id++ {
+			arrive(t, b, Arrival{ID: id, Key: uint64(id)})
+			b.SetUp(id, 0, 200*ms)
+		}
+		for s := range jams {
+			b.DelayNoted(ServerID(100+s), 500*ms)
+		}
+		b.Clock(b.now + roundEvery)
+		pull(b)
+		if got := b.ailing(); got != (jams == 0) {
+			t.Errorf("%d jams: ailing %v", jams, got)
+		}
+	}
+}
