--- a/internal/lab/standin/link.go
+++ b/internal/lab/standin/link.go
@@ -106,12 +106,14 @@
 			return
 		}
 		go func() {
+			// Before the dial: the far side may have accepted, and a Reset come, before the dial is back.
+			l.keep(near, true)
+			defer l.keep(near, false)
 			far, err := net.Dial("tcp", l.to)
 			if err != nil {
 				reset(near)
 				return
 			}
-			l.keep(near, true)
 			l.keep(far, true)
 			var both sync.WaitGroup
 			both.Add(2)
@@ -120,7 +122,6 @@
 			both.Wait()
 			near.Close()
 			far.Close()
-			l.keep(near, false)
 			l.keep(far, false)
 		}()
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,7 +48,6 @@
 	homeSpread   = 2.0                    // servers in a group's home, over its share of the connections
 	lateFrom     = 3                      // over so-many-th of its goal a set-up is late: a queue somewhere
 	fewJammed    = 0.2                    // part of the servers that hold something
-	failedMost   = 2                      // servers that may fail a circuit before it is nacked
 	triesBesides = 9.0                    // tries out of all balancers besides, while some fail
 	tallyFor     = 3 * time.Second        // how long setup tries count in the tally
 )
@@ -92,7 +91,7 @@
 	load, draw   float64       // its load; its chance at cold servers
 	waitsOn      int           // the server whose report it waits for,
 	waits        time.Duration // until then at the latest
-	asks, failed int           // reports it has waited for; tries that ended in an error or without an answer
+	asks         int           // reports it has waited for
 	wanted       bool          // it came to one
 	sentAt       time.Duration // when the newest try was sent,
 	ranAt        time.Duration // when the first that may have run
@@ -399,7 +398,6 @@
 	if c.out {
 		b.trying--
 		if how == Failed || how == TimedOut { // other ends tell of one server alone
-			c.failed++
 			b.tally(0, 1)
 		}
 	}
@@ -580,14 +578,14 @@
 }
 
 // throttled tells whether a circuit is to be nacked at once, as setup tries fail whatever server they go to:
-// it failed at two servers itself, or some fail and enough are out, or by chance, the likelier the more
-// failed than stood. Guards against retries that keep a shared store or the whole fleet down. Only tries
-// count: while nacks did too, the brake held itself on.
+// some fail and enough are out, or by chance, the likelier the more failed than stood. Guards against retries
+// that keep a shared store or the whole fleet down. Only tries count: while nacks did too, the brake held
+// itself on.
 func (b *Balancer) throttled(c *circuit) bool {
 	bad := b.bad + b.late
 	besides := triesBesides * (b.good + 1) / (b.good + bad + 1) / float64(b.dep.Peers)
 	most := math.Floor(besides + b.good*c.grade.SetupGoal.Seconds()/tallyFor.Seconds() + b.random())
-	return c.failed >= failedMost || float64(b.trying) >= most && bad > 1+b.good/8 ||
+	return float64(b.trying) >= most && bad > 1+b.good/8 ||
 		b.random() < (bad-b.good-1)/(bad+b.good+1)
 }
 
