Settings that need what is in use are refused; silent peers leave decisions as they were

A grade of which circuits are held, or a zone of known servers, that the new settings drop: the loop refuses them whole, with the reason in the log (refuses); the test has both, and the way back while a new grade's circuit stands. While fewer than half of the others were heard in seven seconds, even shares, room and cold budget go as where none tell (sumPeers): the first seconds had been decided as if nobody else held anything.

--- a/cmd/sabletally/main.go
+++ b/cmd/sabletally/main.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"math"
 	"net"
 	"os"
@@ -63,14 +62,14 @@
 		log.Error("can't start", zap.Error(err))
 		return 2
 	}
-	if err := l.Reconfigure(s.Deployment, s.Peers); err != nil {
-		log.Error("can't start", zap.NamedError("peers.listen", err))
-		return 2
-	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	l.Follow(ctx, s.Discovery)
 	go l.Run(ctx.Done())
+	if err := l.Reconfigure(s.Deployment, s.Peers); err != nil {
+		log.Error("can't start", zap.Error(err))
+		return 2
+	}
 	failed := make(chan error, 1)
 	go func() { failed <- l.Serve(ln) }()
 
@@ -109,9 +108,7 @@
 func reload(ctx context.Context, log *zap.Logger, l *balancer.Loop, was *deployment.Station) *deployment.Station {
 	s, err := deployment.ReadStation(os.Getenv, true)
 	if err == nil {
-		if err = l.Reconfigure(s.Deployment, s.Peers); err != nil {
-			err = fmt.Errorf("peers.listen: %w", err)
-		}
+		err = l.Reconfigure(s.Deployment, s.Peers)
 	}
 	if err != nil {
 		l.ReloadErrors.Add(1)
--- a/cmd/sabletally/switch_test.go
+++ b/cmd/sabletally/switch_test.go
@@ -47,7 +47,7 @@
 	}
 	peer := other(t)
 	moved := strings.NewReplacer(
-		`"Name":"feed"`, `"Name":"viewer","Effect":"read_like","LatencyGoalUs":300000,"OuterLimitUs":1200000,"Utility":1},{"Name":"desk"`,
+		`"Name":"feed"`, `"Name":"viewer","Effect":"read_like","LatencyGoalUs":300000,"OuterLimitUs":1200000,"Utility":1},{"Name":"feed"`,
 		`"PeersTotal":1`, `"PeersTotal":2`, `"Areas":["a","b"]`, `"Areas":["b","a"],"Weights":"nominal"`,
 		`[{"Name":"acme"}]`, `[]`, `"Probes":false`, `"Probes":false,"Peers":true`, `[250000]`, `[150000,60000]`,
 		`"name":"n0"`, fmt.Sprintf(`"name":"n0","peers":{"listen":%q,"others":[%q]}`, s.child.Addr, peer.LocalAddr()),
@@ -59,9 +59,10 @@
 		out := s.session()
 		for n, bad := range []string{
 			strings.Replace(moved, `"peers"`, `"pears"`, 1), strings.Replace(moved, `"PeersTotal":2`, `"PeersTotal":3`, 1),
+			strings.Replace(moved, `"feed"`, `"desk"`, 1), strings.Replace(moved, `["b","a"]`, `["b","c"]`, 1),
 			strings.Replace(moved, `"nominal"`, `"heavy"`, 1), strings.Replace(moved, s.child.Addr+`","others"`, `x","others"`, 1),
 		} {
-			s.load(bad, []string{"peers is missing", "peers.others: 1 addresses", `Weights \"heavy\"`, "peers.listen"}[n])
+			s.load(bad, []string{"peers is missing", "peers.others: 1 addresses", `\"feed\" is gone`, `\"a\" is gone`, `Weights \"heavy\"`, "peers.listen"}[n])
 		}
 		s.load(moved, `"settings"`)
 		io.WriteString(out, "UP 5\r\n")
@@ -88,14 +89,14 @@
 			}
 			c.want("M 1\r\n")
 		}
-		if old := s.client(open); old.line() != "ERR SYNTAX\r\n" {
-			t.Fatal("a grade that is gone is taken")
-		}
-		desk := s.client(strings.Replace(open, "c=feed,t=acme", "c=desk", 1))
-		deskAt := s.session()
+		viewer := s.client(strings.Replace(open, "c=feed,t=acme", "c=viewer", 1))
+		at := s.session()
+		s.load(back, `\"viewer\" is gone`) // its circuit is still held
+		io.WriteString(at, "BYE\r\n")
+		viewer.want("BYE\r\n")
+		ended := s.client(strings.Replace(open, "c=feed", "c=desk", 1))
+		ended.want("ERR SYNTAX\r\n") // a grade that nobody names
 		s.load(back, `"settings"`)
-		io.WriteString(deskAt, "UP 6\r\n")
-		desk.want("UP 6\r\n")
 		if c, _ := s.up(); c == nil {
 			t.Fatal(round)
 		}
@@ -110,7 +111,7 @@
 	if taken, served, tries := s.counted("taken"), s.counted("served"), s.counted("tries"); taken != 10 || served != 8 || tries != 8 {
 		t.Fatalf("%d taken, %d served, %d tries", taken, served, tries)
 	}
-	if good, bad := s.counted("reloads"), s.counted("reload-errors"); good != 4 || bad != 8 {
+	if good, bad := s.counted("reloads"), s.counted("reload-errors"); good != 4 || bad != 14 {
 		t.Fatalf("%d reloads, %d refused", good, bad)
 	}
 }
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -10,6 +10,7 @@
 	"container/heap"
 	"context"
 	"fmt"
+	"net/netip"
 	"runtime"
 	"runtime/debug"
 	"slices"
@@ -140,14 +141,23 @@
 }
 
 // Reconfigure has new settings and other peers hold, in one turn of the loop. What is taken in stays: circuits that
-// wait, tries that are out and what stands go on, known by the new rows of their grade and tenant. An error means that
-// all is as before.
+// wait, tries that are out and what stands go on, known by the new rows of their grade and tenant. It waits for that
+// turn, so the loop must run. An error means that all is as before.
 func (l *Loop) Reconfigure(dep *deployment.Deployment, at deployment.Peers) error {
+	was, known := l.linked, []netip.AddrPort(nil)
+	if was != nil {
+		known = was.Known()
+	}
 	link, err := l.connect(dep, at)
 	if err != nil {
 		return err
 	}
+	done := make(chan error, 1)
 	l.post(event{do: func() {
+		if err := l.refuses(dep); err != nil {
+			done <- err
+			return
+		}
 		grades, tenants := rows(l.dep.Grades, dep.Grades), rows(l.dep.Tenants, dep.Tenants)
 		for _, cir := range l.circuits {
 			cir.arrival.Grade = policy.Moved(grades, cir.arrival.Grade, len(dep.Grades))
@@ -169,7 +179,42 @@
 		slices.SortFunc(again.Servers, func(x, y discovery.Server) int { return cmp.Compare(x.UID, y.UID) })
 		l.list(again, true)
 		l.log.Info("settings", zap.Int("held", len(l.circuits)), zap.Int("open", l.open), zap.Bool("told", link != nil))
+		done <- nil
 	}})
+	if err = <-done; err != nil {
+		if l.linked = was; link != was && link != nil {
+			link.Close()
+		} else if link != nil {
+			link.Know(known)
+		}
+	}
+	return err
+}
+
+// refuses tells why new settings can't hold while what there is stands: nil where they can.
+func (l *Loop) refuses(dep *deployment.Deployment) error {
+	names := make([]string, len(l.dep.Grades))
+	for name, i := range l.dep.Grades {
+		names[i] = name
+	}
+	gone := ""
+	for _, cir := range l.circuits {
+		if i := cir.arrival.Grade; i < len(names) {
+			if _, stays := dep.Grades[names[i]]; !stays && (gone == "" || names[i] < gone) {
+				gone = names[i]
+			}
+		}
+	}
+	if gone != "" {
+		return fmt.Errorf("settings.ServiceGrades: %q is gone, and circuits of it are held", gone)
+	}
+	for _, sv := range l.servers {
+		zone := sv.listedAs.Zone
+		_, was := l.dep.Zones[zone]
+		if _, stays := dep.Zones[zone]; sv.state != policy.Gone && was && !stays {
+			return fmt.Errorf("settings.Areas: %q is gone, and servers stand there", zone)
+		}
+	}
 	return nil
 }
 
@@ -196,7 +241,7 @@
 	})
 	close(ready)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("peers.listen: %w", err)
 	}
 	l.linked = link
 	return link, nil
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -47,6 +47,9 @@
 // Know has others take the place of those known before.
 func (l *Link) Know(others []netip.AddrPort) { l.others.Store(&others) }
 
+// Known are the others known now.
+func (l *Link) Known() []netip.AddrPort { return *l.others.Load() }
+
 // At is the address that it listens at.
 func (l *Link) At() netip.AddrPort { return l.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
 
@@ -67,7 +70,7 @@
 
 func (l *Link) write() {
 	for text := range l.send {
-		for _, other := range *l.others.Load() {
+		for _, other := range l.Known() {
 			if _, err := l.conn.WriteToUDPAddrPort(text, other); err == nil {
 				l.n.Sent.Add(1)
 			}
@@ -85,7 +88,7 @@
 			}
 			continue // nobody listened at an address that was sent to: the kernel tells it with the next read
 		}
-		number := slices.Index(*l.others.Load(), netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		number := slices.Index(l.Known(), netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 		t, err := Decode(text[:n])
 		if number < 0 || err != nil || l.wait.Load() >= heardMost {
 			l.n.Dropped.Add(1)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -111,7 +111,6 @@
 	chance             uint64
 	away               float64       // weight of a server in another zone, the own zone's is 1
 	goal               time.Duration // the shortest message goal
-	evenMost           float64       // so many times an even share a server takes, for what is known of loads
 	index              map[ServerID]int
 	circuit            map[CircuitID]*circuit
 	pools              []*version // oldest first; the newest places new connections
@@ -135,6 +134,7 @@
 	tellAt             time.Duration // when the others are told next, never where they are not,
 	tellFrom, arrived  int           // of which part of the list; circuits since the last time
 	peers              []peer        // what they told
+	heard              bool          // most of them did lately
 
 	// Figures about servers, by dense index.
 	id             []ServerID
@@ -195,12 +195,9 @@
 			b.goal = min(b.goal, g.MessageGoal)
 		}
 	}
-	if b.evenMost = math.Inf(1); dep.ReportsOnAsk || dep.HeftExact {
-		b.evenMost = evenMost
-	}
-	b.tellAt, b.peers = never, nil
+	b.tellAt, b.peers, b.heard = never, nil, false
 	if dep.MayTell {
-		b.evenMost, b.peers = evenTold, make([]peer, dep.Peers)
+		b.peers = make([]peer, dep.Peers)
 		b.tellAt = b.now + time.Duration(b.random()*float64(tellEvery))
 	}
 }
@@ -508,16 +505,33 @@
 	}
 }
 
-// sumPeers adds up what the others told of late.
+// sumPeers adds up what the others told of late. While most are silent all is decided as where none tell.
 func (b *Balancer) sumPeers() {
 	clear(b.others)
+	fresh := 0
 	for _, p := range b.peers {
+		newest := -never
 		for i, load := range p.load {
-			if b.now-p.at[i] <= toldFor {
+			if newest = max(newest, p.at[i]); b.now-p.at[i] <= toldFor {
 				b.others[i] += load
 			}
 		}
+		if b.now-newest <= toldFor {
+			fresh++
+		}
+	}
+	b.heard = 2*fresh >= b.dep.Peers-1 && fresh > 0
+}
+
+// evenly is so many times an even share a server takes, for what is known of loads.
+func (b *Balancer) evenly() float64 {
+	switch {
+	case b.heard:
+		return evenTold
+	case b.dep.ReportsOnAsk || b.dep.HeftExact:
+		return evenMost
 	}
+	return math.Inf(1)
 }
 
 // known is the load of all connections at a server that this balancer knows of.
@@ -525,7 +539,7 @@
 
 // apart is how many balancers there are that know nothing of each other's connections.
 func (b *Balancer) apart() int {
-	if b.dep.MayTell {
+	if b.heard {
 		return 1
 	}
 	return b.dep.Peers
@@ -684,7 +698,7 @@
 // send one each, and against cold servers that stay empty: a part dealt out before is lost where none comes.
 func (b *Balancer) mayWarm(c *circuit, i int) bool {
 	mean, fill := float64(b.total)/float64(max(len(b.newest().servers), 1)), coldFill
-	if b.dep.MayTell { // less is left to chance: two hundred that tell nothing came near the rule with this
+	if b.heard { // less is left to chance: two hundred that tell nothing came near the rule with this
 		mean, fill = b.warmMean, coldTold
 	}
 	mean = max(mean, coldLeast/float64(b.dep.Peers))
@@ -777,9 +791,10 @@
 			heft += b.heft[i] * b.warmth(i)
 		}
 	}
+	even := b.evenly()
 	for step := byAll; step <= upTo; step++ {
 		for _, r := range rank[:b.reach] {
-			if i := r.server; !b.passed(c, i, step, sum, b.evenMost*load/heft) && b.mayTry(c, i) {
+			if i := r.server; !b.passed(c, i, step, sum, even*load/heft) && b.mayTry(c, i) {
 				return i
 			}
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -512,9 +512,16 @@
 	}
 	b.Clock(b.now + toldFor + roundEvery)
 	pull(b)
-	if b.others[b.index[100]] != 0 {
+	if b.others[b.index[100]] != 0 || b.heard {
 		t.Fatalf("%v still counts", b.others)
 	}
+	b.PeerTold(2, told) // late and doubled: it counts once
+	b.PeerTold(2, told)
+	b.Clock(b.now + roundEvery)
+	pull(b)
+	if b.others[b.index[100]] != 500 {
+		t.Fatalf("%v after one message, told twice", b.others)
+	}
 	if n := count(pull(o), Tell); n > 1 {
 		t.Fatalf("%d messages at once", n)
 	}
