--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -20,7 +20,7 @@
 type Link struct {
 	conn   *net.UDPConn
 	others atomic.Pointer[[]netip.AddrPort]
-	send   chan []byte
+	send   chan [][]byte
 	told   func(from int, t policy.Told, done func())
 	wait   atomic.Int64
 
@@ -37,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{conn: conn, send: make(chan []byte, waitMost), told: told, n: n}
+	l := &Link{conn: conn, send: make(chan [][]byte, waitMost), told: told, n: n}
 	l.Know(others)
 	go l.read()
 	go l.write()
@@ -69,10 +69,12 @@
 }
 
 func (l *Link) write() {
-	for text := range l.send {
+	for texts := range l.send {
 		for _, other := range l.Known() {
-			if _, err := l.conn.WriteToUDPAddrPort(text, other); err == nil {
-				l.n.Sent.Add(1)
+			for _, text := range texts {
+				if _, err := l.conn.WriteToUDPAddrPort(text, other); err == nil {
+					l.n.Sent.Add(1)
+				}
 			}
 		}
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -12,18 +12,21 @@
 )
 
 func TestWhatIsToldIsRead(t *testing.T) {
-	for _, loads := range [][]float64{nil, {0, 0}, {1, 0, 3}, {18410.5, 92000, 1}, slices.Repeat([]float64{7e4}, policy.MostTold)} {
+	for _, loads := range [][]float64{nil, {0, 0}, {1, 0, 3}, {18410.5, 92000, 1}, slices.Repeat([]float64{7e4}, 3*most-1)} {
 		told := policy.Told{Mark: 0xdeadbeef, First: 240, Loads: loads, Jammed: make([]bool, len(loads))}
 		if len(loads) > 1 {
 			told.Jammed[1] = true
 		}
-		text := Encode(told)
-		if len(text) > Most {
-			t.Fatalf("%d bytes", len(text))
+		got := policy.Told{Mark: told.Mark, First: 240}
+		for _, text := range Encode(told) {
+			part, err := Decode(text)
+			if err != nil || len(text) > Most || part.Mark != told.Mark || part.First != 240+len(got.Loads) {
+				t.Fatalf("%d bytes, %+v, %v", len(text), part, err)
+			}
+			got.Loads, got.Jammed = append(got.Loads, part.Loads...), append(got.Jammed, part.Jammed...)
 		}
-		got, err := Decode(text)
-		if err != nil || got.Mark != told.Mark || got.First != 240 || !slices.Equal(got.Jammed, told.Jammed) {
-			t.Fatalf("%+v, %v", got, err)
+		if !slices.Equal(got.Jammed, told.Jammed) {
+			t.Fatalf("%+v", got)
 		}
 		for n, load := range loads {
 			if math.Abs(got.Loads[n]-load) > slices.Max(loads)/250 {
@@ -31,7 +34,7 @@
 			}
 		}
 	}
-	nan := Encode(policy.Told{})
+	nan := Encode(policy.Told{})[0]
 	copy(nan[6:], []byte{0, 0, 0xc0, 0x7f})
 	for _, bad := range [][]byte{nil, make([]byte, head-1), make([]byte, Most+1), nan} {
 		if _, err := Decode(bad); err == nil {
--- a/internal/peers/told.go
+++ b/internal/peers/told.go
@@ -15,13 +15,24 @@
 const Most = 256
 
 const (
+	most   = 240  // servers told of in one message
 	head   = 10   // version's mark (u32), first place (u16), unit of load (float32), little-endian
 	steps  = 127  // a load is told in so many parts of the largest
 	jammed = 0x80 // the high bit of a server's byte
 )
 
-// Encode words a message: the head, then a byte for each server.
-func Encode(t policy.Told) []byte {
+// Encode words what is told in as many messages as it takes.
+func Encode(t policy.Told) [][]byte {
+	var all [][]byte
+	for from := 0; from < max(len(t.Loads), 1); from += most {
+		to := min(from+most, len(t.Loads))
+		all = append(all, encode(policy.Told{Mark: t.Mark, First: t.First + from, Loads: t.Loads[from:to], Jammed: t.Jammed[from:to]}))
+	}
+	return all
+}
+
+// encode words one message: the head, then a byte for each server.
+func encode(t policy.Told) []byte {
 	unit := float32(0)
 	for _, load := range t.Loads {
 		unit = max(unit, float32(load/steps))
@@ -44,7 +55,7 @@
 
 // Decode reads a message; a text that Encode can't have made is an error.
 func Decode(text []byte) (policy.Told, error) {
-	if len(text) < head || len(text) > head+policy.MostTold {
+	if len(text) < head || len(text) > head+most {
 		return policy.Told{}, errors.New("a message of no length that is sent")
 	}
 	unit := float64(math.Float32frombits(binary.LittleEndian.Uint32(text[6:])))
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -409,12 +409,13 @@
 		case policy.Probe:
 			putServer(h.put(acAskLoad, in.number, 0)[5:], d.Server)
 		case policy.Tell:
-			rec := h.put(acSignal, in.number, 0)
-			le.PutUint16(rec[5:], everyPeer)
-			le.PutUint32(rec[7:], uint32(len(h.tail)))
-			text := peers.Encode(d.Told)
-			le.PutUint32(rec[11:], uint32(len(text)))
-			h.tail = append(h.tail, text...)
+			for _, text := range peers.Encode(d.Told) {
+				rec := h.put(acSignal, in.number, 0)
+				le.PutUint16(rec[5:], everyPeer)
+				le.PutUint32(rec[7:], uint32(len(h.tail)))
+				le.PutUint32(rec[11:], uint32(len(text)))
+				h.tail = append(h.tail, text...)
+			}
 		}
 	}
 	if at, ok := in.bal.Wake(); ok && (!in.timerOn || at < in.timerAt) {
--- a/policy/fuzz_test.go
+++ b/policy/fuzz_test.go
@@ -82,7 +82,7 @@
 				b.ListArrived(list, true)
 			} else { // what another balancer tells, true or garbled
 				told := b.tell()
-				told.First += r.IntN(3)
+				told.First = r.IntN(3)
 				told.Mark ^= uint32(r.IntN(2))
 				b.PeerTold(r.IntN(6)-1, told)
 			}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -98,17 +98,17 @@
 	ranOn        int           // its server, -1 while no try can have run
 }
 
-// peer is what another balancer told, by dense index of the servers.
+// peer is what another balancer told, by dense index of the servers, and when it last did.
 type peer struct {
 	load []float64
-	at   []time.Duration // when
+	at   time.Duration
 }
 
 // Balancer is one balancer's knowledge and decisions.
 type Balancer struct {
 	dep                *Deployment
 	now                time.Duration
-	chance             uint64
+	seed, chance       uint64
 	away               float64       // weight of a server in another zone, the own zone's is 1
 	goal               time.Duration // the shortest message goal
 	index              map[ServerID]int
@@ -123,8 +123,6 @@
 	tenant             []int          // the same by tenant
 	warmMean           float64        // connections held at a warm server
 	gloom              float64        // part of the servers that hold something that are jammed
-	salt               uint64         // by which servers without notes are taken for jammed,
-	saltAt             time.Duration  // anew since then
 	usual              float64        // usual load of a connection, learned
 	usualOf            []float64      // the same by grade
 	good, bad, late    float64        // setup tries that came to stand lately, that failed, that stood late
@@ -132,7 +130,7 @@
 	tallyAt            time.Duration
 	leaveFrom, leaveBy time.Duration // all that is held is moved between these, never while it stays
 	tellAt             time.Duration // when the others are told next, never where they are not,
-	tellFrom, arrived  int           // of which part of the list; circuits since the last time
+	arrived            int           // circuits since the last time
 	peers              []peer        // what they told
 	heard              bool          // most of them did lately
 
@@ -164,7 +162,7 @@
 // New starts a balancer.
 func New(dep *Deployment, seed uint64) *Balancer {
 	b := &Balancer{
-		chance: seed&0xffffffff | 1<<32, leaveBy: never,
+		seed: seed, chance: seed&0xffffffff | 1<<32, leaveBy: never,
 		index: map[ServerID]int{}, circuit: map[CircuitID]*circuit{}, group: map[uint64]int{},
 	}
 	b.Reconfigure(dep, nil, nil)
@@ -447,12 +445,11 @@
 		return
 	}
 	b.delay[i], b.delayAt[i] = delay, b.now
-	if len(b.held[i]) == 0 { // nothing of ours had a part in it; guards against no room there for ever
-		return
-	}
-	if b.busy(i, jammed) {
+	switch {
+	case len(b.held[i]) == 0: // nothing of ours had a part in it; guards against no room there for ever
+	case b.busy(i, jammed):
 		b.room[i] = min(b.room[i], 0.9*b.known(i))
-	} else if b.busy(i, crowded) {
+	case b.busy(i, crowded):
 		b.room[i] = min(b.room[i], b.known(i))
 	}
 }
@@ -472,18 +469,13 @@
 
 // ---- The other balancers.
 
-// tell gathers what this balancer holds and finds jammed, of the next part of its newest version.
+// tell gathers what this balancer holds and finds jammed.
 func (b *Balancer) tell() Told {
-	v := b.newest()
-	if b.tellFrom >= len(v.servers) {
-		b.tellFrom = 0
-	}
-	t := Told{Mark: v.mark, First: b.tellFrom}
-	for _, i := range v.servers[b.tellFrom:min(b.tellFrom+MostTold, len(v.servers))] {
+	t := Told{Mark: b.newest().mark}
+	for _, i := range b.newest().servers {
 		t.Loads = append(t.Loads, b.load[i])
 		t.Jammed = append(t.Jammed, len(b.held[i]) > 0 && b.busy(i, jammed))
 	}
-	b.tellFrom += MostTold
 	return t
 }
 
@@ -494,13 +486,10 @@
 		return
 	}
 	p, servers := &b.peers[from], b.newest().servers
-	for len(p.load) < len(b.id) {
-		p.load, p.at = append(p.load, 0), append(p.at, -never)
-	}
+	p.at, p.load = b.now, append(p.load, make([]float64, len(b.id)-len(p.load))...)
 	for n := 0; n < len(t.Loads) && t.First+n < len(servers); n++ {
-		i := servers[t.First+n]
-		if p.load[i], p.at[i] = t.Loads[n], b.now; t.Jammed[n] {
-			b.close(i, 0)
+		if p.load[servers[t.First+n]] = t.Loads[n]; t.Jammed[n] {
+			b.close(servers[t.First+n], 0)
 		}
 	}
 }
@@ -510,41 +499,19 @@
 	clear(b.others)
 	fresh := 0
 	for _, p := range b.peers {
-		newest := -never
-		for i, load := range p.load {
-			if newest = max(newest, p.at[i]); b.now-p.at[i] <= toldFor {
+		if len(p.load) > 0 && b.now-p.at <= toldFor {
+			fresh++
+			for i, load := range p.load {
 				b.others[i] += load
 			}
 		}
-		if b.now-newest <= toldFor {
-			fresh++
-		}
 	}
 	b.heard = 2*fresh >= b.dep.Peers-1 && fresh > 0
 }
 
-// evenly is so many times an even share a server takes, for what is known of loads.
-func (b *Balancer) evenly() float64 {
-	switch {
-	case b.heard:
-		return evenTold
-	case b.dep.ReportsOnAsk || b.dep.HeftExact:
-		return evenMost
-	}
-	return math.Inf(1)
-}
-
 // known is the load of all connections at a server that this balancer knows of.
 func (b *Balancer) known(i int) float64 { return b.load[i] + b.others[i] }
 
-// apart is how many balancers there are that know nothing of each other's connections.
-func (b *Balancer) apart() int {
-	if b.heard {
-		return 1
-	}
-	return b.dep.Peers
-}
-
 // ---- Health.
 
 // judge learns from how a try ended.
@@ -711,12 +678,10 @@
 		c.wanted = true
 		b.wanted++
 	}
-	return b.budget[i] >= 1 && (part >= 1 || c.draw < coldSlack*part*b.colds/b.draws(i)/b.wanted)
+	draws := b.heft[i] * min(1, coolMore*b.warmth(i)) // circuits of its zone, against other cold servers
+	return b.budget[i] >= 1 && (part >= 1 || c.draw < coldSlack*part*b.colds/draws/b.wanted)
 }
 
-// draws is how many circuits of its zone a cold server draws by the ranking, against others.
-func (b *Balancer) draws(i int) float64 { return b.heft[i] * min(1, coolMore*b.warmth(i)) }
-
 // ---- The pick.
 
 func mix(a, z uint64) uint64 {
@@ -733,11 +698,11 @@
 }
 
 // weight of a server: less elsewhere, where crossings cost, but not under the least.
-func (b *Balancer) weight(i int, heft, least float64) float64 {
+func (b *Balancer) weight(i int, least float64) float64 {
 	if b.zone[i] != b.dep.Zone {
-		heft *= max(b.away, least)
+		return b.heft[i] * max(b.away, least)
 	}
-	return heft
+	return b.heft[i]
 }
 
 // ranked is a server and its score in a circuit's order.
@@ -746,13 +711,13 @@
 	score  float64
 }
 
-// order ranks a version's servers for a circuit by weighted rendezvous hashing of its group. The first few,
-// by the group's share of the connections, are its home; there the client's key ranks. Without group, one.
-func (b *Balancer) order(c *circuit, v *version) []ranked {
-	b.rank, b.reach = b.rank[:0], len(v.servers)
+// order ranks the newest version's servers for a circuit by weighted rendezvous hashing of its group. The
+// first few, by the group's share of the connections, are its home; there the client's key ranks.
+func (b *Balancer) order(c *circuit) []ranked {
+	b.rank, b.reach = b.rank[:0], len(b.newest().servers)
 	sum, top := 0.0, 0.0
-	for n, i := range v.servers {
-		w := b.weight(i, v.heft[n], 0)
+	for _, i := range b.newest().servers {
+		w := b.weight(i, 0)
 		sum, top = sum+w, max(top, w)
 		b.rank = append(b.rank, ranked{i, score(w, c.place, b.id[i])})
 	}
@@ -764,7 +729,7 @@
 		b.reach = min(b.reach, home+reachFar)
 		first := b.rank[:min(home, len(b.rank))]
 		for n, r := range first {
-			first[n].score = score(b.weight(r.server, b.heft[r.server], 0), c.key, b.id[r.server])
+			first[n].score = score(b.weight(r.server, 0), c.key, b.id[r.server])
 		}
 		slices.SortFunc(first, higher)
 	}
@@ -782,19 +747,24 @@
 )
 
 // pick answers the first server in a circuit's order, within its reach, that is not passed over, or -1.
-func (b *Balancer) pick(c *circuit, v *version, upTo int) int {
-	rank := b.order(c, v)
+func (b *Balancer) pick(c *circuit, upTo int) int {
+	rank := b.order(c)
 	sum, load, heft := 0.0, c.load, 1e-9
-	for _, i := range v.servers {
+	for _, i := range b.newest().servers {
 		if load += b.known(i); !b.aside[i] {
-			sum += b.weight(i, b.heft[i], spill) * b.warmth(i)
+			sum += b.weight(i, spill) * b.warmth(i)
 			heft += b.heft[i] * b.warmth(i)
 		}
 	}
-	even := b.evenly()
+	even := math.Inf(1) // the load for its heft that a server takes: by nothing where heft may be wrong
+	if b.heard {
+		even = evenTold * load / heft
+	} else if b.dep.ReportsOnAsk || b.dep.HeftExact {
+		even = evenMost * load / heft
+	}
 	for step := byAll; step <= upTo; step++ {
 		for _, r := range rank[:b.reach] {
-			if i := r.server; !b.passed(c, i, step, sum, even*load/heft) && b.mayTry(c, i) {
+			if i := r.server; !b.passed(c, i, step, sum, even) && b.mayTry(c, i) {
 				return i
 			}
 		}
@@ -811,7 +781,7 @@
 // passed tells whether a circuit passes server i over at a step; sum is the weight of all servers, even the
 // load for its heft that one takes. Guards against all of a restarted balancer on a zone's one sound server.
 func (b *Balancer) passed(c *circuit, i, step int, sum, even float64) bool {
-	w := b.weight(i, b.heft[i], spill) * b.warmth(i)
+	w := b.weight(i, spill) * b.warmth(i)
 	limit := 2*float64(b.total)*w/max(sum, 1e-9) + 2
 	if step < byAside && (b.aside[i] || slices.Contains(c.tried, i)) || step < byCrowd && b.busy(i, crowded) ||
 		step < byLimit && (b.cool(c, i) || float64(len(b.held[i])) > limit ||
@@ -823,7 +793,7 @@
 	told := b.now-b.askedAt[i] <= reportYoung && b.asked[i] < crowded.asked && b.sentAt[i] < b.askedAt[i]
 	// Of a server where nothing is held no notes come: it is taken for jammed as often as those with some are.
 	// Guards against dozens of balancers that each fill a jammed fleet up where they are blind.
-	blind := len(b.held[i]) == 0 && unit(mix(uint64(b.id[i]), b.salt)) < b.gloom
+	blind := len(b.held[i]) == 0 && unit(mix(uint64(b.id[i]), b.seed+uint64(b.now/noteFresh))) < b.gloom
 	return b.busy(i, jammed) || blind && !told || b.known(i)+c.load > b.room[i] && !told
 }
 
@@ -846,7 +816,7 @@
 	if b.tellAt <= b.now && len(b.pools) > 0 {
 		b.tellAt = b.now + tellEvery
 		// Guards against messages that grow with balancers times servers, and cost more than they tell.
-		if size := min(len(b.newest().servers), MostTold) * (b.dep.Peers - 1); size <= tellMost*b.arrived {
+		if size := len(b.newest().servers) * (b.dep.Peers - 1); size <= tellMost*b.arrived {
 			b.arrived = 0
 			return Decision{Do: Tell, Told: b.tell()}, true
 		}
@@ -908,7 +878,7 @@
 	// While it leaves, whoever is set up now would have to move at once.
 	if len(b.pools) > 0 && b.leaveBy == never && !(b.throttled(c) && b.mayNack(c)) {
 		// Guards against jams that no server comes out of: a newcomer that finds only jammed servers is nacked.
-		i = b.pick(c, b.newest(), byAside)
+		i = b.pick(c, byAside)
 	}
 	if i < 0 {
 		c.answered = true
@@ -960,16 +930,17 @@
 		if b.state[i] == Ready && b.warmth(i) >= 1 {
 			held, warm = held+len(b.held[i]), warm+1
 		} else if b.state[i] == Ready {
-			b.colds += b.weight(i, b.draws(i), 3*spill)
+			b.colds += b.weight(i, 3*spill) * min(1, coolMore*b.warmth(i))
 		}
 	}
-	// Of the warm ones alone: the mean of all sinks while many are cold, and those were never filled.
 	b.gloom = float64(bad) / float64(max(seen, 1))
-	if b.now-b.saltAt > noteFresh {
-		b.salt, b.saltAt = mix(b.salt, b.chance), b.now
-	}
+	// Of the warm ones alone: the mean of all sinks while many are cold, and those were never filled.
 	b.warmMean = float64(held) / float64(max(warm, 1))
 	b.tally(0, 0)
+	apart := b.dep.Peers // balancers that know nothing of each other's connections
+	if b.heard {
+		apart = 1
+	}
 	for i := range b.id {
 		if b.state[i] == Gone {
 			continue
@@ -979,7 +950,7 @@
 			if w := b.warmth(i); w < 1 { // what it can do grows, not only what is known of it
 				b.room[i] *= 1 + (1-b.dep.ColdFrom)*float64(roundEvery)/float64(b.dep.ColdFor)/w
 			}
-			b.room[i] += roomGrowth*b.room[i] + 0.3*cmp.Or(b.usual, 1)/float64(b.apart())
+			b.room[i] += roomGrowth*b.room[i] + 0.3*cmp.Or(b.usual, 1)/float64(apart)
 		}
 		switch held := max(b.load[i], float64(len(b.held[i]))); {
 		case b.ailing(): // whoever is moved now may not come to stand again
@@ -1043,7 +1014,7 @@
 		again := *c // as it will come again
 		again.open, again.tries, again.tried, again.ranOn = false, 0, nil, -1
 		again.wanted = true
-		j := b.pick(&again, b.newest(), byAll)
+		j := b.pick(&again, byAll)
 		if j >= 0 && j != i && !b.part(c, &load) {
 			return
 		}
--- a/policy/types.go
+++ b/policy/types.go
@@ -129,11 +129,8 @@
 // NoReport is a report that tells nothing.
 var NoReport = Report{-1, -1, -1}
 
-// MostTold is how many servers one message tells of.
-const MostTold = 240
-
-// Told is what a balancer tells the others: the load that it holds at servers of its newest version, as many as Jammed,
-// and whether they are jammed as it sees them.
+// Told is what a balancer tells the others, whole or in parts: the load that it holds at servers of its newest version,
+// as many as Jammed, and whether they are jammed as it sees them.
 type Told struct {
 	Mark   uint32 // of that version: the same at every balancer that has the same list
 	First  int    // the place in it of the first server told of
