--- a/policy/policy.go
+++ b/policy/policy.go
@@ -84,15 +84,14 @@
 	out, open    bool          // a setup try is out; the connection stands
 	answered     bool          // the final answer is given; nothing more is sent
 	moving       bool
-	tries        int
 	tried        []int // servers already tried
 	server, slot int   // of the newest try, -1 before the first; place in held[server]
 	pool         *version
 	load, draw   float64       // its load; its chance at cold servers
 	waitsOn      int           // the server whose report it waits for,
 	waits        time.Duration // until then at the latest
-	asks         int           // reports it has waited for
-	wanted       bool          // it came to one
+	tries, asks  int           // made; reports it has waited for
+	wanted       bool          // it came to a cold server
 	sentAt       time.Duration // when the newest try was sent,
 	ranAt        time.Duration // when the first that may have run
 	ranOn        int           // its server, -1 while no try can have run
@@ -146,14 +145,12 @@
 	span, probeAt  []time.Duration // how long it is set aside before the next probe, and when that is due
 	answers        []int           // answered probes in a row
 	delay, delayAt []time.Duration // what a message takes, by the newest note, and when that came
-	asked          []float64       // load over capacity, by the newest report
-	askedAt        []time.Duration
-	budget         []float64 // setup tries that a cold server may still be sent
-	paidAt         []time.Duration
+	asked, budget  []float64       // load over capacity, by the newest report; setup tries left while it is cold
+	askedAt        []time.Duration // when that report came,
+	paidAt, sentAt []time.Duration // the budget was paid out, the newest setup try went there,
+	movedAt        []time.Duration // a move away from it was last considered
 	room, shown    []float64       // load of own connections: before it is crowded; with room told since
 	others         []float64       // load of connections that the other balancers told of
-	movedAt        []time.Duration // when a move away from it was last considered
-	sentAt         []time.Duration // when the newest setup try went there
 
 	reach int      // how far down the ranking a circuit may go, so that its group is not spread
 	rank  []ranked // scratch of order
@@ -164,6 +161,7 @@
 	b := &Balancer{
 		seed: seed, chance: seed&0xffffffff | 1<<32, leaveBy: never,
 		index: map[ServerID]int{}, circuit: map[CircuitID]*circuit{}, group: map[uint64]int{},
+		pools: []*version{{}},
 	}
 	b.Reconfigure(dep, nil, nil)
 	b.roundAt = time.Duration(b.random() * float64(roundEvery))
@@ -213,19 +211,16 @@
 // Clock tells the time since the start.
 func (b *Balancer) Clock(now time.Duration) { b.now = max(b.now, now) }
 
-// ---- The list of servers.
-
 // ListArrived takes lines of the list; whole: servers not named are gone.
 func (b *Balancer) ListArrived(lines []Listed, whole bool) {
 	named := map[int]bool{}
 	for _, l := range lines {
 		i := b.server(l.Server)
 		named[i] = true
-		anew := l.Started != b.started[i]
-		b.zone[i], b.cell[i], b.state[i], b.started[i], b.heft[i] = l.Zone, l.Cell, l.State, l.Started, l.Heft
-		if anew {
+		if l.Started != b.started[i] {
 			b.fresh(i)
 		}
+		b.zone[i], b.cell[i], b.state[i], b.started[i], b.heft[i] = l.Zone, l.Cell, l.State, l.Started, l.Heft
 	}
 	for i := range b.id {
 		if whole && !named[i] {
@@ -244,15 +239,13 @@
 	b.index[id] = i
 	b.id = append(b.id, id)
 	b.zone, b.cell, b.state = append(b.zone, 0), append(b.cell, 0), append(b.state, Gone)
-	b.heft, b.started = append(b.heft, 1), append(b.started, LongAgo)
-	b.held, b.load = append(b.held, nil), append(b.load, 0)
+	b.heft, b.started, b.held = append(b.heft, 1), append(b.started, LongAgo), append(b.held, nil)
 	b.fails, b.aside, b.span = append(b.fails, 0), append(b.aside, false), append(b.span, 0)
 	b.probing, b.answers, b.probeAt = append(b.probing, false), append(b.answers, 0), append(b.probeAt, 0)
-	b.delay, b.delayAt = append(b.delay, 0), append(b.delayAt, 0)
-	b.asked, b.askedAt = append(b.asked, 0), append(b.askedAt, 0)
-	b.budget, b.paidAt = append(b.budget, 0), append(b.paidAt, 0)
+	b.delay, b.delayAt, b.load = append(b.delay, 0), append(b.delayAt, 0), append(b.load, 0)
+	b.asked, b.askedAt, b.shown = append(b.asked, 0), append(b.askedAt, 0), append(b.shown, 0)
+	b.budget, b.paidAt, b.others = append(b.budget, 0), append(b.paidAt, 0), append(b.others, 0)
 	b.movedAt, b.room, b.sentAt = append(b.movedAt, -never), append(b.room, 0), append(b.sentAt, -never)
-	b.shown, b.others = append(b.shown, 0), append(b.others, 0)
 	b.fresh(i)
 	b.probeAt[i] = b.now + time.Duration(b.random()*float64(b.reportEvery()))
 	return i
@@ -283,23 +276,19 @@
 		v.heft = append(v.heft, b.heft[i])
 		v.mark = uint32(mix(uint64(v.mark), uint64(b.id[i])))
 	}
-	if len(b.pools) > 0 && slices.Equal(b.newest().servers, v.servers) && slices.Equal(b.newest().heft, v.heft) {
-		return
+	if last := b.newest(); !slices.Equal(last.servers, v.servers) || !slices.Equal(last.heft, v.heft) {
+		b.pools = append(b.pools, v)
+		b.dropPools()
 	}
-	b.pools = append(b.pools, v)
-	b.dropPools()
 }
 
 // dropPools drops unused versions, and the oldest beyond the cap: its connections keep their server.
 func (b *Balancer) dropPools() {
-	kept, last := b.pools[:0], len(b.pools)-1
-	excess := len(b.pools) - versionCap
-	for n, v := range b.pools {
-		if n == last || v.users > 0 && n >= excess {
-			kept = append(kept, v)
-		}
-	}
-	b.pools = kept
+	last, excess, n := b.newest(), len(b.pools)-versionCap, -1
+	b.pools = slices.DeleteFunc(b.pools, func(v *version) bool {
+		n++
+		return v != last && (v.users == 0 || n < excess)
+	})
 }
 
 func (b *Balancer) newest() *version { return b.pools[len(b.pools)-1] }
@@ -307,8 +296,6 @@
 // Leave tells of a planned restart: from the one time on all that is open is moved, up to the other.
 func (b *Balancer) Leave(from, by time.Duration) { b.leaveFrom, b.leaveBy = from, by }
 
-// ---- What comes in about circuits.
-
 func (b *Balancer) take(a Arrival) *circuit {
 	a.Grade, a.Tenant = min(a.Grade, len(b.dep.Grades)-1), min(a.Tenant, len(b.dep.Tenants))
 	c := &circuit{
@@ -342,29 +329,23 @@
 	b.total++
 	b.group[c.place]++
 	b.tenant[c.tenant]++
-	if n := len(b.pools); n > 0 {
-		c.pool = b.pools[n-1]
-		c.pool.users++
-	}
+	c.pool = b.newest()
+	c.pool.users++
 }
 
 func (b *Balancer) release(c *circuit) {
 	h := b.held[c.server]
 	last := h[len(h)-1]
 	h[c.slot], last.slot = last, c.slot
-	h[len(h)-1] = nil
-	b.held[c.server] = h[:len(h)-1]
+	b.held[c.server] = slices.Delete(h, len(h)-1, len(h))
 	b.load[c.server] = max(0, b.load[c.server]-c.load)
 	b.total--
 	b.tenant[c.tenant]--
 	if b.group[c.place]--; b.group[c.place] == 0 {
 		delete(b.group, c.place)
 	}
-	if c.pool != nil {
-		if c.pool.users--; c.pool.users == 0 && c.pool != b.newest() {
-			b.dropPools()
-		}
-		c.pool = nil
+	if c.pool.users--; c.pool.users == 0 && c.pool != b.newest() {
+		b.dropPools()
 	}
 }
 
@@ -467,8 +448,6 @@
 	}
 }
 
-// ---- The other balancers.
-
 // tell gathers what this balancer holds and finds jammed.
 func (b *Balancer) tell() Told {
 	t := Told{Mark: b.newest().mark}
@@ -482,7 +461,7 @@
 // PeerTold takes another balancer's message; from is its number. Lists differ for seconds: what does not fit
 // the newest version is passed by.
 func (b *Balancer) PeerTold(from int, t Told) {
-	if from < 0 || from >= len(b.peers) || len(b.pools) == 0 || t.Mark != b.newest().mark {
+	if from < 0 || from >= len(b.peers) || t.Mark != b.newest().mark {
 		return
 	}
 	p, servers := &b.peers[from], b.newest().servers
@@ -512,9 +491,7 @@
 // known is the load of all connections at a server that this balancer knows of.
 func (b *Balancer) known(i int) float64 { return b.load[i] + b.others[i] }
 
-// ---- Health.
-
-// judge learns from how a try ended.
+// judge learns of a server from how a try ended there.
 func (b *Balancer) judge(c *circuit, how Outcome) {
 	i := c.server
 	if how == Succeeded {
@@ -528,7 +505,14 @@
 	if how == TurnedAway || how == ConnectFailed || how == Reset && c.open && !told {
 		b.close(i, c.load)
 	}
-	b.mind(i)
+	// Set aside. Guards against emptying an overloaded fleet: only a part of the ready servers ever is.
+	ready := b.newest().servers
+	n := len(slices.DeleteFunc(slices.Clone(ready), func(j int) bool { return !b.aside[j] }))
+	bad := b.fails[i] >= asideFails && !b.aside[i] && b.state[i] == Ready
+	if bad && n < max(1, len(ready)/asidePart) && n+1 < len(ready) {
+		b.aside[i], b.answers[i], b.probeAt[i] = true, 0, b.now+b.jitter(b.span[i])
+		b.span[i] = min(2*b.span[i], asideLongest)
+	}
 }
 
 // close holds a server for jammed for two seconds.
@@ -539,18 +523,6 @@
 	}
 }
 
-// mind sets a server aside that has failed too often. Guards against emptying an overloaded fleet: only a
-// part of the ready servers is ever set aside.
-func (b *Balancer) mind(i int) {
-	ready := b.newest().servers
-	n := len(slices.DeleteFunc(slices.Clone(ready), func(j int) bool { return !b.aside[j] }))
-	bad := b.fails[i] >= asideFails && !b.aside[i] && b.state[i] == Ready
-	if bad && n < max(1, len(ready)/asidePart) && n+1 < len(ready) {
-		b.aside[i], b.answers[i], b.probeAt[i] = true, 0, b.now+b.jitter(b.span[i])
-		b.span[i] = min(2*b.span[i], asideLongest)
-	}
-}
-
 // tally counts setup tries by how they ended; older ones fade.
 func (b *Balancer) tally(good, bad float64) {
 	fade := math.Exp(-float64(b.now-b.tallyAt) / float64(tallyFor))
@@ -560,14 +532,12 @@
 
 // throttled tells whether a circuit is to be nacked at once, as setup tries fail whatever server they go to:
 // some fail and enough are out, or by chance, the likelier the more failed than stood. Guards against retries
-// that keep a shared store or the whole fleet down. Only tries count: while nacks did too, the brake held
-// itself on.
+// that keep a store or the fleet down. Only tries count: while nacks did too, the brake held itself on.
 func (b *Balancer) throttled(c *circuit) bool {
 	bad := b.bad + b.late
 	besides := triesBesides * (b.good + 1) / (b.good + bad + 1) / float64(b.dep.Peers)
 	most := math.Floor(besides + b.good*c.grade.SetupGoal.Seconds()/tallyFor.Seconds() + b.random())
-	return float64(b.trying) >= most && bad > 1+b.good/8 ||
-		b.random() < (bad-b.good-1)/(bad+b.good+1)
+	return float64(b.trying) >= most && bad > 1+b.good/8 || b.random() < (bad-b.good-1)/(bad+b.good+1)
 }
 
 // ailing tells whether setup tries fail so often that another server is no remedy. Late ones tell of it only
@@ -646,10 +616,8 @@
 			return false
 		}
 	}
-	if b.state[i] != Ready { // drains are kept: at once, without using the grace
-		return false
-	}
-	return b.warmth(i) >= 1 || b.mayWarm(c, i) // a cold server is not pushed over
+	// Drains are kept: at once, without using the grace; a cold server is not pushed over.
+	return b.state[i] == Ready && (b.warmth(i) >= 1 || b.mayWarm(c, i))
 }
 
 // mayNack tells whether trying again is harmless.
@@ -660,9 +628,9 @@
 
 // mayWarm tells whether a circuit may go to a cold server. All balancers together may send it, each span in
 // which it could fall, as many connections as servers hold on the mean, times the multiple and cut to its
-// warmth, over a third of the warm-up. A balancer's part of that may be far under one: then it lets in so
-// much of what comes to a cold server, by one chance a decision. Guards against two hundred balancers that
-// send one each, and against cold servers that stay empty: a part dealt out before is lost where none comes.
+// warmth, over a part of the warm-up. Where a balancer's part is far under one it lets in so much of what
+// comes to a cold server, by one chance a decision. Guards against two hundred balancers that send one each,
+// and against cold servers that stay empty: a part dealt out before is lost where none comes.
 func (b *Balancer) mayWarm(c *circuit, i int) bool {
 	mean, fill := float64(b.total)/float64(max(len(b.newest().servers), 1)), coldFill
 	if b.heard { // less is left to chance: two hundred that tell nothing came near the rule with this
@@ -682,8 +650,6 @@
 	return b.budget[i] >= 1 && (part >= 1 || c.draw < coldSlack*part*b.colds/draws/b.wanted)
 }
 
-// ---- The pick.
-
 func mix(a, z uint64) uint64 {
 	hi, lo := bits.Mul64(a^0x9e3779b97f4a7c15, z^0xd1b54a32d192ed03)
 	x := hi ^ lo
@@ -774,8 +740,7 @@
 
 // cool tells whether a server has not warmed up yet for this key; all balancers agree on it.
 func (b *Balancer) cool(c *circuit, i int) bool {
-	w := b.warmth(i)
-	return w < 1 && unit(mix(c.key, ^uint64(b.id[i]))) >= coolMore*w
+	return b.warmth(i) < 1 && unit(mix(c.key, ^uint64(b.id[i]))) >= coolMore*b.warmth(i)
 }
 
 // passed tells whether a circuit passes server i over at a step; sum is the weight of all servers, even the
@@ -809,14 +774,12 @@
 	return v
 }
 
-// ---- Decisions.
-
 // Next answers one decision; false when there is none for now.
 func (b *Balancer) Next() (Decision, bool) {
-	if b.tellAt <= b.now && len(b.pools) > 0 {
+	if b.tellAt <= b.now {
 		b.tellAt = b.now + tellEvery
 		// Guards against messages that grow with balancers times servers, and cost more than they tell.
-		if size := len(b.newest().servers) * (b.dep.Peers - 1); size <= tellMost*b.arrived {
+		if size := len(b.newest().servers) * (b.dep.Peers - 1); 0 < size && size <= tellMost*b.arrived {
 			b.arrived = 0
 			return Decision{Do: Tell, Told: b.tell()}, true
 		}
@@ -876,7 +839,7 @@
 	c.draw, c.wanted = b.random(), false
 	i := -1
 	// While it leaves, whoever is set up now would have to move at once.
-	if len(b.pools) > 0 && b.leaveBy == never && !(b.throttled(c) && b.mayNack(c)) {
+	if b.leaveBy == never && !(b.throttled(c) && b.mayNack(c)) {
 		// Guards against jams that no server comes out of: a newcomer that finds only jammed servers is nacked.
 		i = b.pick(c, byAside)
 	}
@@ -921,15 +884,15 @@
 		return
 	}
 	held, warm, seen, bad := 0, 0, 0, 0
-	for i := range b.id {
-		if b.state[i] == Ready && len(b.held[i]) > 0 {
+	for _, i := range b.newest().servers {
+		if len(b.held[i]) > 0 {
 			if seen++; b.busy(i, jammed) {
 				bad++
 			}
 		}
-		if b.state[i] == Ready && b.warmth(i) >= 1 {
+		if b.warmth(i) >= 1 {
 			held, warm = held+len(b.held[i]), warm+1
-		} else if b.state[i] == Ready {
+		} else {
 			b.colds += b.weight(i, 3*spill) * min(1, coolMore*b.warmth(i))
 		}
 	}
@@ -1012,10 +975,8 @@
 		return cmp.Or(mates[x.place]-mates[y.place], cmp.Compare(y.load, x.load), x.slot-y.slot)
 	}) {
 		again := *c // as it will come again
-		again.open, again.tries, again.tried, again.ranOn = false, 0, nil, -1
-		again.wanted = true
-		j := b.pick(&again, byAll)
-		if j >= 0 && j != i && !b.part(c, &load) {
+		again.open, again.tries, again.tried, again.ranOn, again.wanted = false, 0, nil, -1, true
+		if j := b.pick(&again, byAll); j >= 0 && j != i && !b.part(c, &load) {
 			return
 		}
 	}
