Settings have a file of their own; a panic while they are taken leaves no caller waiting

From reading the change: Reconfigure waited for an answer that a panic in its turn of the loop (guard) would never have sent, and the loop's file had come to own settings and the link too.

--- /dev/null
+++ b/internal/balancer/settings.go
@@ -0,0 +1,158 @@
+// This file owns what settings hold and the link to the other balancers: how new ones take the old ones' place in a
+// running loop, whole or not at all. It must never touch a circuit's connections or decide for it.
+
+package balancer
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"sabletally/internal/deployment"
+	"sabletally/internal/discovery"
+	"sabletally/internal/peers"
+	"sabletally/policy"
+)
+
+// onSockets is what the module goes by here: where servers report no load a probe's time tells of it, which is a
+// report all the same.
+func onSockets(dep *deployment.Deployment) *policy.Deployment {
+	p := *dep.Policy
+	p.ReportsOnAsk = p.MayProbe
+	return &p
+}
+
+// settings has a deployment hold for the loop itself.
+func (l *Loop) settings(dep *deployment.Deployment) {
+	l.dep, l.goal = dep, 0
+	for _, g := range dep.Policy.Grades {
+		if g.MessageGoal > 0 && (l.goal == 0 || g.MessageGoal < l.goal) {
+			l.goal = g.MessageGoal
+		}
+	}
+}
+
+// Reconfigure has new settings and other peers hold, in one turn of the loop. What is taken in stays: circuits that
+// wait, tries that are out and what stands go on, known by the new rows of their grade and tenant. It waits for that
+// turn, so the loop must run. An error means that all is as before.
+func (l *Loop) Reconfigure(dep *deployment.Deployment, at deployment.Peers) error {
+	was, known := l.linked, []netip.AddrPort(nil)
+	if was != nil {
+		known = was.Known()
+	}
+	link, err := l.connect(dep, at)
+	if err != nil {
+		return err
+	}
+	done := make(chan error, 1)
+	l.post(event{do: func() {
+		err := errPanic // a panic here is the loop's to catch; guards against a caller that waits for ever
+		defer func() { done <- err }()
+		if err = l.refuses(dep); err != nil {
+			return
+		}
+		err = errPanic
+		grades, tenants := rows(l.dep.Grades, dep.Grades), rows(l.dep.Tenants, dep.Tenants)
+		for _, cir := range l.circuits {
+			cir.arrival.Grade = policy.Moved(grades, cir.arrival.Grade, len(dep.Grades))
+			cir.arrival.Tenant = policy.Moved(tenants, cir.arrival.Tenant, len(dep.Tenants))
+		}
+		l.settings(dep)
+		l.bal.Reconfigure(onSockets(dep), grades, tenants)
+		if l.link != nil && l.link != link {
+			l.link.Close()
+		}
+		l.link = link
+		// The list again: its zones have other numbers now.
+		again := discovery.List{Whole: true}
+		for _, sv := range l.servers {
+			if sv.state != policy.Gone {
+				again.Servers = append(again.Servers, sv.listedAs)
+			}
+		}
+		slices.SortFunc(again.Servers, func(x, y discovery.Server) int { return cmp.Compare(x.UID, y.UID) })
+		l.list(again, true)
+		l.log.Info("settings", zap.Int("held", len(l.circuits)), zap.Int("open", l.open), zap.Bool("told", link != nil))
+		err = nil
+	}})
+	if err = <-done; err != nil {
+		if l.linked = was; link != was && link != nil {
+			link.Close()
+		} else if link != nil {
+			link.Know(known)
+		}
+	}
+	return err
+}
+
+// refuses tells why new settings can't hold while what there is stands: nil where they can.
+func (l *Loop) refuses(dep *deployment.Deployment) error {
+	names := make([]string, len(l.dep.Grades))
+	for name, i := range l.dep.Grades {
+		names[i] = name
+	}
+	gone := ""
+	for _, cir := range l.circuits {
+		if i := cir.arrival.Grade; i < len(names) {
+			if _, stays := dep.Grades[names[i]]; !stays && (gone == "" || names[i] < gone) {
+				gone = names[i]
+			}
+		}
+	}
+	if gone != "" {
+		return fmt.Errorf("settings.ServiceGrades: %q is gone, and circuits of it are held", gone)
+	}
+	for _, sv := range l.servers {
+		zone := sv.listedAs.Zone
+		_, was := l.dep.Zones[zone]
+		if _, stays := dep.Zones[zone]; sv.state != policy.Gone && was && !stays {
+			return fmt.Errorf("settings.Areas: %q is gone, and servers stand there", zone)
+		}
+	}
+	return nil
+}
+
+// connect opens the link to the other balancers, or takes the one that there is where it listens at the same address.
+// It is called by one goroutine, which is not the loop's.
+func (l *Loop) connect(dep *deployment.Deployment, at deployment.Peers) (*peers.Link, error) {
+	if !dep.Policy.MayTell {
+		l.linked = nil
+		return nil, nil
+	}
+	if l.linked != nil && l.linked.At() == at.Listen {
+		l.linked.Know(at.Others)
+		return l.linked, nil
+	}
+	var link *peers.Link
+	ready := make(chan struct{})
+	counts := &peers.Counts{Sent: &l.Sent, Heard: &l.Heard, Dropped: &l.Dropped}
+	link, err := peers.Open(at.Listen, at.Others, counts, func(from int, t policy.Told, done func()) {
+		<-ready
+		l.post(event{do: func() {
+			if done(); l.link == link {
+				l.bal.PeerTold(from, t)
+			}
+		}})
+	})
+	close(ready)
+	if err != nil {
+		return nil, fmt.Errorf("peers.listen: %w", err)
+	}
+	l.linked = link
+	return link, nil
+}
+
+// rows tells the new place of each old name, -1 for one that is gone.
+func rows(was, now map[string]int) []int {
+	all := make([]int, len(was))
+	for name, i := range was {
+		all[i] = -1
+		if j, stays := now[name]; stays {
+			all[i] = j
+		}
+	}
+	return all
+}
