A group has one home for the fleet while each balancer holds few of it; cold ones take no reach

At fault: weight (zones against each other: three homes for a group of ten), pick (even shares of one connection, twos over), order (a home of five servers for two of three connections), pick's reach counted over servers that mayTry bars.

--- a/internal/balancer/circuit.go
+++ b/internal/balancer/circuit.go
@@ -307,6 +307,8 @@
 
 // stands tells that a circuit has come to stand.
 func (l *Loop) stands(cir *circuit, ln line.Line) {
+	l.log.Debug("stands", zap.Stringer("circuit", cir), zap.String("server", cir.at.listedAs.UID),
+		zap.Duration("after", l.now-cir.calledAt), zap.Int("tries", cir.tries), zap.Uint64("group", cir.arrival.Group))
 	cir.turn++
 	cir.out, cir.open = false, true
 	l.open++
@@ -385,6 +387,8 @@
 
 // stoodEnded ends a circuit that stood; its connections are seen to.
 func (l *Loop) stoodEnded(cir *circuit, how policy.Outcome) {
+	l.log.Debug("stood", zap.Stringer("circuit", cir), zap.String("how", outcomes[how]),
+		zap.String("server", cir.at.listedAs.UID))
 	l.Ended[how].Add(1)
 	id, try := cir.id, cir.tries-1
 	l.forget(cir)
--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -175,3 +175,66 @@
 		t.Fatalf("one of a million balancers sent cold servers %d tries", tries)
 	}
 }
+
+// With every zone's balancers making a home of their own 30 groups stand at 91 places here, of 400 connections.
+func TestManyBalancersInThreeZonesKeepAGroupTogether(t *testing.T) {
+	list := fleet(12)
+	for i := range list {
+		list[i].Zone = i % 3
+	}
+	places := map[[2]uint64]bool{}
+	for k := range 80 {
+		d := deployment()
+		d.Peers, d.Zone, d.CrossingPrice, d.ReportsOnAsk = 80, k%3, 0.08, true
+		b := New(d, uint64(k)+1)
+		b.ListArrived(list, true)
+		for _, l := range list { // all have told of room
+			b.Reported(l.Server, Report{Asked: 0.3, Piled: -1, Util: -1})
+		}
+		for n := range 5 {
+			c := uint64(5*k + n)
+			group := mix(c, 1) % 30
+			got := arrive(t, b, Arrival{ID: CircuitID(c + 1), Key: 1000 + c, Group: 50 + group})
+			b.SetUp(CircuitID(c+1), 0, ms)
+			places[[2]uint64{group, uint64(got.Server)}] = true
+		}
+	}
+	if len(places) > 45 {
+		t.Fatalf("30 groups at %d places", len(places))
+	}
+}
+
+// One that holds many of each group keeps them in its zone: a crossing has its price.
+func TestABalancerWithManyOfEachGroupKeepsToItsZone(t *testing.T) {
+	d := deployment()
+	d.CrossingPrice = 0.08
+	list := fleet(9)
+	for i := range list {
+		list[i].Zone = i % 3
+	}
+	b := started(d, list)
+	for id := CircuitID(1); id <= 300; id++ {
+		got := arrive(t, b, Arrival{ID: id, Key: uint64(id) + 1000, Group: uint64(id)%5 + 10})
+		b.SetUp(id, 0, ms)
+		if i := b.index[got.Server]; id > 50 && b.zone[i] != 0 {
+			t.Fatalf("circuit %d crosses", id)
+		}
+	}
+}
+
+// With a group's reach counted over cold servers too, most of these are nacked.
+func TestColdServersTakeNoPlaceInAGroupsReach(t *testing.T) {
+	d := deployment()
+	d.Peers, d.MayProbe = 1000, false
+	list := fleet(10)
+	for i := range 8 {
+		list[i].Started = 0
+	}
+	b := started(d, list)
+	for id := CircuitID(1); id <= 20; id++ {
+		if got := arrive(t, b, Arrival{ID: id, Key: uint64(id), Group: uint64(id) + 100}); got.Do != Try {
+			t.Fatalf("circuit %d is nacked while two warm servers are empty", id)
+		}
+		b.SetUp(id, 0, ms)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -43,9 +43,12 @@
 	coldTold     = 6.0                    // and where the others tell what they hold
 	coldLeast    = 4.0                    // connections that a server is thought to hold, over all balancers
 	evenMost     = 2.0                    // so many times an even share of the load a server takes unproven,
+	evenLeast    = 4.0                    // connections that a server takes of one balancer, whatever the others hold
 	evenTold     = 1.2                    // and where the others tell what they hold
 	reachFar     = 2                      // servers past a group's home that its members may go to
 	homeSpread   = 2.0                    // servers in a group's home, over its share of the connections
+	ownMembers   = 1.7                    // of each group here, on the mean, from which on it keeps to its zone
+	fewGroups    = 5                      // and so many more: of a few connections nothing is learned
 	lateFrom     = 3                      // over so-many-th of its goal a set-up is late: a queue somewhere
 	fewJammed    = 0.2                    // part of the servers that hold something
 	triesBesides = 9.0                    // tries out of all balancers besides, while some fail
@@ -108,7 +111,7 @@
 	dep                *Deployment
 	now                time.Duration
 	seed, chance       uint64
-	away               float64       // weight of a server in another zone, the own zone's is 1
+	away, across       float64       // weight of a server in another zone, the own zone's is 1; for the circuit at hand
 	goal               time.Duration // the shortest message goal
 	index              map[ServerID]int
 	circuit            map[CircuitID]*circuit
@@ -666,7 +669,7 @@
 // weight of a server: less elsewhere, where crossings cost, but not under the least.
 func (b *Balancer) weight(i int, least float64) float64 {
 	if b.zone[i] != b.dep.Zone {
-		return b.heft[i] * max(b.away, least)
+		return b.heft[i] * max(b.across, least)
 	}
 	return b.heft[i]
 }
@@ -680,7 +683,12 @@
 // order ranks the newest version's servers for a circuit by weighted rendezvous hashing of its group. The
 // first few, by the group's share of the connections, are its home; there the client's key ranks.
 func (b *Balancer) order(c *circuit) []ranked {
-	b.rank, b.reach = b.rank[:0], len(b.newest().servers)
+	b.rank, b.reach, b.across = b.rank[:0], len(b.newest().servers), b.away
+	if c.place != c.key && float64(b.total) < ownMembers*float64(len(b.group)+fewGroups) {
+		// Guards against eighty balancers of which each zone's have a home of their own for a group of ten: it is paid
+		// for at three servers. Where a balancer holds many of each group, that costs less than crossing.
+		b.across = 1
+	}
 	sum, top := 0.0, 0.0
 	for _, i := range b.newest().servers {
 		w := b.weight(i, 0)
@@ -691,7 +699,7 @@
 	if c.place != c.key && b.total > 0 {
 		// With its chance error taken off, or one connection among a dozen would make a home of several.
 		n := float64(b.group[c.place])
-		home := max(1, int(math.Ceil(homeSpread*(n-math.Sqrt(n))/float64(b.total)*sum/max(top, 1e-9))))
+		home := max(1, int(math.Ceil(homeSpread*(n-2*math.Sqrt(n))/float64(b.total)*sum/max(top, 1e-9))))
 		b.reach = min(b.reach, home+reachFar)
 		first := b.rank[:min(home, len(b.rank))]
 		for n, r := range first {
@@ -729,10 +737,18 @@
 		even = evenMost * load / heft
 	}
 	for step := byAll; step <= upTo; step++ {
-		for _, r := range rank[:b.reach] {
-			if i := r.server; !b.passed(c, i, step, sum, even) && b.mayTry(c, i) {
+		left := b.reach
+		for _, r := range rank {
+			// What no circuit may go to takes no place in the reach. Guards against a group whose first servers all
+			// came back cold: it was nacked by every balancer while most servers had room.
+			if i := r.server; !b.mayTry(c, i) {
+				continue
+			} else if !b.passed(c, i, step, sum, even) {
 				return i
 			}
+			if left--; left == 0 {
+				break
+			}
 		}
 	}
 	return -1
@@ -747,10 +763,10 @@
 // load for its heft that one takes. Guards against all of a restarted balancer on a zone's one sound server.
 func (b *Balancer) passed(c *circuit, i, step int, sum, even float64) bool {
 	w := b.weight(i, spill) * b.warmth(i)
-	limit := 2*float64(b.total)*w/max(sum, 1e-9) + 2
+	limit := 2*float64(b.total)*w/max(sum, 1e-9) + evenLeast
 	if step < byAside && (b.aside[i] || slices.Contains(c.tried, i)) || step < byCrowd && b.busy(i, crowded) ||
 		step < byLimit && (b.cool(c, i) || float64(len(b.held[i])) > limit ||
-			b.known(i)+c.load > max(even*b.heft[i]*b.warmth(i), 2*b.shown[i])) {
+			b.known(i)+c.load > max(even*b.heft[i]*b.warmth(i), 2*b.shown[i], evenLeast*max(b.usual, 1))) {
 		return true
 	}
 	// A young report that tells of room lets one in, whatever is held here: with a hundred balancers each holds
