After time-outs a balancer waits its turn; cold servers get their part; lists go on from the known

At fault: throttled (two failures in 3 s are rare at 1/80 of the traffic), timeOut (half the time, then nacked with the other half left). Now a time-out shuts the gate for 10 ms a balancer, doubling; a try leaves one set-up's goal. Now the known list is gone on from, a 503 is no gap, pauses are drawn by chance up to 50 ms a balancer (4 s at most), watches last 0.5 s a balancer. Ruled out: polling without a wait (503 from the third call on), pauses up to 20 s (drain broken on join: what the agent has counts as told), waits of 4 to 8 s. Tests: many balancers and a store of 28 set-ups a second: 92 of 160 clients stand, 30 before; watches against a busy discovery.

--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -26,9 +26,10 @@
 )
 
 const (
-	readyWithin = 2 * time.Second // ready after that with the list known at the start
-	keptFds     = 24              // descriptors for the program itself
-	spareFds    = 8               // so-many-th of the rest, kept for clients that are only told to come again
+	readyWithin = 2 * time.Second        // ready after that without a list
+	readySoon   = 250 * time.Millisecond // and after that with the one known at the start: what is newer comes at once
+	keptFds     = 24                     // descriptors for the program itself
+	spareFds    = 8                      // so-many-th of the rest, kept for clients that are only told to come again
 )
 
 // Loop is one running balancer.
@@ -53,6 +54,7 @@
 	relays   *relay.Shards
 	watch    *discovery.Watch
 	unwatch  context.CancelFunc // ends it
+	known    discovery.List     // the list from before the start
 	servers  map[policy.ServerID]*server
 	byUID    map[string]*server
 	circuits map[policy.CircuitID]*circuit
@@ -106,6 +108,7 @@
 		wake: make(chan struct{}, 1), most: int64(max(sockets-keptFds, 2)),
 		servers: map[policy.ServerID]*server{}, byUID: map[string]*server{},
 		circuits: map[policy.CircuitID]*circuit{}, byAsk: map[uint64]*circuit{}, door: newDoor(),
+		known: known,
 	}
 	l.settings(dep)
 	var err error
@@ -113,6 +116,9 @@
 		return nil, err
 	}
 	l.list(known, true)
+	if known.Whole && len(known.Servers) > 0 {
+		l.after(readySoon, l.welcome)
+	}
 	l.after(readyWithin, l.welcome)
 	l.after(beat, l.beat)
 	l.after(sweepEach, l.sweep)
@@ -134,9 +140,12 @@
 				}
 			}})
 		}
-		w = discovery.New(address,
+		w = discovery.New(address, l.dep.Policy.Peers,
 			func(list discovery.List) { of(func() { l.list(list, false) }) },
 			func(err error) { of(func() { l.unlisted(err) }) })
+		if l.unwatch == nil { // another discovery counts its lists by itself
+			w.From(l.known)
+		}
 		ctx, l.unwatch = context.WithCancel(ctx)
 		l.watch = w
 		go w.Run(ctx)
@@ -350,6 +359,7 @@
 	}
 	l.bal.ListArrived(lines, list.Whole || known)
 	if !known {
+		l.log.Debug("list", zap.Uint64("rev", list.Rev), zap.Bool("whole", list.Whole), zap.Int("entries", len(list.Servers)))
 		l.Lists.Add(1)
 		if !l.listed {
 			l.listed = true
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,7 +38,7 @@
 	moveEvery    = time.Second            // between moves away from one jammed server
 	spill        = 0.25                   // least share of a server in another zone in the limit
 	coolMore     = 1.7                    // so much of its least warmth a cold server is taken for
-	coldSlack    = 0.4                    // of its part, where that is let in by chance: by luck more come
+	coldSlack    = 1.0                    // of its part, where that is let in by chance
 	coldFill     = 3.0                    // so-many-th of the warm-up in which a cold server may fill,
 	coldTold     = 6.0                    // and where the others tell what they hold
 	coldLeast    = 4.0                    // connections that a server is thought to hold, over all balancers
@@ -52,6 +52,8 @@
 	lateFrom     = 3                      // over so-many-th of its goal a set-up is late: a queue somewhere
 	fewJammed    = 0.2                    // part of the servers that hold something
 	triesBesides = 9.0                    // tries out of all balancers besides, while some fail
+	gateEach     = 10 * time.Millisecond  // after a time-out all balancers together try so often, each in its turn,
+	gateTimes    = 10                     // and after more so many times less often
 	tallyFor     = 3 * time.Second        // how long setup tries count in the tally
 )
 
@@ -130,6 +132,7 @@
 	good, bad, late    float64        // setup tries that came to stand lately, that failed, that stood late
 	wanted, colds      float64        // circuits that came to a cold server lately; what those draw together
 	tallyAt            time.Duration
+	shut, shutTill     time.Duration // nothing is tried till then; how long the newest such wait was meant to be
 	leaveFrom, leaveBy time.Duration // all that is held is moved between these, never while it stays
 	tellAt             time.Duration // when the others are told next, never where they are not,
 	arrived            int           // circuits since the last time
@@ -362,8 +365,17 @@
 	c.out, c.open, c.until = false, true, never
 	b.fails[c.server] *= 0.3
 	b.tally(1, 0)
-	if took > c.grade.SetupGoal/lateFrom {
+	b.shutTill = min(b.shutTill, b.now)
+	switch {
+	case took > c.grade.SetupGoal: // a queue that the next one would stand in too
+		b.late++
+		b.gate(1.5, c.grade.SetupGoal)
+	case took > c.grade.SetupGoal/lateFrom:
 		b.late++
+	default:
+		if b.shut /= 2; b.shut < b.gateLeast() {
+			b.shut = 0
+		}
 	}
 }
 
@@ -379,6 +391,9 @@
 		if how == Failed || how == TimedOut { // other ends tell of one server alone
 			b.tally(0, 1)
 		}
+		if how == TimedOut {
+			b.gate(2, c.grade.SetupGoal)
+		}
 	}
 	b.release(c)
 	wasOpen := c.open
@@ -533,6 +548,19 @@
 	b.wanted *= fade
 }
 
+// gateLeast is how long nothing is tried after a first time-out: all balancers together try so often.
+func (b *Balancer) gateLeast() time.Duration { return time.Duration(b.dep.Peers) * gateEach }
+
+// gate has nothing tried for a while, so many times the one before; one under a set-up's goal is none. Guards against
+// a store that serves only what nobody waits for any more: eighty balancers of one client each saw too few time-outs
+// to brake, sent it more than it could do, and none of their set-ups came to stand for nine seconds.
+func (b *Balancer) gate(times float64, goal time.Duration) {
+	b.shut = min(max(time.Duration(times*float64(b.shut)), b.gateLeast()), gateTimes*b.gateLeast())
+	if b.shut >= goal {
+		b.shutTill = b.now + b.jitter(b.shut)
+	}
+}
+
 // throttled tells whether a circuit is to be nacked at once, as setup tries fail whatever server they go to:
 // some fail and enough are out, or by chance, the likelier the more failed than stood. Guards against retries
 // that keep a store or the fleet down. Only tries count: while nacks did too, the brake held itself on.
@@ -540,7 +568,7 @@
 	bad := b.bad + b.late
 	besides := triesBesides * (b.good + 1) / (b.good + bad + 1) / float64(b.dep.Peers)
 	most := math.Floor(besides + b.good*c.grade.SetupGoal.Seconds()/tallyFor.Seconds() + b.random())
-	return float64(b.trying) >= most && bad > 1+b.good/8 || b.random() < (bad-b.good-1)/(bad+b.good+1)
+	return b.now < b.shutTill || float64(b.trying) >= most && bad > 1+b.good/8 || b.random() < (bad-b.good-1)/(bad+b.good+1)
 }
 
 // ailing tells whether setup tries fail so often that another server is no remedy. Late ones tell of it only
@@ -739,13 +767,15 @@
 	for step := byAll; step <= upTo; step++ {
 		left := b.reach
 		for _, r := range rank {
-			// What no circuit may go to takes no place in the reach. Guards against a group whose first servers all
-			// came back cold: it was nacked by every balancer while most servers had room.
-			if i := r.server; !b.mayTry(c, i) {
-				continue
-			} else if !b.passed(c, i, step, sum, even) {
+			i := r.server
+			if !b.passed(c, i, step, sum, even) && b.mayTry(c, i) {
 				return i
 			}
+			// A cold server takes no place in the reach. Guards against a group whose first servers all came back
+			// cold: it was nacked by every balancer while most servers had room.
+			if b.warmth(i) < 1 {
+				continue
+			}
 			if left--; left == 0 {
 				break
 			}
@@ -834,7 +864,8 @@
 // there is time. Guards against two hundred balancers that ask every server all the time: a report is asked
 // for where a decision hangs on it.
 func (b *Balancer) asksFirst(c *circuit, i int) bool {
-	if !b.dep.MayProbe || !b.dep.ReportsOnAsk || b.now-b.askedAt[i] <= reportYoung || c.asks >= asksMost {
+	if !b.dep.MayProbe || !b.dep.ReportsOnAsk || b.now-b.askedAt[i] <= reportYoung || c.asks >= asksMost ||
+		c.asks > 0 && c.waitsOn == i { // asked already, and it told nothing
 		return false
 	}
 	c.asks++
@@ -852,7 +883,10 @@
 		return Decision{}, false
 	}
 	b.tally(0, 0)
-	c.draw, c.wanted = b.random(), false
+	if c.waits == 0 { // one that waited for a report keeps its chance: guards against cold servers that stay empty, as
+		c.draw, c.wanted = b.random(), false // it had to fall out well anew after each report
+	}
+	c.waits = 0
 	i := -1
 	// While it leaves, whoever is set up now would have to move at once.
 	if b.leaveBy == never && !(b.throttled(c) && b.mayNack(c)) {
@@ -882,11 +916,12 @@
 	return Decision{Do: Try, Circuit: c.id, Server: b.id[i], For: b.timeOut(c)}, true
 }
 
-// timeOut leaves room for one more setup try while there may be one.
+// timeOut leaves a set-up's goal for one more setup try while there may be one. Half the time was left to it once: all
+// balancers together then asked a slow store for set-ups twice as often as it could do, and waited for none.
 func (b *Balancer) timeOut(c *circuit) time.Duration {
 	left := c.until - b.now
 	if c.tries < b.dep.MostTries && c.grade.Effect != Unrepeatable && !b.ailing() {
-		left = max(left/2, min(left, c.grade.SetupGoal))
+		left = max(left-c.grade.SetupGoal, left/2, min(left, c.grade.SetupGoal))
 	}
 	return max(left, time.Microsecond)
 }
