A server that is silent for eight message goals loses its clients, in place of five seconds

At fault: silentFor, a constant; clients write every 2 s and a sound server answers at once. Now 2 s at a goal of 250 ms, looked for every 250 ms.

--- a/cmd/sabletally/main_test.go
+++ b/cmd/sabletally/main_test.go
@@ -482,7 +482,8 @@
 	began := time.Now()
 	a.write("M 1 x\r\n")
 	a.want("MOVE\r\n")
-	if took := time.Since(began); took > 7*time.Second {
+	// The message goal is 250 ms. Five seconds, once, were lost to all the clients of a zone that went.
+	if took := time.Since(began); took < 1500*time.Millisecond || took > 3500*time.Millisecond {
 		t.Fatalf("after %v", took)
 	}
 	e.R.ReadString('\n')
--- a/internal/balancer/circuit.go
+++ b/internal/balancer/circuit.go
@@ -20,7 +20,10 @@
 
 const (
 	answerEarly = 10 * time.Millisecond  // so much before its outer limit a circuit is answered at the latest
-	silentFor   = 5 * time.Second        // a server that was asked and sends nothing for so long is gone
+	silentGoals = 8                      // a server that was asked and sends nothing for so many message goals is gone,
+	silentLeast = 2 * time.Second        // but not before this
+	silentMost  = 5 * time.Second        // and after this at the latest
+	silentEach  = 250 * time.Millisecond // how often it is looked for
 	standWithin = 38 * time.Second       // a circuit that was open before the run is up by then, or lost
 	standPause  = 300 * time.Millisecond // between its tries
 	writeAgain  = time.Millisecond       // until a line that is being written to a client is looked at again
@@ -465,25 +468,37 @@
 
 // ---- What messages take.
 
-// beat takes what the relays have gathered: servers that were asked and are silent lose their clients, and servers at which
-// messages take long are noted, once a beat while they do and once more when they no longer do. The middle of what
-// the answers of the beat took is the figure; a line still without an answer counts with its age once that is long.
-// Guards against machines that vanish: their connections stay open and say nothing.
-func (l *Loop) beat() {
-	l.after(beat, l.beat)
-	edge := l.goal / notedAbove
-	g := l.relays.Gather(edge, silentFor)
-	for _, p := range g.Silent {
+// silent has servers that were asked and say nothing lose their clients. A server that answers nothing for many message
+// goals is no use to them, whatever is wrong with it. Guards against machines that vanish: their connections stay open
+// and say nothing, and each second there is lost to each of their clients.
+func (l *Loop) silent() {
+	l.after(silentEach, l.silent)
+	for _, p := range l.relays.Silent(l.silentFor()) {
 		if cir := p.Data.(*circuit); l.circuits[cir.id] == cir {
 			l.Silent.Add(1)
 			l.move(cir, policy.Reset)
 		}
 	}
+}
+
+func (l *Loop) silentFor() time.Duration {
+	if l.goal == 0 {
+		return silentMost
+	}
+	return max(silentLeast, min(silentGoals*l.goal, silentMost))
+}
+
+// beat notes servers at which messages take long, once a beat while they do and once more when they no longer do. The middle of
+// what the answers of the beat took is the figure; a line still without an answer counts with its age once that is long.
+func (l *Loop) beat() {
+	l.after(beat, l.beat)
+	edge := l.goal / notedAbove
+	took := l.relays.Gather(edge)
 	if l.goal == 0 {
 		return
 	}
-	for _, id := range slices.Sorted(maps.Keys(g.Took)) {
-		sv, took := l.servers[policy.ServerID(id)], g.Took[id]
+	for _, id := range slices.Sorted(maps.Keys(took)) {
+		sv, took := l.servers[policy.ServerID(id)], took[id]
 		if sv == nil || len(took) == 0 {
 			continue
 		}
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -121,6 +121,7 @@
 	}
 	l.after(readyWithin, l.welcome)
 	l.after(beat, l.beat)
+	l.after(silentEach, l.silent)
 	l.after(sweepEach, l.sweep)
 	return l, nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -311,21 +311,15 @@
 	return p, nil
 }
 
-// Gathered is what is found at a gathering.
-type Gathered struct {
-	Took   map[uint64][]time.Duration // what messages took, by server; some of them where there were many
-	Silent []*Pair                    // their servers were asked and have been silent for so long
-}
-
-// Gather takes what has come together since the last time. What a line without an answer has waited for counts
-// once it is over the edge; silent is how long a server may say nothing. It also ends readers that take nothing.
-func (s *Shards) Gather(edge, silent time.Duration) Gathered {
-	g := Gathered{Took: map[uint64][]time.Duration{}}
+// Gather takes what messages have taken since the last time, by server; some of them where there were many. What a line
+// without an answer has waited for counts once it is over the edge. It also ends readers that take nothing.
+func (s *Shards) Gather(edge time.Duration) map[uint64][]time.Duration {
+	all := map[uint64][]time.Duration{}
 	for _, sh := range s.all {
 		sh.mu.Lock()
 		now := s.now()
 		for server, took := range sh.times {
-			g.Took[server] = append(g.Took[server], took...)
+			all[server] = append(all[server], took...)
 		}
 		clear(sh.times)
 		clear(sh.seen)
@@ -337,27 +331,42 @@
 			if at := c.stalledAt.Load(); at > 0 && now-time.Duration(at) > s.stall {
 				slow = append(slow, c)
 			}
-			p := c.pair.Load()
-			if p == nil || c.mine != Client {
-				continue
+			if p := c.pair.Load(); p != nil && c.mine == Client && edge > 0 {
+				if asked := time.Duration(p.asked.Load()); asked > 0 && now-asked > edge {
+					all[p.server] = append(all[p.server], now-asked)
+				}
 			}
-			asked := time.Duration(p.asked.Load())
-			if asked == 0 {
+		}
+		sh.mu.Unlock()
+		for _, c := range slow {
+			c.fail(ErrSlow)
+		}
+	}
+	return all
+}
+
+// Silent answers the pairs whose server was asked and has said nothing for so long.
+func (s *Shards) Silent(silent time.Duration) []*Pair {
+	var all []*Pair
+	for _, sh := range s.all {
+		sh.mu.Lock()
+		now := s.now()
+		for _, c := range sh.conns {
+			if c == nil || c.mine != Client {
 				continue
 			}
-			if edge > 0 && now-asked > edge {
-				g.Took[p.server] = append(g.Took[p.server], now-asked)
+			p := c.pair.Load()
+			if p == nil {
+				continue
 			}
-			if now-max(asked, time.Duration(p.heard.Load())) >= silent {
-				g.Silent = append(g.Silent, p)
+			asked := time.Duration(p.asked.Load())
+			if asked > 0 && now-max(asked, time.Duration(p.heard.Load())) >= silent {
+				all = append(all, p)
 			}
 		}
 		sh.mu.Unlock()
-		for _, c := range slow {
-			c.fail(ErrSlow)
-		}
 	}
-	return g
+	return all
 }
 
 // took notes what a message took at a server; of many, chance by their count decides which are kept.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -364,7 +364,7 @@
 	}
 	c.stalledAt.Store(1) // as if it had taken nothing since the start
 	b.stall = 0
-	b.Gather(0, time.Hour)
+	b.Gather(0)
 	if e := get(t, b.ended); !errors.Is(e.why, ErrSlow) || e.p != p {
 		t.Fatal(e)
 	}
@@ -388,15 +388,17 @@
 		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(5 * time.Millisecond)
-	g := b.Gather(time.Millisecond, 2*time.Millisecond)
-	if len(g.Silent) != 1 || g.Silent[0] != silent {
-		t.Fatalf("%d silent", len(g.Silent))
+	if all := b.Silent(2 * time.Millisecond); len(all) != 1 || all[0] != silent {
+		t.Fatalf("%d silent", len(all))
 	}
-	if took := g.Took[7]; len(took) != 2 || max(took[0], took[1]) < 20*time.Millisecond || min(took[0], took[1]) < 5*time.Millisecond {
+	if all := b.Silent(time.Hour); len(all) != 0 {
+		t.Fatal(all)
+	}
+	if took := b.Gather(time.Millisecond)[7]; len(took) != 2 || max(took[0], took[1]) < 20*time.Millisecond || min(took[0], took[1]) < 5*time.Millisecond {
 		t.Fatalf("%v", took)
 	}
-	if g := b.Gather(0, time.Hour); len(g.Took) != 0 || len(g.Silent) != 0 {
-		t.Fatal(g)
+	if all := b.Gather(0); len(all) != 0 {
+		t.Fatal(all)
 	}
 }
 
