Each server is asked once early, and one probe tells its machine's pace

At fault: probeAt and reportEvery (0.7 s a balancer: 56 s here), weigh (two probes of a server; the middle kept as it first stood, on a fifth of the balancers four times too slow, by their own start). Now each server is asked once within 50 ms a balancer, one probe makes a pace, the middle gets faster. Ruled out: set-up times, which are mostly the store's. Test: one probe of each server after a slow start tells paces; the old code keeps all at four steps.

--- a/internal/balancer/load.go
+++ b/internal/balancer/load.go
@@ -5,6 +5,7 @@
 package balancer
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -45,16 +46,28 @@
 // machines that get as many connections as fast ones: the list may know no more than their cores.
 func (sv *server) heft() float64 { return sv.listedAs.Heft * math.Exp2(float64(sv.pace)/paces) }
 
-// weigh has a server's heft follow its pace against the middle machine, as it stood when half of them had shown
-// theirs. A step is taken when it is well passed: each new heft makes a new version.
-func (l *Loop) weigh(sv *server, idle []time.Duration, alone time.Duration) {
-	if l.middle == 0 && len(idle) > len(l.servers)/2 {
-		l.middle = idle[(len(idle)-1)/2]
+// weigh has a server's heft follow its pace against the middle machine, once half of them have shown theirs. A step is
+// taken when it is well passed: each new heft makes a new version. The middle machine only gets faster: where the first
+// probes met a busy hour, or this balancer's own start, all are weighed anew.
+func (l *Loop) weigh(sv *server, idle []time.Duration) {
+	middle := idle[(len(idle)-1)/2]
+	switch {
+	case 2*len(idle) <= len(l.servers):
+	case l.middle == 0 || middle < l.middle:
+		l.middle = middle
+		for _, id := range slices.Sorted(maps.Keys(l.servers)) {
+			l.step(l.servers[id], idle)
+		}
+	default:
+		l.step(sv, idle)
 	}
-	if l.middle == 0 || len(sv.timed.low) < 2 {
+}
+
+func (l *Loop) step(sv *server, idle []time.Duration) {
+	if len(sv.timed.low) == 0 || l.cold(sv) {
 		return
 	}
-	at := paces * math.Log2(l.middle.Seconds()/alone.Seconds())
+	at := paces * math.Log2(l.middle.Seconds()/sv.timed.alone(idle).Seconds())
 	at = max(-paceFar, min(at, paceFar))
 	if math.Abs(at-float64(sv.pace)) > 0.75 {
 		sv.pace = int(math.Round(at))
@@ -63,9 +76,14 @@
 	}
 }
 
-// guess takes what a probe of a server took and answers its load over capacity. The idle time is what was seen,
-// but no longer than a slow machine's against the middle one and the fastest: a server that was full from the
-// start has never been seen idle, and so may most of them. Of a server that warms up nothing is said: its probes are slow for another reason.
+// alone is what a probe takes there while nothing else is done: what was seen, but no longer than a slow machine's against
+// the middle one and the fastest of the idle times, sorted. A server that was full from the start was never seen idle.
+func (t *timed) alone(idle []time.Duration) time.Duration {
+	return min(t.idle(), slowest*idle[(len(idle)-1)/2], against*idle[0])
+}
+
+// guess takes what a probe of a server took and answers its load over capacity. Of a server that warms up nothing is
+// said: its probes are slow for another reason.
 func (l *Loop) guess(sv *server, took time.Duration) (float64, bool) {
 	t := &sv.timed
 	t.before, t.last = t.last, max(took, time.Microsecond)
@@ -81,11 +99,11 @@
 			idle = append(idle, other.timed.idle())
 		}
 	}
+	slices.Sort(idle)
 	alone := t.idle()
 	if len(idle) > 0 {
-		slices.Sort(idle)
-		alone = min(alone, slowest*idle[(len(idle)-1)/2], against*idle[0])
-		l.weigh(sv, idle, alone)
+		alone = t.alone(idle)
+		l.weigh(sv, idle)
 	}
 	figure := t.took(l.dep.Policy.Peers, alone)
 	if trifle*figure < l.goal { // what is so short may be this machine's own doing
--- a/internal/balancer/loop_test.go
+++ b/internal/balancer/loop_test.go
@@ -202,3 +202,31 @@
 		t.Error("a cold server's probes tell of its load")
 	}
 }
+
+// The first probes of a fresh balancer meet its own start and are all slow; one probe of each server later they tell how
+// fast each machine is. With the middle kept as it first stood, all were taken for four times as fast as the middle.
+func TestAFewProbesTellTheMachinesPace(t *testing.T) {
+	dep := &deployment.Deployment{Policy: &policy.Deployment{Peers: 80, Grades: []policy.Grade{{MessageGoal: time.Second}}}}
+	l := &Loop{log: zap.NewNop(), dep: dep, bal: policy.New(dep.Policy, 7), start: time.Now(),
+		servers: map[policy.ServerID]*server{}}
+	l.settings(dep)
+	took := []time.Duration{4, 4, 10, 10, 10, 10, 20}
+	want := []int{3, 3, 0, 0, 0, 0, -1} // the slowest is not believed to be under a quarter of the fastest
+	for i := range took {
+		id := policy.ServerID(i + 1)
+		l.servers[id] = &server{id: id, listedAs: discovery.Server{UID: fmt.Sprint(i), Heft: 1}}
+	}
+	for id := policy.ServerID(1); id <= 5; id++ {
+		l.guess(l.servers[id], 200*time.Millisecond)
+	}
+	for i := range took {
+		l.guess(l.servers[policy.ServerID(i+1)], took[i]*time.Millisecond)
+		l.guess(l.servers[policy.ServerID(i+1)], took[i]*time.Millisecond)
+		l.guess(l.servers[policy.ServerID(i+1)], took[i]*time.Millisecond)
+	}
+	for i := range want {
+		if got := l.servers[policy.ServerID(i+1)].pace; got != want[i] {
+			t.Errorf("server %d, whose probes take %d ms, has pace %d, not %d", i, took[i], got, want[i])
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,6 +29,7 @@
 	noteFresh    = 2 * time.Second        // a slow-message note is repeated each second while it holds
 	reportFresh  = 4 * time.Second        // a load report older than this is not used
 	reportEach   = 700 * time.Millisecond // how often all balancers together ask each server for its load report
+	firstAsk     = 50 * time.Millisecond  // and for the first time: then it is learned how fast each is
 	reportYoung  = 2 * time.Second        // a load report older than this is asked for again before a setup try
 	asksMost     = 3                      // reports that one circuit waits for
 	waitPart     = 4                      // each for one so-many-th of the latency goal at most
@@ -253,7 +254,7 @@
 	b.budget, b.paidAt, b.others = append(b.budget, 0), append(b.paidAt, 0), append(b.others, 0)
 	b.movedAt, b.room, b.sentAt = append(b.movedAt, -never), append(b.room, 0), append(b.sentAt, -never)
 	b.fresh(i)
-	b.probeAt[i] = b.now + time.Duration(b.random()*float64(b.reportEvery()))
+	b.probeAt[i] = b.now + time.Duration(b.random()*float64(b.dep.Peers)*float64(firstAsk))
 	return i
 }
 
