Connections go home to cold servers as these warm; the chance at those lies in the client's key

Seen (join+vast, connections by server): after the release no clients come, 410 connections stay on four old servers, 112 on one, whose probes take three times their idle time, while six new ones are half warm and hold 6 to 19. At fault: round, which moved only from jammed servers; mayWarm's chance, drawn by each balancer for itself: what one moved for a cold server the next one sent back. Now a few held are looked at each round, as often as each 4 s, and go home. Test: 80 balancers and six new servers of ten get 152 connections in 15 s without newcomers, within the rule; none before.

--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -306,3 +306,64 @@
 		t.Fatalf("%d of 160 clients stand", stood)
 	}
 }
+
+// Six of ten servers are new, and no newcomers arrive: what fled to the four old ones goes home as the new ones warm,
+// and never more in any span than a cold server bears. Nothing moved here once, until the clients left.
+func TestManyBalancersFillColdServersFromTheOthers(t *testing.T) {
+	d, list := deployment(), fleet(10)
+	all := many(t, 80, 400, d, list[:4])
+	for i := 4; i < 10; i++ {
+		list[i].Started = time.Second
+	}
+	sent, keys := map[ServerID][]time.Duration{}, map[[2]uint64]uint64{}
+	next, held := CircuitID(1000), 0
+	for step := range 300 {
+		now := time.Second + time.Duration(step)*50*ms
+		for k, b := range all {
+			b.Clock(now)
+			if step == 0 {
+				b.ListArrived(list[4:], false)
+			}
+			for _, dec := range pull(b) {
+				if dec.Do != Move {
+					continue
+				}
+				at := [2]uint64{uint64(k), uint64(dec.Circuit)}
+				key, moved := keys[at]
+				if !moved {
+					key = b.circuit[dec.Circuit].key<<8 + uint64(k)
+				}
+				b.TryEnded(dec.Circuit, 0, true, Cancelled)
+				to := (k*7 + step) % 80 // the front deals it to any balancer
+				next++
+				keys[[2]uint64{uint64(to), uint64(next)}] = key
+				all[to].Clock(now)
+				if got := arrive(t, all[to], Arrival{ID: next, Key: key}); got.Do == Try {
+					all[to].SetUp(next, 0, ms)
+					if got.Server >= 104 {
+						held++
+						sent[got.Server] = append(sent[got.Server], now)
+					}
+				}
+			}
+		}
+	}
+	t.Log(held, len(sent))
+	if held < 40 || len(sent) < 6 {
+		t.Errorf("%d went to %d cold servers", held, len(sent))
+	}
+	for server, at := range sent {
+		for from := range at {
+			in := 0
+			for _, s := range at[from:] {
+				if s < at[from]+d.FallFor {
+					in++
+				}
+			}
+			warmth := d.ColdFrom + (1-d.ColdFrom)*float64(at[from]-time.Second)/float64(d.ColdFor)
+			if float64(in) > 3*40*warmth+2 { // the multiple times what a server holds, in the span in which it could fall
+				t.Fatalf("%d tries at server %d in its span, warm to %.2f", in, server, warmth)
+			}
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,6 +41,8 @@
 	coolMore     = 1.7                    // so much of its least warmth a cold server is taken for
 	coldSlack    = 1.0                    // of its part, where that is let in by chance
 	coldFill     = 3.0                    // so-many-th of the warm-up in which a cold server may fill,
+	fillEach     = 4 * time.Second        // so often each circuit may be moved to a cold server that is its home,
+	fillMost     = 16                     // and so many are looked at each round
 	coldTold     = 6.0                    // and where the others tell what they hold
 	coldLeast    = 4.0                    // connections that a server is thought to hold, over all balancers
 	evenMost     = 2.0                    // so many times an even share of the load a server takes unproven,
@@ -93,7 +95,7 @@
 	tried        []int // servers already tried
 	server, slot int   // of the newest try, -1 before the first; place in held[server]
 	pool         *version
-	load, draw   float64       // its load; its chance at cold servers
+	load         float64
 	waitsOn      int           // the server whose report it waits for,
 	waits        time.Duration // until then at the latest
 	tries, asks  int           // made; reports it has waited for
@@ -679,7 +681,10 @@
 		b.wanted++
 	}
 	draws := b.heft[i] * min(1, coolMore*b.warmth(i)) // circuits of its zone, against other cold servers
-	return b.budget[i] >= 1 && (part >= 1 || c.draw < coldSlack*part*b.colds/draws/b.wanted)
+	// The chance lies in the client's key, for a while: whichever balancer it comes to finds the same. Guards against cold
+	// servers that stay empty, as each report that is asked for and each move drew it anew.
+	draw := unit(mix(mix(c.key, uint64(b.id[i])), uint64((b.now-b.started[i])/fillEach)))
+	return b.budget[i] >= 1 && (part >= 1 || draw < coldSlack*part*b.colds/draws/max(b.wanted, 1))
 }
 
 func mix(a, z uint64) uint64 {
@@ -884,9 +889,7 @@
 		return Decision{}, false
 	}
 	b.tally(0, 0)
-	if c.waits == 0 { // one that waited for a report keeps its chance: guards against cold servers that stay empty, as
-		c.draw, c.wanted = b.random(), false // it had to fall out well anew after each report
-	}
+	c.wanted = c.wanted && c.waits > 0 // one that waited for a report is counted already
 	c.waits = 0
 	i := -1
 	// While it leaves, whoever is set up now would have to move at once.
@@ -956,6 +959,7 @@
 	if b.heard {
 		apart = 1
 	}
+	b.fill()
 	for i := range b.id {
 		if b.state[i] == Gone {
 			continue
@@ -992,6 +996,33 @@
 	}
 }
 
+// fill plans to move connections home to servers that are cold. Guards against fleets where most servers are new: what
+// had fled to the old ones stayed there until their clients left, while the new ones grew warm and were empty.
+func (b *Balancer) fill() {
+	many := min(float64(b.total)*float64(roundEvery)/float64(fillEach), fillMost)
+	for n := int(many + b.random()); n > 0 && b.colds > 0 && !b.ailing() && b.now >= b.shutTill; n-- {
+		at, from := int(b.random()*float64(b.total)), 0
+		for ; at >= len(b.held[from]); from++ {
+			at -= len(b.held[from])
+		}
+		c := b.held[from][at]
+		if !c.open || c.moving || b.state[from] != Ready || b.warmth(from) < 1 {
+			continue
+		}
+		again := b.anew(c)
+		if j := b.pick(&again, byAll); j >= 0 && b.warmth(j) < 1 {
+			b.due, c.moving = append(b.due, Decision{Do: Move, Circuit: c.id}), true
+		}
+	}
+}
+
+// anew is a connection as it will come again.
+func (b *Balancer) anew(c *circuit) circuit {
+	again := *c
+	again.open, again.tries, again.tried, again.ranOn, again.wanted = false, 0, nil, -1, true
+	return again
+}
+
 // leave plans to move an even part of what is open. Guards against clients cut off by a planned restart, and
 // against all of them coming to the other balancers at once.
 func (b *Balancer) leave() {
@@ -1026,8 +1057,7 @@
 	for _, c := range b.movable(i, func(x, y *circuit) int {
 		return cmp.Or(mates[x.place]-mates[y.place], cmp.Compare(y.load, x.load), x.slot-y.slot)
 	}) {
-		again := *c // as it will come again
-		again.open, again.tries, again.tried, again.ranOn, again.wanted = false, 0, nil, -1, true
+		again := b.anew(c)
 		if j := b.pick(&again, byAll); j >= 0 && j != i && !b.part(c, &load) {
 			return
 		}
