Where the list is asked for, balancers take turns at discovery by their number

Seen: a call that waits over 2 s fails but is served all the same, so a burst of 56 restarts takes the service's time for ten seconds and retries the rest. Where settings say on_request a first call comes within 100 ms a balancer, a pause up to 400 ms a balancer. Where the list is pushed nothing changes: there what discovery has counts as told.

--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -141,7 +141,7 @@
 				}
 			}})
 		}
-		w = discovery.New(address, l.dep.Policy.Peers,
+		w = discovery.New(address, l.dep.Policy.Peers, l.dep.AskForList,
 			func(list discovery.List) { of(func() { l.list(list, false) }) },
 			func(err error) { of(func() { l.unlisted(err) }) })
 		if l.unwatch == nil { // another discovery counts its lists by itself
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -25,6 +25,9 @@
 	pauseMost = 500 * time.Millisecond // this, and
 	pauseEach = 50 * time.Millisecond  // to so much for each balancer that asks: all together call so often;
 	pauseLast = 4 * time.Second        // no longer than this: what discovery has counts as told though nobody asks
+	shareEach = 400 * time.Millisecond // where discovery is one service of little capacity, a pause adds so much for each
+	shareLast = 30 * time.Second       // balancer, up to this: calls that it has no time for are served all the same
+	startEach = 100 * time.Millisecond // and a first call waits for its turn so long for each
 	largest   = 16 << 20               // bytes of an answer
 )
 
@@ -99,6 +102,7 @@
 type Watch struct {
 	address string
 	hold    time.Duration // how long a watch may wait for news
+	start   time.Duration // a first call comes within so long
 	low     time.Duration // pause after a first failed call,
 	most    time.Duration // and the longest
 	rev     uint64        // of the newest list,
@@ -108,14 +112,22 @@
 	failed  func(error)
 }
 
-// New prepares a watch, one of so many at the same discovery; news and failed are called one at a time.
-func New(address string, among int, news func(List), failed func(error)) *Watch {
-	return &Watch{
+// New prepares a watch, one of so many at the same discovery; shared: that answers only so many calls a second. news and
+// failed are called one at a time.
+func New(address string, among int, shared bool, news func(List), failed func(error)) *Watch {
+	each := func(d time.Duration) time.Duration { return time.Duration(among) * d }
+	w := &Watch{
 		address: address, news: news, failed: failed,
-		hold: min(max(hold, time.Duration(among)*holdEach), holdMost),
-		low:  min(time.Duration(among+1)*pauseLow, pauseLast), most: min(max(pauseMost, time.Duration(among)*pauseEach), pauseLast),
+		hold: min(max(hold, each(holdEach)), holdMost),
+		low:  min(pauseLow+each(pauseLow), pauseLast), most: min(max(pauseMost, each(pauseEach)), pauseLast),
 		client: &http.Client{Transport: &http.Transport{Proxy: nil, MaxIdleConns: 1, MaxConnsPerHost: 2}},
 	}
+	if shared {
+		w.start = min(each(startEach), shareLast)
+		w.most = max(w.most, min(each(shareEach), shareLast))
+		w.low = w.most
+	}
+	return w
 }
 
 // From has the watch begin with the changes since a list that is known, in place of the whole list.
@@ -125,6 +137,9 @@
 func (w *Watch) Run(ctx context.Context) {
 	defer w.client.CloseIdleConnections()
 	pause, wait := time.Duration(0), w.hold
+	if w.start > 0 {
+		sleep(ctx, w.start)
+	}
 	for ctx.Err() == nil {
 		path, within := "/v1/endpoints", answerIn
 		if w.whole {
@@ -149,10 +164,15 @@
 		// Guards against balancers that restart together and call in step: their calls kept an overbooked discovery
 		// from answering any of them.
 		pause = min(max(2*pause, w.low), w.most)
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Duration(rand.Int64N(int64(pause)))):
-		}
+		sleep(ctx, pause)
+	}
+}
+
+// sleep pauses by chance, up to so long.
+func sleep(ctx context.Context, most time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration(rand.Int64N(int64(most)))):
 	}
 }
 
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -26,7 +26,7 @@
 	}))
 	defer s.Close()
 	defer stop()
-	w := New(strings.TrimPrefix(s.URL, "http://"), 2, func(List) {}, func(error) {})
+	w := New(strings.TrimPrefix(s.URL, "http://"), 2, false, func(List) {}, func(error) {})
 	w.From(known)
 	go w.Run(ctx)
 	var all []string
@@ -78,14 +78,14 @@
 
 // Eighty balancers that are told to come again in step keep a discovery from answering any of them.
 func TestManyCallersPauseLonger(t *testing.T) {
-	few, many := New("", 2, nil, nil), New("", 80, nil, nil)
+	few, many := New("", 2, false, nil, nil), New("", 80, false, nil, nil)
 	if few.most != pauseMost || few.hold != hold {
 		t.Errorf("of two each pauses up to %v and waits %v", few.most, few.hold)
 	}
 	if many.most != 4*time.Second || many.hold != 40*time.Second || many.low <= few.low {
 		t.Errorf("of eighty each pauses from %v up to %v and waits %v", many.low, many.most, many.hold)
 	}
-	if huge := New("", 100000, nil, nil); huge.hold != holdMost || huge.most != pauseLast {
+	if huge := New("", 100000, false, nil, nil); huge.hold != holdMost || huge.most != pauseLast {
 		t.Errorf("of a hundred thousand each pauses up to %v and waits %v", huge.most, huge.hold)
 	}
 }
--- a/internal/lab/host/host.go
+++ b/internal/lab/host/host.go
@@ -88,7 +88,7 @@
 
 // Run serves clients on a listener and follows discovery until the context is done.
 func (h *Host) Run(ctx context.Context, ln net.Listener, at string) error {
-	w := discovery.New(at, h.dep.Policy.Peers, func(l discovery.List) { h.in(func() { h.list(l, false) }) }, func(error) {})
+	w := discovery.New(at, h.dep.Policy.Peers, h.dep.AskForList, func(l discovery.List) { h.in(func() { h.list(l, false) }) }, func(error) {})
 	go w.Run(ctx)
 	go func() { <-ctx.Done(); ln.Close() }()
 	for {
--- a/internal/lab/standin/standin_test.go
+++ b/internal/lab/standin/standin_test.go
@@ -211,7 +211,7 @@
 	lists, errs := make(chan discovery.List, 100), make(chan error, 100)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	go discovery.New(a.Addr(), 1, func(l discovery.List) { lists <- l }, func(err error) { errs <- err }).Run(ctx)
+	go discovery.New(a.Addr(), 1, false, func(l discovery.List) { lists <- l }, func(err error) { errs <- err }).Run(ctx)
 	if l := <-lists; !l.Whole || len(l.Servers) != 1 || l.Servers[0].Heft != 2 {
 		t.Fatal(l)
 	}
