Cold servers are filled by what lies between the mean of all and that of warm ones

At fault: mayWarm's mean, coldLeast of 4. Now the geometric mean with that of the warm ones, 12 connections at least. 24 and 16 failed the fuzz test's rule 4.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,12 +41,12 @@
 	coolMore     = 1.7                    // so much of its least warmth a cold server is taken for
 	coldSlack    = 1.0                    // of its part, where that is let in by chance
 	coldFill     = 3.0                    // so-many-th of the warm-up in which a cold server may fill,
-	fillEach     = 4 * time.Second        // so often each circuit may be moved to a cold server that is its home,
-	fillMost     = 16                     // and so many are looked at each round
+	fillEach     = 4 * time.Second        // how often a circuit may go home to a cold server,
+	fillMost     = 16                     // so many are looked at each round
 	coldTold     = 6.0                    // and where the others tell what they hold
-	coldLeast    = 4.0                    // connections that a server is thought to hold, over all balancers
+	coldLeast    = 12.0                   // connections that a server is thought to hold, over all balancers
 	evenMost     = 2.0                    // so many times an even share of the load a server takes unproven,
-	evenLeast    = 4.0                    // connections that a server takes of one balancer, whatever the others hold
+	evenLeast    = 4.0                    // connections that a server takes of a balancer anyway
 	evenTold     = 1.2                    // and where the others tell what they hold
 	reachFar     = 2                      // servers past a group's home that its members may go to
 	homeSpread   = 2.0                    // servers in a group's home, over its share of the connections
@@ -55,8 +55,8 @@
 	lateFrom     = 3                      // over so-many-th of its goal a set-up is late: a queue somewhere
 	fewJammed    = 0.2                    // part of the servers that hold something
 	triesBesides = 9.0                    // tries out of all balancers besides, while some fail
-	gateEach     = 10 * time.Millisecond  // after a time-out all balancers together try so often, each in its turn,
-	gateTimes    = 10                     // and after more so many times less often
+	gateEach     = 10 * time.Millisecond  // after a time-out all balancers together try so often,
+	gateTimes    = 10                     // after more so many times less often
 	tallyFor     = 3 * time.Second        // how long setup tries count in the tally
 )
 
@@ -116,7 +116,7 @@
 	dep                *Deployment
 	now                time.Duration
 	seed, chance       uint64
-	away, across       float64       // weight of a server in another zone, the own zone's is 1; for the circuit at hand
+	away, across       float64       // weight of a server in another zone; for the circuit at hand
 	goal               time.Duration // the shortest message goal
 	index              map[ServerID]int
 	circuit            map[CircuitID]*circuit
@@ -554,9 +554,9 @@
 // gateLeast is how long nothing is tried after a first time-out: all balancers together try so often.
 func (b *Balancer) gateLeast() time.Duration { return time.Duration(b.dep.Peers) * gateEach }
 
-// gate has nothing tried for a while, so many times the one before; one under a set-up's goal is none. Guards against
-// a store that serves only what nobody waits for any more: eighty balancers of one client each saw too few time-outs
-// to brake, sent it more than it could do, and none of their set-ups came to stand for nine seconds.
+// gate has nothing tried for a while, so many times the one before; under a set-up's goal it is none. Guards
+// against a store that serves only what nobody waits for any more: eighty balancers of a client each saw too
+// few time-outs to brake, and no set-up came to stand for nine seconds.
 func (b *Balancer) gate(times float64, goal time.Duration) {
 	b.shut = min(max(time.Duration(times*float64(b.shut)), b.gateLeast()), gateTimes*b.gateLeast())
 	if b.shut >= goal {
@@ -571,7 +571,8 @@
 	bad := b.bad + b.late
 	besides := triesBesides * (b.good + 1) / (b.good + bad + 1) / float64(b.dep.Peers)
 	most := math.Floor(besides + b.good*c.grade.SetupGoal.Seconds()/tallyFor.Seconds() + b.random())
-	return b.now < b.shutTill || float64(b.trying) >= most && bad > 1+b.good/8 || b.random() < (bad-b.good-1)/(bad+b.good+1)
+	return b.now < b.shutTill || float64(b.trying) >= most && bad > 1+b.good/8 ||
+		b.random() < (bad-b.good-1)/(bad+b.good+1)
 }
 
 // ailing tells whether setup tries fail so often that another server is no remedy. Late ones tell of it only
@@ -667,7 +668,9 @@
 // and against cold servers that stay empty: a part dealt out before is lost where none comes.
 func (b *Balancer) mayWarm(c *circuit, i int) bool {
 	mean, fill := float64(b.total)/float64(max(len(b.newest().servers), 1)), coldFill
-	if b.heard { // less is left to chance: two hundred that tell nothing came near the rule with this
+	mean = math.Sqrt(mean * max(mean, b.warmMean)) // warm ones hold more, maybe too much
+	// With more fill two hundred that tell nothing came near the rule; where they tell, less is left to chance.
+	if b.heard {
 		mean, fill = b.warmMean, coldTold
 	}
 	mean = max(mean, coldLeast/float64(b.dep.Peers))
@@ -681,7 +684,7 @@
 		b.wanted++
 	}
 	draws := b.heft[i] * min(1, coolMore*b.warmth(i)) // circuits of its zone, against other cold servers
-	// The chance lies in the client's key, for a while: whichever balancer it comes to finds the same. Guards against cold
+	// The chance lies in the key, for a while: whichever balancer it comes to finds it so. Guards against cold
 	// servers that stay empty, as each report that is asked for and each move drew it anew.
 	draw := unit(mix(mix(c.key, uint64(b.id[i])), uint64((b.now-b.started[i])/fillEach)))
 	return b.budget[i] >= 1 && (part >= 1 || draw < coldSlack*part*b.colds/draws/max(b.wanted, 1))
@@ -719,9 +722,7 @@
 func (b *Balancer) order(c *circuit) []ranked {
 	b.rank, b.reach, b.across = b.rank[:0], len(b.newest().servers), b.away
 	if c.place != c.key && float64(b.total) < ownMembers*float64(len(b.group)+fewGroups) {
-		// Guards against eighty balancers of which each zone's have a home of their own for a group of ten: it is paid
-		// for at three servers. Where a balancer holds many of each group, that costs less than crossing.
-		b.across = 1
+		b.across = 1 // guards against three zones' homes for a group of ten, which is paid for at each
 	}
 	sum, top := 0.0, 0.0
 	for _, i := range b.newest().servers {
@@ -777,12 +778,11 @@
 			if !b.passed(c, i, step, sum, even) && b.mayTry(c, i) {
 				return i
 			}
-			// A cold server takes no place in the reach. Guards against a group whose first servers all came back
-			// cold: it was nacked by every balancer while most servers had room.
-			if b.warmth(i) < 1 {
-				continue
+			// Guards against groups that were nacked as their first servers had all come back cold.
+			if b.warmth(i) >= 1 {
+				left--
 			}
-			if left--; left == 0 {
+			if left == 0 {
 				break
 			}
 		}
@@ -920,8 +920,7 @@
 	return Decision{Do: Try, Circuit: c.id, Server: b.id[i], For: b.timeOut(c)}, true
 }
 
-// timeOut leaves a set-up's goal for one more setup try while there may be one. Half the time was left to it once: all
-// balancers together then asked a slow store for set-ups twice as often as it could do, and waited for none.
+// timeOut leaves a set-up's goal for one more setup try while there may be one, or half the time.
 func (b *Balancer) timeOut(c *circuit) time.Duration {
 	left := c.until - b.now
 	if c.tries < b.dep.MostTries && c.grade.Effect != Unrepeatable && !b.ailing() {
@@ -996,8 +995,8 @@
 	}
 }
 
-// fill plans to move connections home to servers that are cold. Guards against fleets where most servers are new: what
-// had fled to the old ones stayed there until their clients left, while the new ones grew warm and were empty.
+// fill plans to move connections home to cold servers. Guards against fleets where most servers are new: what
+// had fled to the old ones stayed there, while the new ones grew warm and were empty.
 func (b *Balancer) fill() {
 	many := min(float64(b.total)*float64(roundEvery)/float64(fillEach), fillMost)
 	for n := int(many + b.random()); n > 0 && b.colds > 0 && !b.ailing() && b.now >= b.shutTill; n-- {
