--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,7 +29,7 @@
 	noteFresh    = 2 * time.Second        // a slow-message note is repeated each second while it holds
 	reportFresh  = 4 * time.Second        // a load report older than this is not used
 	reportEach   = 700 * time.Millisecond // how often all balancers together ask each server for its load report
-	askedBy      = 4                      // a balancer asks so many servers at most for each connection that it holds
+	askedBy      = 4                      // servers that a balancer asks for each connection held
 	firstAsk     = 50 * time.Millisecond  // and for the first time: then it is learned how fast each is
 	reportYoung  = 2 * time.Second        // a load report older than this is asked for again before a setup try
 	asksMost     = 3                      // reports that one circuit waits for
@@ -988,7 +988,8 @@
 		}
 		if due := b.probeAt[i] <= b.now; due && b.aside[i] && !b.dep.MayProbe {
 			b.back(i)
-		} else if due && b.dep.MayProbe && (b.aside[i] || b.dep.ReportsOnAsk && askedBy*b.total >= len(b.newest().servers)) {
+		} else if asks := b.dep.ReportsOnAsk && askedBy*b.total >= len(b.newest().servers); due && b.dep.MayProbe &&
+			(b.aside[i] || asks) {
 			b.due, b.probing[i] = append(b.due, Decision{Do: Probe, Server: b.id[i]}), true
 			b.probeAt[i] = b.now + b.jitter(b.reportEvery()) // one set aside: by its answer
 		}
