Zones weigh in a group's ranking again where groups may be large

At fault: order, which took what is held here of each group for the group's size. Now under seven connections here and 500 over all, or while servers are cold.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,6 +51,8 @@
 	reachFar     = 2                      // servers past a group's home that its members may go to
 	homeSpread   = 2.0                    // servers in a group's home, over its share of the connections
 	ownMembers   = 1.7                    // of each group here, on the mean, from which on it keeps to its zone
+	fewHeld      = 7                      // connections here, below which nothing is known of groups,
+	fewInAll     = 500                    // and of all balancers, below which groups are small
 	fewGroups    = 5                      // and so many more: of a few connections nothing is learned
 	lateFrom     = 3                      // over so-many-th of its goal a set-up is late: a queue somewhere
 	fewJammed    = 0.2                    // part of the servers that hold something
@@ -369,16 +371,13 @@
 	b.fails[c.server] *= 0.3
 	b.tally(1, 0)
 	b.shutTill = min(b.shutTill, b.now)
-	switch {
-	case took > c.grade.SetupGoal: // a queue that the next one would stand in too
-		b.late++
-		b.gate(1.5, c.grade.SetupGoal)
-	case took > c.grade.SetupGoal/lateFrom:
+	if took > c.grade.SetupGoal/lateFrom {
 		b.late++
-	default:
-		if b.shut /= 2; b.shut < b.gateLeast() {
-			b.shut = 0
-		}
+	} else if b.shut /= 2; b.shut < b.gateLeast() {
+		b.shut = 0
+	}
+	if took > c.grade.SetupGoal { // a queue that the next one would stand in too
+		b.gate(c.grade.SetupGoal)
 	}
 }
 
@@ -395,7 +394,7 @@
 			b.tally(0, 1)
 		}
 		if how == TimedOut {
-			b.gate(2, c.grade.SetupGoal)
+			b.gate(c.grade.SetupGoal)
 		}
 	}
 	b.release(c)
@@ -554,12 +553,11 @@
 // gateLeast is how long nothing is tried after a first time-out: all balancers together try so often.
 func (b *Balancer) gateLeast() time.Duration { return time.Duration(b.dep.Peers) * gateEach }
 
-// gate has nothing tried for a while, so many times the one before; under a set-up's goal it is none. Guards
-// against a store that serves only what nobody waits for any more: eighty balancers of a client each saw too
-// few time-outs to brake, and no set-up came to stand for nine seconds.
-func (b *Balancer) gate(times float64, goal time.Duration) {
-	b.shut = min(max(time.Duration(times*float64(b.shut)), b.gateLeast()), gateTimes*b.gateLeast())
-	if b.shut >= goal {
+// gate has nothing tried for a while, twice the one before; under a set-up's goal it is none. Guards against
+// a store that does only what nobody waits for any more: eighty balancers of a client each saw too few
+// time-outs to brake, and no set-up came to stand for nine seconds.
+func (b *Balancer) gate(goal time.Duration) {
+	if b.shut = min(max(2*b.shut, b.gateLeast()), gateTimes*b.gateLeast()); b.shut >= goal {
 		b.shutTill = b.now + b.jitter(b.shut)
 	}
 }
@@ -721,7 +719,9 @@
 // first few, by the group's share of the connections, are its home; there the client's key ranks.
 func (b *Balancer) order(c *circuit) []ranked {
 	b.rank, b.reach, b.across = b.rank[:0], len(b.newest().servers), b.away
-	if c.place != c.key && float64(b.total) < ownMembers*float64(len(b.group)+fewGroups) {
+	small := b.total < fewHeld && b.total*b.dep.Peers < fewInAll
+	few := float64(b.total) < ownMembers*float64(len(b.group)+fewGroups)
+	if c.place != c.key && (small || few && b.colds > 0) {
 		b.across = 1 // guards against three zones' homes for a group of ten, which is paid for at each
 	}
 	sum, top := 0.0, 0.0
