Limits, even shares and turns act only where balancers are many or heft is a guess

Now slack where heft is a guess, turns where one is over a set-up's goal (thirty balancers at 0.3 s), the limit as it was.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -46,14 +46,12 @@
 	coldTold     = 6.0                    // and where the others tell what they hold
 	coldLeast    = 12.0                   // connections that a server is thought to hold, over all balancers
 	evenMost     = 2.0                    // so many times an even share of the load a server takes unproven,
-	evenLeast    = 4.0                    // connections that a server takes of a balancer anyway
+	evenLeast    = 4.0                    // connections that an even share is taken for, at the least
 	evenTold     = 1.2                    // and where the others tell what they hold
 	reachFar     = 2                      // servers past a group's home that its members may go to
 	homeSpread   = 2.0                    // servers in a group's home, over its share of the connections
-	ownMembers   = 1.7                    // of each group here, on the mean, from which on it keeps to its zone
-	fewHeld      = 7                      // connections here, below which nothing is known of groups,
-	fewInAll     = 500                    // and of all balancers, below which groups are small
-	fewGroups    = 5                      // and so many more: of a few connections nothing is learned
+	fewHeld      = 7                      // connections here, below which nothing is known of groups
+	ownMembers   = 1.7                    // of each group here on the mean, below which cold servers part it
 	lateFrom     = 3                      // over so-many-th of its goal a set-up is late: a queue somewhere
 	fewJammed    = 0.2                    // part of the servers that hold something
 	triesBesides = 9.0                    // tries out of all balancers besides, while some fail
@@ -137,7 +135,8 @@
 	good, bad, late    float64        // setup tries that came to stand lately, that failed, that stood late
 	wanted, colds      float64        // circuits that came to a cold server lately; what those draw together
 	tallyAt            time.Duration
-	shut, shutTill     time.Duration // nothing is tried till then; how long the newest such wait was meant to be
+	turn               time.Duration // nothing is tried so long after a first time-out, 0 for few balancers
+	shut, shutTill     time.Duration // the newest such wait, and its end
 	leaveFrom, leaveBy time.Duration // all that is held is moved between these, never while it stays
 	tellAt             time.Duration // when the others are told next, never where they are not,
 	arrived            int           // circuits since the last time
@@ -196,11 +195,14 @@
 			b.tenant[c.tenant]++
 		}
 	}
-	b.goal, b.away = never, max(0.02, 1-12*dep.CrossingPrice)
+	b.goal, b.away, b.turn = never, max(0.02, 1-12*dep.CrossingPrice), time.Duration(dep.Peers)*gateEach
 	for _, g := range dep.Grades {
 		if g.MessageGoal > 0 {
 			b.goal = min(b.goal, g.MessageGoal)
 		}
+		if b.turn < g.SetupGoal { // few balancers each see enough of the store to brake by counts
+			b.turn = 0
+		}
 	}
 	b.tellAt, b.peers, b.heard = never, nil, false
 	if dep.MayTell {
@@ -373,11 +375,11 @@
 	b.shutTill = min(b.shutTill, b.now)
 	if took > c.grade.SetupGoal/lateFrom {
 		b.late++
-	} else if b.shut /= 2; b.shut < b.gateLeast() {
+	} else if b.shut /= 2; b.shut < b.turn {
 		b.shut = 0
 	}
-	if took > c.grade.SetupGoal { // a queue that the next one would stand in too
-		b.gate(c.grade.SetupGoal)
+	if took > c.grade.SetupGoal {
+		b.gate() // the next one would stand in the same queue
 	}
 }
 
@@ -394,7 +396,7 @@
 			b.tally(0, 1)
 		}
 		if how == TimedOut {
-			b.gate(c.grade.SetupGoal)
+			b.gate()
 		}
 	}
 	b.release(c)
@@ -550,16 +552,10 @@
 	b.wanted *= fade
 }
 
-// gateLeast is how long nothing is tried after a first time-out: all balancers together try so often.
-func (b *Balancer) gateLeast() time.Duration { return time.Duration(b.dep.Peers) * gateEach }
-
-// gate has nothing tried for a while, twice the one before; under a set-up's goal it is none. Guards against
-// a store that does only what nobody waits for any more: eighty balancers of a client each saw too few
-// time-outs to brake, and no set-up came to stand for nine seconds.
-func (b *Balancer) gate(goal time.Duration) {
-	if b.shut = min(max(2*b.shut, b.gateLeast()), gateTimes*b.gateLeast()); b.shut >= goal {
-		b.shutTill = b.now + b.jitter(b.shut)
-	}
+// gate has nothing tried for a while. Guards against a store that does only what nobody waits for any more.
+func (b *Balancer) gate() {
+	b.shut = min(max(2*b.shut, b.turn), gateTimes*b.turn)
+	b.shutTill = b.now + b.jitter(b.shut)
 }
 
 // throttled tells whether a circuit is to be nacked at once, as setup tries fail whatever server they go to:
@@ -719,9 +715,9 @@
 // first few, by the group's share of the connections, are its home; there the client's key ranks.
 func (b *Balancer) order(c *circuit) []ranked {
 	b.rank, b.reach, b.across = b.rank[:0], len(b.newest().servers), b.away
-	small := b.total < fewHeld && b.total*b.dep.Peers < fewInAll
-	few := float64(b.total) < ownMembers*float64(len(b.group)+fewGroups)
-	if c.place != c.key && (small || few && b.colds > 0) {
+	small := b.total < fewHeld && b.total*b.dep.Peers < 500
+	few := b.colds > 0 && float64(b.total) < ownMembers*float64(len(b.group)+5)
+	if c.place != c.key && (small || few) {
 		b.across = 1 // guards against three zones' homes for a group of ten, which is paid for at each
 	}
 	sum, top := 0.0, 0.0
@@ -768,8 +764,10 @@
 	even := math.Inf(1) // the load for its heft that a server takes: by nothing where heft may be wrong
 	if b.heard {
 		even = evenTold * load / heft
-	} else if b.dep.ReportsOnAsk || b.dep.HeftExact {
+	} else if b.dep.HeftExact {
 		even = evenMost * load / heft
+	} else if b.dep.ReportsOnAsk { // of a few connections nothing is learned where heft is a guess
+		even = max(evenMost*load, evenLeast*max(b.usual, 1)*float64(len(rank))) / heft
 	}
 	for step := byAll; step <= upTo; step++ {
 		left := b.reach
@@ -779,10 +777,9 @@
 				return i
 			}
 			// Guards against groups that were nacked as their first servers had all come back cold.
-			if b.warmth(i) >= 1 {
-				left--
-			}
-			if left == 0 {
+			if b.warmth(i) < 1 {
+				continue
+			} else if left--; left == 0 {
 				break
 			}
 		}
@@ -799,10 +796,10 @@
 // load for its heft that one takes. Guards against all of a restarted balancer on a zone's one sound server.
 func (b *Balancer) passed(c *circuit, i, step int, sum, even float64) bool {
 	w := b.weight(i, spill) * b.warmth(i)
-	limit := 2*float64(b.total)*w/max(sum, 1e-9) + evenLeast
+	limit := 2*float64(b.total)*w/max(sum, 1e-9) + 2
 	if step < byAside && (b.aside[i] || slices.Contains(c.tried, i)) || step < byCrowd && b.busy(i, crowded) ||
 		step < byLimit && (b.cool(c, i) || float64(len(b.held[i])) > limit ||
-			b.known(i)+c.load > max(even*b.heft[i]*b.warmth(i), 2*b.shown[i], evenLeast*max(b.usual, 1))) {
+			b.known(i)+c.load > max(even*b.heft[i]*b.warmth(i), 2*b.shown[i])) {
 		return true
 	}
 	// A young report that tells of room lets one in, whatever is held here: with a hundred balancers each holds
@@ -924,7 +921,10 @@
 func (b *Balancer) timeOut(c *circuit) time.Duration {
 	left := c.until - b.now
 	if c.tries < b.dep.MostTries && c.grade.Effect != Unrepeatable && !b.ailing() {
-		left = max(left-c.grade.SetupGoal, left/2, min(left, c.grade.SetupGoal))
+		half := max(left/2, min(left, c.grade.SetupGoal))
+		if left -= c.grade.SetupGoal; left < half || b.turn == 0 {
+			left = half // more, but for a set-up's time, where balancers are so many that each try is dear
+		}
 	}
 	return max(left, time.Microsecond)
 }
@@ -1016,9 +1016,8 @@
 	}
 }
 
-// anew is a connection as it will come again.
 func (b *Balancer) anew(c *circuit) circuit {
-	again := *c
+	again := *c // as it will come again
 	again.open, again.tries, again.tried, again.ranOn, again.wanted = false, 0, nil, -1, true
 	return again
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -50,11 +50,11 @@
 	}
 }
 
-func TestPassOverAtTwiceTheMeanPlusFour(t *testing.T) {
+func TestPassOverAtTwiceTheMeanPlusTwo(t *testing.T) {
 	b, held := started(deployment(), fleet(4)), map[ServerID]int{}
 	for id := CircuitID(1); id <= 40; id++ { // one key: one server, but for the pass-over
 		d := arrive(t, b, Arrival{ID: id, Key: 5})
-		if most := 2*float64(b.total-1)/4 + 5; float64(held[d.Server]+1) > most {
+		if most := 2*float64(b.total-1)/4 + 3; float64(held[d.Server]+1) > most {
 			t.Fatalf("server %d holds %d of %d", d.Server, held[d.Server]+1, b.total)
 		}
 		held[d.Server]++
@@ -309,8 +309,13 @@
 
 func TestTimeOutsLeaveRoomForOneMore(t *testing.T) {
 	b := started(deployment(), fleet(3))
-	if d := arrive(t, b, Arrival{ID: 1, Key: 1, Left: 2 * time.Second}); d.For != 1700*ms {
-		t.Fatalf("%v of 2 s, a set-up should take 0.3", d.For)
+	if d := arrive(t, b, Arrival{ID: 1, Key: 1, Left: 2 * time.Second}); d.For != time.Second {
+		t.Fatalf("%v of 2 s", d.For)
+	}
+	d := deployment()
+	d.Peers = 80 // each try is dear: all but a set-up's time
+	if d := arrive(t, started(d, fleet(3)), Arrival{ID: 1, Key: 1, Left: 2 * time.Second}); d.For != 1700*ms {
+		t.Fatalf("%v of 2 s, of eighty", d.For)
 	}
 	b.Clock(2 * time.Second) // the outer limit: answered at once, whatever is left of tries
 	if d := end(t, b, 1, 0, TimedOut); d.Do != Nack {
