A lost answer of a pushed list is given up in time to be told again

Found by reading the change: an answer was waited for 4 s beyond a watch's wait everywhere, though what was lost counts as told 2 s after it. Only where calls wait for their turn is it 4 s now, else 1.5 s as before. Constants stand in their order again.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -17,18 +17,19 @@
 )
 
 const (
-	hold      = 4 * time.Second        // how long a watch may wait for news, and
-	holdEach  = 500 * time.Millisecond // so much for each balancer that asks, where that is longer,
-	holdMost  = 60 * time.Second       // up to this; by chance half as long
-	answerIn  = 4 * time.Second        // an answer takes no longer than this beyond the wait
-	pauseLow  = 20 * time.Millisecond  // what each balancer adds to the longest pause after a first failed call; it doubles up to
-	pauseMost = 500 * time.Millisecond // this, and
-	pauseEach = 50 * time.Millisecond  // to so much for each balancer that asks: all together call so often;
-	pauseLast = 4 * time.Second        // no longer than this: what discovery has counts as told though nobody asks
-	shareEach = 400 * time.Millisecond // where discovery is one service of little capacity, a pause adds so much for each
-	shareLast = 30 * time.Second       // balancer, up to this: calls that it has no time for are served all the same
-	startEach = 100 * time.Millisecond // and a first call waits for its turn so long for each
-	largest   = 16 << 20               // bytes of an answer
+	hold      = 4 * time.Second         // how long a watch may wait for news, and
+	holdEach  = 500 * time.Millisecond  // so much for each balancer that asks, where that is longer,
+	holdMost  = 60 * time.Second        // up to this; by chance half as long
+	answerIn  = 1500 * time.Millisecond // an answer takes no longer than this beyond the wait: what is lost counts as told soon;
+	shareIn   = 4 * time.Second         // but this where calls wait for their turn
+	pauseLow  = 20 * time.Millisecond   // what each balancer adds to the longest pause after a first failed call; it doubles up to
+	pauseMost = 500 * time.Millisecond  // this, and
+	pauseEach = 50 * time.Millisecond   // to so much for each balancer that asks: all together call so often;
+	pauseLast = 4 * time.Second         // no longer than this: what discovery has counts as told though nobody asks
+	shareEach = 400 * time.Millisecond  // where discovery is one service of little capacity, a pause adds so much for each
+	shareLast = 30 * time.Second        // balancer, up to this: calls that it has no time for are served all the same
+	startEach = 100 * time.Millisecond  // and a first call waits for its turn so long for each
+	largest   = 16 << 20                // bytes of an answer
 )
 
 // Server is one line of the list.
@@ -102,6 +103,7 @@
 type Watch struct {
 	address string
 	hold    time.Duration // how long a watch may wait for news
+	answer  time.Duration // how long an answer may take beyond that
 	start   time.Duration // a first call comes within so long
 	low     time.Duration // pause after a first failed call,
 	most    time.Duration // and the longest
@@ -117,13 +119,13 @@
 func New(address string, among int, shared bool, news func(List), failed func(error)) *Watch {
 	each := func(d time.Duration) time.Duration { return time.Duration(among) * d }
 	w := &Watch{
-		address: address, news: news, failed: failed,
+		address: address, news: news, failed: failed, answer: answerIn,
 		hold: min(max(hold, each(holdEach)), holdMost),
 		low:  min(pauseLow+each(pauseLow), pauseLast), most: min(max(pauseMost, each(pauseEach)), pauseLast),
 		client: &http.Client{Transport: &http.Transport{Proxy: nil, MaxIdleConns: 1, MaxConnsPerHost: 2}},
 	}
 	if shared {
-		w.start = min(each(startEach), shareLast)
+		w.answer, w.start = shareIn, min(each(startEach), shareLast)
 		w.most = max(w.most, min(each(shareEach), shareLast))
 		w.low = w.most
 	}
@@ -141,7 +143,7 @@
 		sleep(ctx, w.start)
 	}
 	for ctx.Err() == nil {
-		path, within := "/v1/endpoints", answerIn
+		path, within := "/v1/endpoints", w.answer
 		if w.whole {
 			path = fmt.Sprintf("/v1/endpoints?from=%d&hold_ms=%d", w.rev, wait.Milliseconds())
 			within += wait
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -78,7 +78,11 @@
 
 // Eighty balancers that are told to come again in step keep a discovery from answering any of them.
 func TestManyCallersPauseLonger(t *testing.T) {
-	few, many := New("", 2, false, nil, nil), New("", 80, false, nil, nil)
+	few, many, shared := New("", 2, false, nil, nil), New("", 80, false, nil, nil), New("", 80, true, nil, nil)
+	// An answer that is lost counts as told two seconds after the wait, where the list is pushed.
+	if few.answer >= 2*time.Second || many.answer >= 2*time.Second || shared.answer <= 2*time.Second || shared.most <= many.most {
+		t.Errorf("answers may take %v, %v and %v", few.answer, many.answer, shared.answer)
+	}
 	if few.most != pauseMost || few.hold != hold {
 		t.Errorf("of two each pauses up to %v and waits %v", few.most, few.hold)
 	}
--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -185,7 +185,7 @@
 	}
 }
 
-// With every zone's balancers making a home of their own 30 groups stand at 91 places here, of 400 connections.
+// With every zone's balancers making a home of their own 30 groups stand at 83 places here, of 400 connections.
 func TestManyBalancersInThreeZonesKeepAGroupTogether(t *testing.T) {
 	list := fleet(12)
 	for i := range list {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,8 +29,8 @@
 	noteFresh    = 2 * time.Second        // a slow-message note is repeated each second while it holds
 	reportFresh  = 4 * time.Second        // a load report older than this is not used
 	reportEach   = 700 * time.Millisecond // how often all balancers together ask each server for its load report
-	askedBy      = 4                      // servers that a balancer asks for each connection held
 	firstAsk     = 50 * time.Millisecond  // and for the first time: then it is learned how fast each is
+	askedBy      = 4                      // servers that a balancer asks for each connection held
 	reportYoung  = 2 * time.Second        // a load report older than this is asked for again before a setup try
 	asksMost     = 3                      // reports that one circuit waits for
 	waitPart     = 4                      // each for one so-many-th of the latency goal at most
@@ -42,12 +42,12 @@
 	coolMore     = 1.7                    // so much of its least warmth a cold server is taken for
 	coldSlack    = 1.0                    // of its part, where that is let in by chance
 	coldFill     = 3.0                    // so-many-th of the warm-up in which a cold server may fill,
-	fillEach     = 4 * time.Second        // how often a circuit may go home to a cold server,
 	coldTold     = 6.0                    // and where the others tell what they hold
+	fillEach     = 4 * time.Second        // how often a circuit may go home to a cold server
 	coldLeast    = 12.0                   // connections that a server is thought to hold, over all balancers
 	evenMost     = 2.0                    // so many times an even share of the load a server takes unproven,
-	evenLeast    = 4.0                    // connections that an even share is taken for, at the least
 	evenTold     = 1.2                    // and where the others tell what they hold
+	evenLeast    = 4.0                    // connections that an even share is taken for, at the least
 	reachFar     = 2                      // servers past a group's home that its members may go to
 	homeSpread   = 2.0                    // servers in a group's home, over its share of the connections
 	fewHeld      = 7                      // connections here, below which nothing is known of groups
