--- a/cmd/sablelab/main.go
+++ b/cmd/sablelab/main.go
@@ -54,6 +54,7 @@
 	Demo       demoCmd       `cmd:"" help:"Start a small world, one balancer and load, drain one server, crash another, and judge."`
 	Run        runCmd        `cmd:"" help:"Run an experiment and judge it. Exit code 3: a rule was broken; 2: a bad file."`
 	Check      checkCmd      `cmd:"" help:"Check experiment files."`
+	Count      countCmd      `cmd:"" help:"Add up the debug logs of many balancers, over time or by server."`
 	Throughput throughputCmd `cmd:"" help:"Set-ups and lines a second, latency and memory, by cores and against no balancer at all."`
 	Balancer   balancerCmd   `cmd:"" hidden:"" help:"The lab's own balancer: a baseline policy, or one broken on purpose."`
 }
