--- a/internal/lab/standin/discovery.go
+++ b/internal/lab/standin/discovery.go
@@ -69,6 +69,7 @@
 	fault   Fault
 	turns   int
 	text    string // answered in place of all else, if it is not empty
+	desk    *Desk  // where calls wait for their turn, nil where they need not
 	ln      net.Listener
 	srv     *http.Server
 }
@@ -173,6 +174,13 @@
 	a.Misbehave(Sound) // wakes who waits
 }
 
+// Book has calls wait at a desk that agents share; one that it turns away is answered 503.
+func (a *Agent) Book(d *Desk) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.desk = d
+}
+
 // Known is the list in the form that a balancer is told at its start, and counts as told.
 func (a *Agent) Known() json.RawMessage {
 	a.mu.Lock()
@@ -210,6 +218,13 @@
 		http.Error(w, "no such thing", http.StatusBadRequest)
 		return
 	}
+	a.mu.Lock()
+	desk := a.desk
+	a.mu.Unlock()
+	if desk != nil && !desk.Take(r.Context()) {
+		http.Error(w, "no time", http.StatusServiceUnavailable)
+		return
+	}
 	ms, _ := strconv.Atoi(q.Get("hold_ms"))
 	until := time.After(min(time.Duration(ms)*time.Millisecond, holdMost))
 	for {
--- a/internal/lab/standin/standin_test.go
+++ b/internal/lab/standin/standin_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -231,6 +232,11 @@
 	if l := <-lists; !l.Whole {
 		t.Fatal(l)
 	}
+	a.Book(NewDesk(time.Hour, time.Millisecond))
+	if res, err := http.Get("http://" + a.Addr() + "/v1/endpoints"); err != nil || res.StatusCode != http.StatusServiceUnavailable {
+		t.Fatal(res, err)
+	}
+	a.Book(nil)
 	list.Hide(ctx, "s-9", true)
 	wait(t, log, record.Told, "gone")
 	old := a.Addr()
