--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -2,94 +2,131 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
-)
 
-// asked answers calls by a script, one after the other, and tells what was asked. The last answer is held.
-func asked(t *testing.T, known List, script ...func(w http.ResponseWriter)) []string {
-	t.Helper()
-	calls := make(chan string, 16)
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	n := 0
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		calls <- r.URL.String()
-		if n++; n <= len(script) {
-			script[n-1](w)
-			return
-		}
-		<-r.Context().Done()
-	}))
-	defer s.Close()
-	defer stop()
-	w := New(strings.TrimPrefix(s.URL, "http://"), 2, false, func(List) {}, func(error) {})
-	w.From(known)
-	go w.Run(ctx)
-	var all []string
-	for range len(script) + 1 {
-		select {
-		case c := <-calls:
-			all = append(all, c)
-		case <-time.After(10 * time.Second):
-			t.Fatalf("only asked %q", all)
-		}
-	}
-	return all
-}
+	"sabletally/internal/lab/standin"
+)
 
-func busy(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }
+// answers stands for the network: what a call gets.
+type answers func(*http.Request) (status int, text string)
 
-func text(s string) func(http.ResponseWriter) {
-	return func(w http.ResponseWriter) { w.Write([]byte(s)) }
+func (a answers) RoundTrip(r *http.Request) (*http.Response, error) {
+	status, text := a(r)
+	return &http.Response{StatusCode: status, Status: http.StatusText(status), Body: io.NopCloser(strings.NewReader(text))}, r.Context().Err()
 }
 
-const news = `{"rev":50,"all":false,"targets":[]}`
-
-// Whole lists are dear where many ask, and a busy discovery has lost none of the changes.
-func TestTheKnownListIsGoneOnFromWhateverDiscoveryIsBusyWith(t *testing.T) {
-	known := List{Rev: 41, Whole: true, Servers: []Server{{UID: "s"}}}
-	all := asked(t, known, busy, busy, text(news), busy)
-	for n, want := range []string{"from=41&", "from=41&", "from=41&", "from=50&", "from=50&"} {
-		if !strings.Contains(all[n], want) {
-			t.Errorf("call %d is %s, not %s", n, all[n], want)
-		}
-	}
-}
+var known = List{Rev: 41, Whole: true, Servers: []Server{{UID: "s"}}}
 
-// What can't be read may hide a change: the whole list closes the gap. So it does where nothing is known.
-func TestTheWholeListIsAskedForWhereThereIsAGap(t *testing.T) {
-	known := List{Rev: 41, Whole: true, Servers: []Server{{UID: "s"}}}
-	for _, cut := range []func(http.ResponseWriter){text(`{"rev":50,"all":false,"targets":[{"uid"`), text(`{}`),
-		func(w http.ResponseWriter) { w.WriteHeader(http.StatusNotFound) }} {
-		if all := asked(t, known, cut); strings.Contains(all[1], "from") {
-			t.Errorf("after an answer that can't be read it asks %s", all[1])
-		}
-	}
-	for _, l := range []List{{}, {Rev: 41}, {Rev: 41, Whole: true}} {
-		if all := asked(t, l); strings.Contains(all[0], "from") {
-			t.Errorf("from %+v it asks %s", l, all[0])
-		}
+// TestWhatIsAskedAfterEachAnswer has a busy discovery, which has lost no change, asked on from the known list, and one that
+// can't be read for the whole list, as a change may hide there; so where nothing whole is known.
+func TestWhatIsAskedAfterEachAnswer(t *testing.T) {
+	const busy, news, whole, on = "503", `{"rev":50,"all":false,"targets":[]}`, "", "from=41&"
+	for _, c := range []struct {
+		known   List
+		answers []string
+		asked   []string
+	}{
+		{known, []string{busy, busy, news, busy}, []string{on, on, on, "from=50&", "from=50&"}},
+		{known, []string{`{"rev":50,"all":false,"targets":[{"uid"`}, []string{on, whole}},
+		{known, []string{`{}`}, []string{on, whole}},
+		{known, []string{"404"}, []string{on, whole}},
+		{List{}, nil, []string{whole}},
+		{List{Rev: 41}, nil, []string{whole}},
+		{List{Rev: 41, Whole: true}, nil, []string{whole}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			var asked []string
+			w := New("desk", 2, false, func(List) {}, func(error) {})
+			w.From(c.known)
+			w.client.Transport = answers(func(r *http.Request) (int, string) {
+				if asked = append(asked, r.URL.RawQuery); len(asked) > len(c.answers) {
+					<-r.Context().Done()
+					return http.StatusOK, ""
+				}
+				switch text := c.answers[len(asked)-1]; text {
+				case busy:
+					return http.StatusServiceUnavailable, ""
+				case "404":
+					return http.StatusNotFound, ""
+				default:
+					return http.StatusOK, text
+				}
+			})
+			go w.Run(t.Context())
+			time.Sleep(4 * time.Second)
+			for n, want := range c.asked {
+				if len(asked) <= n || !strings.HasPrefix(asked[n], want) || want == whole && asked[n] != whole {
+					t.Fatalf("%+v: asked %q", c, asked)
+				}
+			}
+		})
 	}
 }
 
-// Eighty balancers that are told to come again in step keep a discovery from answering any of them.
 func TestManyCallersPauseLonger(t *testing.T) {
-	few, many, shared := New("", 2, false, nil, nil), New("", 80, false, nil, nil), New("", 80, true, nil, nil)
+	few, many, shared, huge := New("", 2, false, nil, nil), New("", 80, false, nil, nil), New("", 80, true, nil, nil), New("", 1e5, true, nil, nil)
+	if few.most != pauseMost || few.hold != hold || many.most != 4*time.Second || many.hold != 40*time.Second || many.low <= few.low ||
+		huge.hold != holdMost || huge.most != shareLast {
+		t.Errorf("%+v, %+v, %+v", few, many, huge)
+	}
 	// An answer that is lost counts as told two seconds after the wait, where the list is pushed.
 	if few.answer >= 2*time.Second || many.answer >= 2*time.Second || shared.answer <= 2*time.Second || shared.most <= many.most {
 		t.Errorf("answers may take %v, %v and %v", few.answer, many.answer, shared.answer)
 	}
-	if few.most != pauseMost || few.hold != hold {
-		t.Errorf("of two each pauses up to %v and waits %v", few.most, few.hold)
-	}
-	if many.most != 4*time.Second || many.hold != 40*time.Second || many.low <= few.low {
-		t.Errorf("of eighty each pauses from %v up to %v and waits %v", many.low, many.most, many.hold)
+}
+
+// Eighty balancers start at once, most of them again ten seconds later, at a discovery that does eight calls a second;
+// half a minute on the list changes. Those that are not told that it is shared hear nothing.
+func TestManyBalancersAllFollowABusyDiscovery(t *testing.T) {
+	heard := func(shared bool) (all int) {
+		synctest.Test(t, func(t *testing.T) {
+			desk, changed := standin.NewDesk(125*time.Millisecond, 2*time.Second), make(chan struct{})
+			got := make(chan bool, 200)
+			start := func(ctx context.Context) {
+				w := New("desk", 80, shared, func(l List) { got <- l.Rev == 42 }, func(error) {})
+				w.From(known)
+				w.client.Transport = answers(func(r *http.Request) (int, string) {
+					if !desk.Take(r.Context()) {
+						return http.StatusServiceUnavailable, ""
+					}
+					news := changed
+					if !strings.Contains(r.URL.RawQuery, "from=41") { // it has heard already
+						news = nil
+					}
+					select {
+					case <-news:
+						return http.StatusOK, `{"rev":42,"all":false,"targets":[]}`
+					case <-r.Context().Done():
+						return http.StatusOK, ""
+					}
+				})
+				go w.Run(ctx)
+			}
+			first, kill := context.WithCancel(t.Context())
+			for range 56 {
+				start(first)
+			}
+			for range 24 {
+				start(t.Context())
+			}
+			time.Sleep(10 * time.Second)
+			kill()
+			for range 56 {
+				start(t.Context())
+			}
+			time.Sleep(30 * time.Second)
+			close(changed)
+			time.Sleep(time.Second)
+			all = len(got)
+		})
+		return all
 	}
-	if huge := New("", 100000, false, nil, nil); huge.hold != holdMost || huge.most != pauseLast {
-		t.Errorf("of a hundred thousand each pauses up to %v and waits %v", huge.most, huge.hold)
+	if shared, not := heard(true), heard(false); shared < 78 || not > 60 {
+		t.Fatalf("%d of 80 hear of a change at once, %d where they are not told that it is shared", shared, not)
 	}
 }
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -25,6 +25,14 @@
 	return l
 }
 
+// zoned has a list's servers stand in so many zones by turns.
+func zoned(list []Listed, zones int) []Listed {
+	for i := range list {
+		list[i].Zone = i % zones
+	}
+	return list
+}
+
 func started(d *Deployment, list []Listed) *Balancer {
 	b := New(d, 7)
 	b.ListArrived(list, true)
--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -186,10 +186,7 @@
 
 // With every zone's balancers making a home of their own 30 groups stand at 83 places here, of 400 connections.
 func TestManyBalancersInThreeZonesKeepAGroupTogether(t *testing.T) {
-	list := fleet(12)
-	for i := range list {
-		list[i].Zone = i % 3
-	}
+	list := zoned(fleet(12), 3)
 	places := map[[2]uint64]bool{}
 	for k := range 80 {
 		d := deployment()
@@ -216,11 +213,7 @@
 func TestABalancerWithManyOfEachGroupKeepsToItsZone(t *testing.T) {
 	d := deployment()
 	d.CrossingPrice = 0.08
-	list := fleet(9)
-	for i := range list {
-		list[i].Zone = i % 3
-	}
-	b := started(d, list)
+	b := started(d, zoned(fleet(9), 3))
 	for id := CircuitID(1); id <= 300; id++ {
 		got := arrive(t, b, Arrival{ID: id, Key: uint64(id) + 1000, Group: uint64(id)%5 + 10})
 		b.SetUp(id, 0, ms)
@@ -255,8 +248,7 @@
 	for i := 4; i < 10; i++ {
 		list[i].Started = time.Second
 	}
-	sent, keys := map[ServerID][]time.Duration{}, map[[2]uint64]uint64{}
-	next, held := CircuitID(1000), 0
+	sent, held := map[ServerID][]time.Duration{}, 0
 	for step := range 300 {
 		now := time.Second + time.Duration(step)*50*ms
 		for k, b := range all {
@@ -268,18 +260,12 @@
 				if dec.Do != Move {
 					continue
 				}
-				at := [2]uint64{uint64(k), uint64(dec.Circuit)}
-				key, moved := keys[at]
-				if !moved {
-					key = b.circuit[dec.Circuit].key<<8 + uint64(k)
-				}
+				key := b.circuit[dec.Circuit].key
 				b.TryEnded(dec.Circuit, 0, true, Cancelled)
-				to := (k*7 + step) % 80 // the front deals it to any balancer
-				next++
-				keys[[2]uint64{uint64(to), uint64(next)}] = key
-				all[to].Clock(now)
-				if got := arrive(t, all[to], Arrival{ID: next, Key: key}); got.Do == Try {
-					all[to].SetUp(next, 0, ms)
+				to, id := all[(k*7+step)%80], dec.Circuit+CircuitID(1000*(k+1)) // the front deals it to any balancer
+				to.Clock(now)
+				if got := arrive(t, to, Arrival{ID: id, Key: key<<8 + uint64(k)}); got.Do == Try {
+					to.SetUp(id, 0, ms)
 					if got.Server >= 104 {
 						held++
 						sent[got.Server] = append(sent[got.Server], now)
@@ -288,21 +274,17 @@
 			}
 		}
 	}
-	t.Log(held, len(sent))
 	if held < 40 || len(sent) < 6 {
 		t.Errorf("%d went to %d cold servers", held, len(sent))
 	}
 	for server, at := range sent {
-		for from := range at {
-			in := 0
-			for _, s := range at[from:] {
-				if s < at[from]+d.FallFor {
-					in++
-				}
+		for from, until := 0, 0; from < len(at); from++ {
+			for until < len(at) && at[until] < at[from]+d.FallFor {
+				until++
 			}
 			warmth := d.ColdFrom + (1-d.ColdFrom)*float64(at[from]-time.Second)/float64(d.ColdFor)
-			if float64(in) > 3*40*warmth+2 { // the multiple times what a server holds, in the span in which it could fall
-				t.Fatalf("%d tries at server %d in its span, warm to %.2f", in, server, warmth)
+			if float64(until-from) > 3*40*warmth+2 { // the multiple times what a server holds, in the span in which it could fall
+				t.Fatalf("%d tries at server %d in its span, warm to %.2f", until-from, server, warmth)
 			}
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -85,11 +85,7 @@
 func TestOwnZoneFirstWhereCrossingsCost(t *testing.T) {
 	d := deployment()
 	d.CrossingPrice = 0.1
-	list := fleet(8)
-	for i := range list {
-		list[i].Zone = i % 2
-	}
-	b, own := started(d, list), 0
+	b, own := started(d, zoned(fleet(8), 2)), 0
 	for s, n := range connect(t, b, 1, 40) {
 		if s%2 == 0 {
 			own += n
