--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -184,7 +184,7 @@
 	}
 }
 
-// With every zone's balancers making a home of their own 30 groups stand at 83 places here, of 400 connections. One that
+// With every zone's balancers making a home of their own 30 groups stand at 82 places here, of 400 connections. One that
 // holds many of each group keeps them in its zone all the same: a crossing has its price.
 func TestManyBalancersInThreeZonesKeepAGroupTogether(t *testing.T) {
 	places := func(peers, each, groups int) (all map[[2]uint64]bool) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1000,7 +1000,7 @@
 // had fled to the old ones stayed there, while the new ones grew warm and were empty.
 func (b *Balancer) fill() {
 	n := int(min(float64(b.total)*float64(roundEvery)/float64(fillEach), 16) + b.random())
-	for ; n > 0 && b.colds > 0 && !b.ailing() && b.now >= b.shutTill; n-- {
+	for ; n > 0 && b.colds > 0 && b.late+b.bad < 1 && b.now >= b.shutTill; n-- {
 		at, from := int(b.random()*float64(b.total)), 0
 		for ; at >= len(b.held[from]); from++ {
 			at -= len(b.held[from])
