--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -54,7 +54,7 @@
 	relays   *relay.Shards
 	watch    *discovery.Watch
 	unwatch  context.CancelFunc // ends it
-	known    discovery.List     // the list from before the start
+	known    discovery.List     // the list from before the start, until it is followed
 	servers  map[policy.ServerID]*server
 	byUID    map[string]*server
 	circuits map[policy.CircuitID]*circuit
@@ -146,6 +146,7 @@
 			func(err error) { of(func() { l.unlisted(err) }) })
 		if l.unwatch == nil { // another discovery counts its lists by itself
 			w.From(l.known)
+			l.known = discovery.List{}
 		}
 		ctx, l.unwatch = context.WithCancel(ctx)
 		l.watch = w
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,13 +64,14 @@
 
 // Shards are all of them.
 type Shards struct {
-	owner Owner
-	fds   *atomic.Int64 // descriptors of connections, counted for all
-	all   []*shard
-	next  atomic.Uint32
-	start time.Time
-	stall time.Duration // stallMost, but for tests
-	Lines atomic.Int64  // passed on, both ways
+	owner  Owner
+	fds    *atomic.Int64 // descriptors of connections, counted for all
+	all    []*shard
+	next   atomic.Uint32
+	start  time.Time
+	ending sync.Once
+	stall  time.Duration // stallMost, but for tests
+	Lines  atomic.Int64  // passed on, both ways
 }
 
 // shard is one epoll set with the goroutine that serves it.
@@ -121,9 +122,11 @@
 // Close ends the shards; their connections are not seen to.
 func (s *Shards) Close() {
 	one := [8]byte{7: 1}
-	for _, sh := range s.all {
-		unix.Write(sh.bell, one[:])
-	}
+	s.ending.Do(func() { // a second time the bells are closed, and their descriptors may be others'
+		for _, sh := range s.all {
+			unix.Write(sh.bell, one[:])
+		}
+	})
 }
 
 func (s *Shards) now() time.Duration { return time.Since(s.start) }
@@ -331,10 +334,8 @@
 			if at := c.stalledAt.Load(); at > 0 && now-time.Duration(at) > s.stall {
 				slow = append(slow, c)
 			}
-			if p := c.pair.Load(); p != nil && c.mine == Client && edge > 0 {
-				if asked := time.Duration(p.asked.Load()); asked > 0 && now-asked > edge {
-					all[p.server] = append(all[p.server], now-asked)
-				}
+			if p, asked := c.waits(); p != nil && edge > 0 && now-asked > edge {
+				all[p.server] = append(all[p.server], now-asked)
 			}
 		}
 		sh.mu.Unlock()
@@ -345,6 +346,18 @@
 	return all
 }
 
+// waits answers the pair of a client whose line has no answer yet, and when that was asked; nil for any other connection.
+func (c *Conn) waits() (*Pair, time.Duration) {
+	p := c.pair.Load()
+	if p == nil || c.mine != Client {
+		return nil, 0
+	}
+	if asked := time.Duration(p.asked.Load()); asked > 0 {
+		return p, asked
+	}
+	return nil, 0
+}
+
 // Silent answers the pairs whose server was asked and has said nothing for so long.
 func (s *Shards) Silent(silent time.Duration) []*Pair {
 	var all []*Pair
@@ -352,15 +365,10 @@
 		sh.mu.Lock()
 		now := s.now()
 		for _, c := range sh.conns {
-			if c == nil || c.mine != Client {
-				continue
-			}
-			p := c.pair.Load()
-			if p == nil {
+			if c == nil {
 				continue
 			}
-			asked := time.Duration(p.asked.Load())
-			if asked > 0 && now-max(asked, time.Duration(p.heard.Load())) >= silent {
+			if p, asked := c.waits(); p != nil && now-max(asked, time.Duration(p.heard.Load())) >= silent {
 				all = append(all, p)
 			}
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -50,8 +50,10 @@
 	evenLeast    = 4.0                    // connections that an even share is taken for, at the least
 	reachFar     = 2                      // servers past a group's home that its members may go to
 	homeSpread   = 2.0                    // servers in a group's home, over its share of the connections
-	fewHeld      = 7                      // connections here, below which nothing is known of groups
-	ownMembers   = 1.7                    // of each group here on the mean, below which cold servers part it
+	fewHeld      = 7                      // connections here, below which nothing is known of groups,
+	fewInAll     = 500                    // and over all balancers, below which groups are small
+	ownMembers   = 1.7                    // of each group here on the mean, below which cold servers part it,
+	fewGroups    = 5                      // with so many groups more
 	lateFrom     = 3                      // over so-many-th of its goal a set-up is late: a queue somewhere
 	fewJammed    = 0.2                    // part of the servers that hold something
 	triesBesides = 9.0                    // tries out of all balancers besides, while some fail
@@ -663,8 +665,7 @@
 func (b *Balancer) mayWarm(c *circuit, i int) bool {
 	mean, fill := float64(b.total)/float64(max(len(b.newest().servers), 1)), coldFill
 	mean = math.Sqrt(mean * max(mean, b.warmMean)) // warm ones hold more, maybe too much
-	// With more fill two hundred that tell nothing came near the rule; where they tell, less is left to chance.
-	if b.heard {
+	if b.heard {                                   // less is left to chance; two hundred that tell nothing came near the rule with this
 		mean, fill = b.warmMean, coldTold
 	}
 	mean = max(mean, coldLeast/float64(b.dep.Peers))
@@ -715,8 +716,8 @@
 // first few, by the group's share of the connections, are its home; there the client's key ranks.
 func (b *Balancer) order(c *circuit) []ranked {
 	b.rank, b.reach, b.across = b.rank[:0], len(b.newest().servers), b.away
-	small := b.total < fewHeld && b.total*b.dep.Peers < 500
-	few := b.colds > 0 && float64(b.total) < ownMembers*float64(len(b.group)+5)
+	small := b.total < fewHeld && b.total*b.dep.Peers < fewInAll
+	few := b.colds > 0 && float64(b.total) < ownMembers*float64(len(b.group)+fewGroups)
 	if c.place != c.key && (small || few) {
 		b.across = 1 // guards against three zones' homes for a group of ten, which is paid for at each
 	}
@@ -931,7 +932,7 @@
 
 // round considers moves and probes.
 func (b *Balancer) round() {
-	b.due, b.colds = b.due[:0], 0
+	b.due, b.colds, b.across = b.due[:0], 0, b.away
 	b.sumPeers()
 	if b.leaveBy < never {
 		b.leave()
@@ -1009,17 +1010,17 @@
 		if !c.open || c.moving || b.state[from] != Ready || b.warmth(from) < 1 {
 			continue
 		}
-		again := b.anew(c)
-		if j := b.pick(&again, byAll); j >= 0 && b.warmth(j) < 1 {
+		if j := b.again(c); j >= 0 && b.warmth(j) < 1 {
 			b.due, c.moving = append(b.due, Decision{Do: Move, Circuit: c.id}), true
 		}
 	}
 }
 
-func (b *Balancer) anew(c *circuit) circuit {
-	again := *c // as it will come again
+// again answers the server that a connection would be placed at if it came now.
+func (b *Balancer) again(c *circuit) int {
+	again := *c
 	again.open, again.tries, again.tried, again.ranOn, again.wanted = false, 0, nil, -1, true
-	return again
+	return b.pick(&again, byAll)
 }
 
 // leave plans to move an even part of what is open. Guards against clients cut off by a planned restart, and
@@ -1056,8 +1057,7 @@
 	for _, c := range b.movable(i, func(x, y *circuit) int {
 		return cmp.Or(mates[x.place]-mates[y.place], cmp.Compare(y.load, x.load), x.slot-y.slot)
 	}) {
-		again := b.anew(c)
-		if j := b.pick(&again, byAll); j >= 0 && j != i && !b.part(c, &load) {
+		if j := b.again(c); j >= 0 && j != i && !b.part(c, &load) {
 			return
 		}
 	}
