--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -243,11 +243,10 @@
 				if dec.Do != Move {
 					continue
 				}
-				key := b.circuit[dec.Circuit].key
+				key, to := b.circuit[dec.Circuit].key, all[(k*7+step)%80] // the front deals it to any balancer
 				b.TryEnded(dec.Circuit, 0, true, Cancelled)
-				to := all[(k*7+step)%80] // the front deals it to any balancer
-				to.Clock(now)
 				next++
+				to.Clock(now)
 				got := arrive(t, to, Arrival{ID: next, Key: key})
 				if to.SetUp(next, 0, ms); got.Server >= 104 {
 					held++
@@ -257,7 +256,7 @@
 		}
 	}
 	if held < 40 || len(sent) < 6 {
-		t.Errorf("%d went to %d cold servers", held, len(sent))
+		t.Fatal(held, sent)
 	}
 	for server, at := range sent { // the multiple times what a server holds, by its warmth at the start
 		if most := crowd(at, d.FallFor); float64(most) > 3*40*d.ColdFrom {
