--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -264,3 +264,23 @@
 		}
 	}
 }
+
+// What goes home counts among what wants a cold server. Uncounted, while many were cold all that were at home at one moved
+// there within four seconds, and it fell over: 5.9 times what it could do, of 170 balancers.
+func TestWhatGoesHomeCountsForColdServers(t *testing.T) {
+	d, list := deployment(), fleet(10)
+	d.Peers = 170
+	b := started(d, list[:5])
+	connect(t, b, 1, 15)
+	for i := 5; i < 10; i++ {
+		list[i].Started = -12 * time.Second
+	}
+	b.ListArrived(list, true)
+	for b.now < 4*time.Second {
+		b.Clock(b.now + 250*ms)
+		pull(b)
+	}
+	if b.wanted < 2 {
+		t.Fatalf("of 15 connections, half at home at cold servers, %.1f count", b.wanted)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1019,7 +1019,7 @@
 // again answers the server that a connection would be placed at if it came now.
 func (b *Balancer) again(c *circuit) int {
 	again := *c
-	again.open, again.tries, again.tried, again.ranOn, again.wanted = false, 0, nil, -1, true
+	again.open, again.tries, again.tried, again.ranOn, again.wanted = false, 0, nil, -1, false
 	return b.pick(&again, byAll)
 }
 
