--- a/internal/balancer/loop_test.go
+++ b/internal/balancer/loop_test.go
@@ -213,12 +213,11 @@
 	for i := range took {
 		l.servers[policy.ServerID(i)] = &server{id: policy.ServerID(i), listedAs: discovery.Server{UID: fmt.Sprint(i), Heft: 1}}
 	}
-	for n := range 5 + 3*len(took) {
-		if id := policy.ServerID(n); n < 5 {
-			l.guess(l.servers[id], 200*time.Millisecond)
-		} else {
-			l.guess(l.servers[(id-5)/3], took[(n-5)/3]*time.Millisecond)
-		}
+	for id := range policy.ServerID(5) {
+		l.guess(l.servers[id], 200*time.Millisecond)
+	}
+	for n := range 3 * len(took) {
+		l.guess(l.servers[policy.ServerID(n/3)], took[n/3]*time.Millisecond)
 	}
 	for i := range want {
 		if got := l.servers[policy.ServerID(i)].pace; got != want[i] {
