--- a/cmd/sabletally/main.go
+++ b/cmd/sabletally/main.go
@@ -5,8 +5,8 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"math"
-	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -20,6 +20,7 @@
 
 	"sabletally/internal/balancer"
 	"sabletally/internal/deployment"
+	"sabletally/internal/mgmt"
 )
 
 const (
@@ -48,16 +49,20 @@
 	// which the runtime takes away only after up to ten milliseconds. Guards against a loop that waits for it on one core.
 	runtime.GOMAXPROCS(2*cores + 1)
 	debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * 3 / 4)
-	netpoll.Configure(netpoll.Config{PollerNum: (cores + 7) / 8, BufferSize: 4096, LoggerOutput: aside{log},
+	netpoll.Configure(netpoll.Config{PollerNum: (cores + 7) / 8, BufferSize: 4096, LoggerOutput: aside{log, "netpoll"},
 		// Guards against senders at full speed: what the poller has read is taken in before it reads on.
 		Runner: func(_ context.Context, f func()) { go f(); runtime.Gosched() }})
 
-	ln, err := net.Listen("tcp", s.Listen)
+	gate, err := clients(s.Listen)
 	if err != nil {
-		log.Error("can't start", zap.NamedError("listen", err))
+		log.Error("can't start", zap.Error(err))
 		return 2
 	}
-	l, err := balancer.New(log, s.Deployment, s.Seed, s.Known, s.Sockets)
+	sockets := s.Sockets
+	if s.Mgmt != "" {
+		sockets -= mgmt.Conns(s.Sockets)
+	}
+	l, err := balancer.New(log, s.Deployment, s.Seed, s.Known, sockets)
 	if err != nil {
 		log.Error("can't start", zap.Error(err))
 		return 2
@@ -70,8 +75,21 @@
 		log.Error("can't start", zap.Error(err))
 		return 2
 	}
-	failed := make(chan error, 1)
-	go func() { failed <- l.Serve(ln) }()
+	if s.Mgmt != "" { // last: who is answered there finds a loop that runs
+		m, err := mgmt.Open(s.Mgmt, mgmt.Conns(s.Sockets), l, aside{log, "mgmt"})
+		if err != nil {
+			log.Error("can't start", zap.NamedError("mgmt", err))
+			return 2
+		}
+		defer m.Close()
+		go m.Serve()
+	}
+	failed, emptied := make(chan error, 1), make(chan struct{})
+	go func() {
+		if err := l.Serve(gate); err != nil {
+			failed <- err
+		}
+	}()
 
 	var exit <-chan time.Time
 	for {
@@ -88,9 +106,12 @@
 					longest = max(longest, limit)
 				}
 				within := min(longest, leaveMost) + leaveExtra
-				l.Leave(comeOn, within)
+				l.Leave(comeOn, within, func() { close(emptied) })
 				exit = time.After(within + stayOn)
 			}
+		case <-emptied:
+			l.Report("exit")
+			return 0
 		case <-exit:
 			l.Report("exit")
 			return 0
@@ -102,6 +123,23 @@
 	}
 }
 
+// clients opens their address, or takes the socket that the platform holds for it.
+func clients(address string) (*balancer.Gate, error) {
+	const name = "EDGE_ACCEPT_FD"
+	if inherited := os.Getenv(name); inherited != "" {
+		g, err := balancer.Inherit(inherited)
+		if err != nil {
+			err = fmt.Errorf("%s: %w", name, err)
+		}
+		return g, err
+	}
+	g, err := balancer.Listen(address)
+	if err != nil {
+		err = fmt.Errorf("listen: %w", err)
+	}
+	return g, err
+}
+
 // reload reads the configuration again, has its settings and peers hold and follows the discovery that it names; the
 // rest takes a restart. It answers what holds now. Guards against a file that is bad or half written: what was told
 // before then holds whole.
@@ -122,11 +160,14 @@
 	return s
 }
 
-// aside takes netpoll's own log, under one name, so that it is held to so many lines as any other.
-type aside struct{ log *zap.Logger }
+// aside takes a library's own log, under one name, so that it is held to so many lines as any other.
+type aside struct {
+	log  *zap.Logger
+	name string
+}
 
 func (a aside) Write(text []byte) (int, error) {
-	a.log.Warn("netpoll", zap.ByteString("said", bytes.TrimSpace(text)))
+	a.log.Warn(a.name, zap.ByteString("said", bytes.TrimSpace(text)))
 	return len(text), nil
 }
 
--- a/cmd/sabletally/main_test.go
+++ b/cmd/sabletally/main_test.go
@@ -53,6 +53,7 @@
 	agent  *standin.Agent
 	child  *field.Process
 	config string // the configuration's file
+	mgmt   string // the operators' address, where MGMT stands in the environment
 	mu     sync.Mutex
 	addrs  map[string]string // of the servers in the list
 	asked  uint64            // circuits asked for
@@ -76,6 +77,13 @@
 	return ln
 }
 
+// free is an address that a listener has had and closed: nobody else is given it soon.
+func free(t *testing.T) string {
+	ln := listen(t)
+	ln.Close()
+	return ln.Addr().String()
+}
+
 // refused is an address that nobody listens at and nobody else is given.
 func refused(t *testing.T) string {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
@@ -118,6 +126,10 @@
 	if slices.Contains(env, "PROBES=yes") { // else a probe that is late on a busy machine could steer a test
 		text = strings.Replace(text, `"Probes":false`, `"Probes":true`, 1)
 	}
+	if slices.Contains(env, "MGMT") {
+		s.mgmt = free(t)
+		text = strings.Replace(text, `"listen"`, fmt.Sprintf(`"mgmt":%q,"listen"`, s.mgmt), 1)
+	}
 	if err := child.Write([]byte(text)); err != nil {
 		t.Fatal(err)
 	}
@@ -805,7 +817,7 @@
 	whole := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c",
 		"limits":{"cores":1,"memory_mb":192,"sockets":64},"known":{"rev":1,"all":true,"targets":[]},"settings":%s}`, settings)
 	for key, change := range map[string][2]string{
-		"listen": {"127.0.0.1:0", "nowhere"}, "discovery": {"127.0.0.1:1", ""}, "seed": {`"8c"`, `"8z"`},
+		"listen": {"127.0.0.1:0", "nowhere"}, "mgmt": {`"listen"`, `"mgmt":"nowhere","listen"`}, "discovery": {"127.0.0.1:1", ""}, "seed": {`"8c"`, `"8z"`},
 		"limits.cores": {`"cores":1`, `"cores":-1`}, "limits.memory_mb": {`"memory_mb":192`, `"memory":1`},
 		"limits.sockets": {`"sockets":64`, `"sockets":3`}, "known": {`"rev":1`, `"rev":-1`},
 		"settings: PeersTotal": {"PeersTotal", "Peers"}, "settings: Limits.MostSetupTries": {"MostSetupTries", "Tries"},
--- a/internal/balancer/circuit.go
+++ b/internal/balancer/circuit.go
@@ -59,7 +59,7 @@
 	switch {
 	case ln.Bad == nil && ln.Kind == line.Ping:
 		if l.ready {
-			c.send(line.PongLine)
+			c.send(l.pong())
 		} else if c.pings++; c.pings == 1 {
 			l.pinged = append(l.pinged, c)
 		}
--- a/internal/balancer/cost_test.go
+++ b/internal/balancer/cost_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 	"time"
 
@@ -39,12 +38,12 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go l.Run(ctx.Done())
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	gate, err := Listen("127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
-	go l.Serve(ln)
-	target := bench.NewTarget(ln.Addr().String())
+	go l.Serve(gate)
+	target := bench.NewTarget(gate.Addr().String())
 	b.ReportAllocs()
 	b.ResetTimer()
 	if s := bench.SetupsOf(target, 64, b.N); s.Failed > 0 {
--- a/internal/balancer/counters.go
+++ b/internal/balancer/counters.go
@@ -19,7 +19,7 @@
 	Moves, Silent, Relayed                    atomic.Int64
 	Open                                      atomic.Int64 // circuits that stand now
 	Lists, ListErrors, Errors, Panics, NoRoom atomic.Int64
-	Reloads, ReloadErrors                     atomic.Int64
+	Reloads, ReloadErrors, Drains             atomic.Int64
 	Sent, Heard, Dropped                      atomic.Int64                       // messages between balancers
 	SameID, Unasked, Late, Shed               atomic.Int64                       // turned away: taken id, more before the answer, silent
 	Ended                                     [policy.NeverSent + 1]atomic.Int64 // tries and circuits, by outcome
@@ -41,7 +41,7 @@
 		{"tries", &c.Tries}, {"probes", &c.Probes}, {"served", &c.Served}, {"nacked", &c.Nacked},
 		{"broken-off", &c.BrokenOff}, {"left", &c.Left}, {"moves", &c.Moves}, {"silent", &c.Silent},
 		{"relayed", &c.Relayed}, {"open", &c.Open}, {"lists", &c.Lists}, {"list-errors", &c.ListErrors},
-		{"reloads", &c.Reloads}, {"reload-errors", &c.ReloadErrors},
+		{"reloads", &c.Reloads}, {"reload-errors", &c.ReloadErrors}, {"drains", &c.Drains},
 		{"sent", &c.Sent}, {"heard", &c.Heard}, {"dropped", &c.Dropped},
 		{"same-id", &c.SameID}, {"unasked", &c.Unasked}, {"late", &c.Late}, {"shed", &c.Shed},
 		{"errors", &c.Errors}, {"panics", &c.Panics}, {"no-room", &c.NoRoom},
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -66,7 +66,14 @@
 	order    int
 	listed   bool    // discovery has answered since the start
 	ready    bool    // clients are welcome
+	out      bool    // but for now, as an operator wants it empty
 	pinged   []*conn // ask whether it is so
+
+	welcomed chan struct{}        // closed once it is ready
+	gate     atomic.Pointer[Gate] // the listener, where it is shared with another process
+
+	wanted  sync.Mutex
+	service service // under it
 }
 
 // server is what the sockets need to know of one server.
@@ -108,7 +115,7 @@
 		wake: make(chan struct{}, 1), most: int64(max(sockets-keptFds, 2)),
 		servers: map[policy.ServerID]*server{}, byUID: map[string]*server{},
 		circuits: map[policy.CircuitID]*circuit{}, byAsk: map[uint64]*circuit{}, door: newDoor(),
-		known: known,
+		known: known, welcomed: make(chan struct{}),
 	}
 	l.settings(dep)
 	var err error
@@ -381,28 +388,19 @@
 		return
 	}
 	l.ready = true
+	l.wanted.Lock()
+	l.service.ready = true
+	close(l.welcomed)
+	l.wanted.Unlock()
 	l.log.Info("ready", zap.Bool("listed", l.listed), zap.Int("servers", len(l.servers)))
 	for _, c := range l.pinged {
 		for ; c.pings > 0; c.pings-- {
-			c.send(line.PongLine)
+			c.send(l.pong())
 		}
 	}
 	l.pinged = nil
 }
 
-// Leave tells of a planned restart: all that is held goes, from the one time from now to the other.
-func (l *Loop) Leave(from, within time.Duration) {
-	l.post(event{do: func() {
-		l.log.Info("leaving", zap.Duration("within", within), zap.Int("open", l.open), zap.Int("held", len(l.circuits)))
-		l.bal.Leave(l.now+from, l.now+within)
-		for _, cir := range l.circuits {
-			if cir.standing { // waits for its server for longer than there is time
-				l.giveUp(cir, line.ErrLine)
-			}
-		}
-	}})
-}
-
 // Report logs the counters.
 func (l *Loop) Report(why string) {
 	fields := append([]zap.Field{zap.String("why", why)}, l.Counters.fields()...)
--- a/internal/balancer/loop_test.go
+++ b/internal/balancer/loop_test.go
@@ -22,14 +22,15 @@
 // TestAPanicCostsOneConnection has the loop fail at one circuit that stands and at one that waits for its
 // answer: a third goes on, and the module holds neither any longer.
 func TestAPanicCostsOneConnection(t *testing.T) {
-	listen := func() net.Listener {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		return ln
+	servers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer servers.Close()
+	door, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
-	servers, door := listen(), listen()
 	asked := make(chan net.Conn, 3)
 	go func() {
 		for {
--- a/internal/balancer/serve.go
+++ b/internal/balancer/serve.go
@@ -7,12 +7,16 @@
 import (
 	"container/list"
 	"context"
+	"fmt"
 	"net"
 	"runtime"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"sabletally/internal/line"
 )
@@ -102,9 +106,104 @@
 	return all
 }
 
-// Serve accepts clients until the listener fails.
-func (l *Loop) Serve(ln net.Listener) error {
+// Gate is the clients' listening socket. It can stop accepting while the socket goes on in another process: what waits
+// in the socket's queue is that one's, so it says that it is closed before it takes a connection off. Guards against
+// clients whose connection nobody reads.
+type Gate struct {
+	fd     int
+	addr   net.Addr
+	shared bool
+	shut   atomic.Bool
+}
+
+// Listen opens the clients' address.
+func Listen(address string) (*Gate, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	defer ln.Close()
+	g, fd := &Gate{addr: ln.Addr()}, 0
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err == nil {
+		if e := raw.Control(func(at uintptr) { fd, err = unix.FcntlInt(at, unix.F_DUPFD_CLOEXEC, 3) }); e != nil {
+			err = e
+		}
+	}
+	g.fd = fd // no listener of the runtime's: it would be told of each connection as well
+	return g, err
+}
+
+// Inherit takes the listening socket that the platform holds, which other processes have too: its descriptor's number.
+func Inherit(number string) (*Gate, error) {
+	fd, err := strconv.Atoi(number)
+	if err != nil || fd <= 2 {
+		return nil, fmt.Errorf("%q is no descriptor", number)
+	}
+	if on, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil {
+		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
+	} else if on == 0 {
+		return nil, fmt.Errorf("descriptor %d is no listening socket", fd)
+	}
+	at, err := unix.Getsockname(fd)
+	if err != nil {
+		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
+	}
+	unix.CloseOnExec(fd)
+	g := &Gate{fd: fd, addr: address(at), shared: true}
+	if g.addr == nil {
+		return nil, fmt.Errorf("descriptor %d is no socket of TCP", fd)
+	}
+	return g, unix.SetNonblock(fd, true)
+}
+
+func address(at unix.Sockaddr) net.Addr {
+	switch at := at.(type) {
+	case *unix.SockaddrInet4:
+		return &net.TCPAddr{IP: at.Addr[:], Port: at.Port}
+	case *unix.SockaddrInet6:
+		return &net.TCPAddr{IP: at.Addr[:], Port: at.Port}
+	}
+	return nil
+}
+
+// Accept takes a connection off the queue; nothing and no error if none is there.
+func (g *Gate) Accept() (net.Conn, error) {
+	if g.shut.Load() {
+		return nil, net.ErrClosed // netpoll then looks at the socket no more
+	}
+	fd, at, err := unix.Accept4(g.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+	switch err {
+	case nil:
+		return accepted{fd: fd, local: g.addr, remote: address(at)}, nil
+	case unix.EAGAIN, unix.EINTR, unix.ECONNABORTED:
+		return nil, nil // another process has it, or its client has left
+	}
+	return nil, err
+}
+
+func (g *Gate) Fd() int        { return g.fd }
+func (g *Gate) Addr() net.Addr { return g.addr }
+func (g *Gate) Close() error   { return unix.Close(g.fd) }
+
+// accepted is a client's connection on its way to netpoll, which uses no more of it than this.
+type accepted struct {
+	net.Conn
+	fd            int
+	local, remote net.Addr
+}
+
+func (a accepted) Fd() int              { return a.fd }
+func (a accepted) LocalAddr() net.Addr  { return a.local }
+func (a accepted) RemoteAddr() net.Addr { return a.remote }
+
+// Serve accepts clients until the listener fails; one that is shared only until this process leaves, which is no failure.
+func (l *Loop) Serve(g *Gate) error {
 	type key struct{}
+	if g.shared { // guards against clients that come to this process while the old one still knows more
+		<-l.welcomed
+		l.gate.Store(g)
+	}
 	events, err := netpoll.NewEventLoop(
 		func(ctx context.Context, nc netpoll.Connection) error {
 			return ctx.Value(key{}).(*conn).onRequest(ctx, nc)
@@ -121,7 +220,20 @@
 	if err != nil {
 		return err
 	}
-	return events.Serve(ln)
+	err = events.Serve(g)
+	if g.shut.Load() {
+		return nil
+	}
+	return err
+}
+
+// turnAway has the clients that are here without a line come again.
+func (l *Loop) turnAway() {
+	for _, c := range l.door.late(time.Now().Add(firstWithin)) {
+		if c.circuit == nil && !c.over {
+			l.end(c, line.Turned(l.comeAgain()))
+		}
+	}
 }
 
 // makeRoom keeps the descriptors of connections without a circuit within what the others leave. Guards against
--- /dev/null
+++ b/internal/balancer/service.go
@@ -0,0 +1,130 @@
+// This file owns whether the balancer is in service: what it tells who asks, and the one way out, which drain, SIGTERM and
+// upgrade share, and back. It must never move a circuit itself: the module decides who goes when.
+
+package balancer
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sabletally/internal/line"
+)
+
+const (
+	drainFrom   = 400 * time.Millisecond  // so long clients still come after a no; who is moved before would come back
+	emptyEach   = 20 * time.Millisecond   // how often an old process looks whether it holds nothing
+	drainWithin = 3200 * time.Millisecond // and nothing is held after this, with room before the 4 s that are owed
+)
+
+var (
+	errStarting = errors.New("starting: the list of servers has not come yet")
+	errLeaving  = errors.New("leaving: this process was told to end and takes no clients any more")
+)
+
+// service is what operators want, published: whoever asks never waits for the loop.
+type service struct {
+	ready   bool // the loop welcomes clients
+	out     bool // an operator wants it empty
+	leaving bool // it ends, whatever operators want
+}
+
+// Ready tells whether clients are welcome: nil, or why not.
+func (l *Loop) Ready() error {
+	l.wanted.Lock()
+	defer l.wanted.Unlock()
+	switch {
+	case l.service.leaving:
+		return errLeaving
+	case l.service.out:
+		return fmt.Errorf("out of service: told by an operator, %d circuits open", l.Open.Load())
+	case !l.service.ready:
+		return errStarting
+	}
+	return nil
+}
+
+// OutOfService has the balancer emptied; it goes on running. What is asked after it has answered finds it so: its
+// post stands in the inbox before theirs.
+func (l *Loop) OutOfService() error { return l.serve(true) }
+
+// InService has it take clients again, whatever is left of the emptying.
+func (l *Loop) InService() error { return l.serve(false) }
+
+func (l *Loop) serve(out bool) error {
+	l.wanted.Lock()
+	defer l.wanted.Unlock()
+	switch {
+	case l.service.leaving && out: // it empties as it is
+		return nil
+	case l.service.leaving:
+		return errLeaving
+	case l.service.out == out:
+		return nil
+	}
+	l.service.out = out
+	l.post(event{do: func() { // in the order of the calls, as they hold the lock
+		l.out = out
+		if out {
+			l.Drains.Add(1)
+			l.log.Info("out of service", zap.Duration("within", drainWithin), zap.Int("open", l.open), zap.Int("held", len(l.circuits)))
+			l.empty(drainFrom, drainWithin)
+			return
+		}
+		l.log.Info("in service", zap.Int("open", l.open))
+		l.bal.Stay()
+	}})
+	return nil
+}
+
+// Leave tells of the process's end: all that is held goes, from the one time from now to the other. There is no way back.
+// Where the listener is shared no client comes any more, and done is called once nothing is held; until then clients
+// without a line are waited for, up to the end.
+func (l *Loop) Leave(from, within time.Duration, done func()) {
+	g := l.gate.Load()
+	if g != nil {
+		from = 0
+		g.shut.Store(true)
+	}
+	l.wanted.Lock()
+	defer l.wanted.Unlock()
+	l.service.leaving = true
+	l.post(event{do: func() {
+		l.log.Info("leaving", zap.Duration("within", within), zap.Bool("shared", g != nil), zap.Int("open", l.open),
+			zap.Int("held", len(l.circuits)))
+		l.empty(from, within)
+		if g != nil {
+			l.after(within, l.turnAway)
+			l.emptied(done)
+		}
+	}})
+}
+
+// emptied looks again and again whether nothing is held any more.
+func (l *Loop) emptied(done func()) {
+	if len(l.circuits) == 0 && l.fds.Load() == 0 {
+		done()
+		return
+	}
+	l.after(emptyEach, func() { l.emptied(done) })
+}
+
+// empty has all that is held go.
+func (l *Loop) empty(from, within time.Duration) {
+	l.bal.Leave(l.now+from, l.now+within)
+	for _, cir := range l.circuits {
+		if cir.standing { // waits for its server for longer than there is time
+			l.giveUp(cir, line.ErrLine)
+		}
+	}
+}
+
+// pong answers a question for readiness once the list is here: yes or no.
+func (l *Loop) pong() []byte {
+	if l.out {
+		return line.NoLine
+	}
+	return line.PongLine
+}
--- a/internal/deployment/station.go
+++ b/internal/deployment/station.go
@@ -18,6 +18,7 @@
 	Name       string
 	Listen     string
 	Discovery  string
+	Mgmt       string // the operators' address, empty where there is none
 	Seed       uint64
 	Cores      float64
 	MemoryMB   int
@@ -46,8 +47,8 @@
 		return nil, fmt.Errorf("EDGE_CONFIG: %v", err)
 	}
 	var in struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        struct {
+		Name, Listen, Discovery, Seed, Mgmt string
+		Limits                              struct {
 			Cores    float64 `json:"cores"`
 			MemoryMB int     `json:"memory_mb"`
 			Sockets  int     `json:"sockets"`
@@ -65,6 +66,7 @@
 	s := &Station{
 		Name: or(env("EDGE_NAME"), in.Name), Listen: or(env("EDGE_LISTEN"), in.Listen),
 		Discovery: or(env("EDGE_DISCOVERY"), in.Discovery),
+		Mgmt:      or(env("EDGE_MGMT"), in.Mgmt),
 		Cores:     in.Limits.Cores, MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets,
 	}
 	if again {
@@ -76,6 +78,9 @@
 	if _, _, err := net.SplitHostPort(s.Discovery); err != nil {
 		return nil, fmt.Errorf("discovery: %v", err)
 	}
+	if _, _, err := net.SplitHostPort(s.Mgmt); s.Mgmt != "" && err != nil {
+		return nil, fmt.Errorf("mgmt: %v", err)
+	}
 	if u, err := url.Parse("http://" + s.Discovery); err != nil || u.Host != s.Discovery || u.Hostname() == "" {
 		return nil, fmt.Errorf("discovery: %q is no address", s.Discovery)
 	}
@@ -90,7 +95,7 @@
 	case s.Sockets < 64:
 		return nil, fmt.Errorf("limits.sockets is missing or below 64")
 	}
-	s.Fixed = fmt.Sprint(s.Name, s.Listen, in.Limits, in.Seed)
+	s.Fixed = fmt.Sprint(s.Name, s.Listen, s.Mgmt, in.Limits, in.Seed)
 	if s.Known, err = discovery.Decode(in.Known); err != nil {
 		return nil, fmt.Errorf("known: %v", err)
 	}
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -241,6 +241,7 @@
 // Lines of the balancer's own.
 var (
 	PongLine = []byte("PONG\r\n")
+	NoLine   = []byte("NO\r\n")
 	PingLine = []byte("PING\r\n")
 	AskLoad  = []byte("STATS\r\n")
 	MoveLine = []byte("MOVE\r\n")
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -308,8 +308,9 @@
 
 func (b *Balancer) newest() *version { return b.pools[len(b.pools)-1] }
 
-// Leave tells of a planned restart: from the one time on all that is open is moved, up to the other.
+// Leave has the balancer emptied: from the one time on all that is open is moved, up to the other; Stay ends that.
 func (b *Balancer) Leave(from, by time.Duration) { b.leaveFrom, b.leaveBy = from, by }
+func (b *Balancer) Stay()                        { b.leaveBy = never }
 
 func (b *Balancer) take(a Arrival) *circuit {
 	a.Grade, a.Tenant = min(a.Grade, len(b.dep.Grades)-1), min(a.Tenant, len(b.dep.Tenants))
@@ -997,8 +998,7 @@
 	}
 }
 
-// fill plans to move connections home to cold servers. Guards against fleets where most servers are new: what
-// had fled to the old ones stayed there, while the new ones grew warm and were empty.
+// fill plans to move connections home to cold servers: what had fled to the old ones would stay for ever.
 func (b *Balancer) fill() {
 	n := int(min(float64(b.total)*float64(roundEvery)/float64(fillEach), 16) + b.random())
 	for ; n > 0 && b.colds > 0 && b.late+b.bad < 1 && b.now >= b.shutTill; n-- {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -450,6 +450,29 @@
 	}
 }
 
+// TestStayEndsALeaving guards against moves that go on once a balancer is back in service.
+func TestStayEndsALeaving(t *testing.T) {
+	b := started(deployment(), fleet(4))
+	connect(t, b, 1, 40)
+	b.Leave(b.now+400*ms, b.now+2400*ms)
+	moved := 0
+	for step := range 40 {
+		b.Clock(b.now + 100*ms)
+		if step == 12 {
+			moved = 0
+			b.Stay()
+		}
+		moved += count(pull(b), Move)
+		if step == 11 && (moved < 10 || moved == 40) {
+			t.Fatalf("%d moved half way", moved)
+		}
+	}
+	if moved > 0 {
+		t.Fatalf("%d moved afterwards", moved)
+	}
+	connect(t, b, 1000, 4)
+}
+
 // TestBeyondAnEvenShareRoomIsShown has all circuits come to one balancer whose zone has one of five servers. Guards
 // against all of a restarted balancer's connections on that one, before any report can tell of it.
 func TestBeyondAnEvenShareRoomIsShown(t *testing.T) {
