Reloads may drop classes under their circuits; a file that lost a key is refused

The module holds the most tries with the circuit (policy.go, mayTry and timeOut read the new settings' before); its grade it held already. A deadline of 0, which Read takes for 'none told', is refused where a file replaces another.

--- a/cmd/sabletally/main.go
+++ b/cmd/sabletally/main.go
@@ -38,7 +38,7 @@
 	defer log.Sync()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	s, err := deployment.ReadStation(os.Getenv, false)
+	s, err := deployment.ReadStation(os.Getenv, nil)
 	if err != nil {
 		log.Error("can't start", zap.Error(err))
 		return 2
@@ -144,7 +144,7 @@
 // rest takes a restart. It answers what holds now. Guards against a file that is bad or half written: what was told
 // before then holds whole.
 func reload(ctx context.Context, log *zap.Logger, l *balancer.Loop, was *deployment.Station) *deployment.Station {
-	s, err := deployment.ReadStation(os.Getenv, true)
+	s, err := deployment.ReadStation(os.Getenv, was)
 	if err == nil {
 		err = l.Reconfigure(s.Deployment, s.Peers)
 	}
--- a/cmd/sabletally/operations_test.go
+++ b/cmd/sabletally/operations_test.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"sabletally/internal/lab/standin"
 )
 
 // call makes one call at the operators' address and answers its code and what it says.
@@ -87,3 +90,86 @@
 	}
 	a.want("MOVE\r\n")
 }
+
+// TestARetuneUnderCircuits drops a grade under a circuit that stands and one whose try is out, and brings it back with
+// another effect and fewer tries. Guards against a circuit that is judged by rules that it was not taken under: an
+// unrepeatable one that runs twice, one that may no longer be tried.
+func TestARetuneUnderCircuits(t *testing.T) {
+	s := begin(t, nil, "s-1", "s-2", "s-3", "s-4")
+	text, err := os.ReadFile(s.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	grade := `"Name":"order","Effect":"non_idempotent","Group":"all","LatencyGoalUs":300000,"OuterLimitUs":9000000,"Utility":1`
+	first := strings.Replace(string(text), `[{"Name":"feed"`, `[{`+grade+`},{"Name":"feed"`, 1)
+	s.load(first, `"reloaded"`)
+	order := func() (*ask, *standin.Session) {
+		a := s.client(strings.NewReplacer("c=feed", "c=order", "d=1500", "d=8000").Replace(open))
+		return a, s.session()
+	}
+	stands, at := order()
+	io.WriteString(at, "UP 1\r\n")
+	stands.want("UP 1\r\n")
+	waits, out := order()
+	late, never := order()
+	s.load(string(text), `"reloaded"`)
+	unknown := s.client(strings.Replace(open, "c=feed", "c=order", 1))
+	unknown.want("ERR SYNTAX\r\n")
+	s.load(strings.NewReplacer("non_idempotent", "read_like", `"MostSetupTries":6`, `"MostSetupTries":2`).Replace(first), `"reloaded"`)
+	io.WriteString(out, "ERR\r\n") // it may have run: never again
+	waits.want("ERR\r\n")
+	for range 2 { // never ran: it goes on, as often as it was promised
+		io.WriteString(never, "BUSY\r\n")
+		never = s.session()
+	}
+	io.WriteString(never, "UP 3\r\n")
+	late.want("UP 3\r\n")
+	again, try := order() // by the new rules
+	io.WriteString(try, "ERR\r\n")
+	io.WriteString(s.session(), "ERR\r\n")
+	if got := again.line(); !strings.HasPrefix(got, "BUSY ") {
+		t.Fatalf("%q after two tries of two", got)
+	}
+	stands.write("M 1\r\n")
+	if l, _ := at.R.ReadString('\n'); l != "M 1\r\n" {
+		t.Fatalf("%q", l)
+	}
+}
+
+// TestABrokenFileIsTakenNothingOf has files that a program that fails half way may leave. Each names other servers too.
+func TestABrokenFileIsTakenNothingOf(t *testing.T) {
+	s := begin(t, []string{"MGMT", "SABLETALLY_LOG=debug"}, "s-1") // else ten lines a second are logged
+	text, err := os.ReadFile(s.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := agent(t)
+	whole := strings.Replace(string(text), s.agent.Addr(), other.Addr(), 1)
+	n := 0
+	for _, x := range [][3]string{
+		{"}", "", "unexpected end"}, {`"OuterLimitUs":1800000`, `"OuterLimitUs":0`, "OuterLimitUs"}, {`"OuterLimitUs":1800000`, `"OuterLimitUs":-5`, "OuterLimitUs"},
+		{`"OuterLimitUs":1800000`, `"OuterLimitUs":"soon"`, "OuterLimitUs"}, {`"OuterLimitUs":1800000`, `"OuterLimitUs":null`, "OuterLimitUs"},
+		{`"LatencyGoalUs":300000,`, "", "LatencyGoalUs"}, {`"MostSetupTries":6`, `"MostSetupTries":0`, "MostSetupTries"}, {`"MostSetupTries":6,`, "", "MostSetupTries"},
+		{`"MostSetupTries":6`, `"MostSetupTries":null`, "MostSetupTries"}, {`"Name":"feed"`, `"Nom":"feed"`, "ServiceGrades[0].Name"},
+		{`"Accounts"`, `"Conts"`, "settings.Accounts is missing"}, {`"RetryAfter":true,`, "", "settings.Limits.RetryAfter"}, {`"known"`, `"knew"`, "known"},
+		{`"listen"`, `"listens"`, "listen is missing"}, {`"seed"`, `"seeds"`, "seed"}, {`"mgmt"`, `"management"`, "mgmt is missing"}, {`"settings"`, `"set"`, "settings"},
+	} {
+		bad := strings.Replace(whole, x[0], x[1], 1)
+		if x[0] == "}" {
+			bad = whole[:len(whole)-1]
+		}
+		s.load(bad, "can't reload")
+		n++
+		s.mu.Lock()
+		said := s.log.String()
+		s.mu.Unlock()
+		if !strings.Contains(said, x[2]) || strings.Contains(said, "reloaded") {
+			t.Errorf("%v: %s", x, said)
+		}
+	}
+	s.list("s-2", "127.0.0.1:1", standin.InService) // still the old discovery's word
+	s.waitLog(`"server":"s-2"`)
+	if good, bad := s.counted("reloads"), s.counted("reload-errors"); good != 0 || bad != n {
+		t.Fatalf("%d reloads, %d refused", good, bad)
+	}
+}
--- a/internal/deployment/station.go
+++ b/internal/deployment/station.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"net/url"
@@ -27,6 +28,7 @@
 	Deployment *Deployment
 	Peers      Peers
 	Fixed      string // what only a start takes in, as text
+	shape      map[string]any
 }
 
 // Peers is where a balancer hears of the others and where it tells them; nothing where none are told.
@@ -35,9 +37,10 @@
 	Others []netip.AddrPort
 }
 
-// ReadStation reads the file that EDGE_CONFIG names; the other variables win over it. When it is read again the
-// file has been replaced since the variables were set: its discovery then wins. Errors name the key.
-func ReadStation(env func(string) string, again bool) (*Station, error) {
+// ReadStation reads the file that EDGE_CONFIG names; the other variables win over it. was is what holds where the file
+// is read again, nil at the start: it has been replaced since the variables were set, so its discovery then wins, and it
+// must have what the one before had. Errors name the key.
+func ReadStation(env func(string) string, was *Station) (*Station, error) {
 	path := env("EDGE_CONFIG")
 	if path == "" {
 		return nil, fmt.Errorf("EDGE_CONFIG is missing")
@@ -69,9 +72,10 @@
 		Mgmt:      or(env("EDGE_MGMT"), in.Mgmt),
 		Cores:     in.Limits.Cores, MemoryMB: in.Limits.MemoryMB, Sockets: in.Limits.Sockets,
 	}
-	if again {
+	if was != nil {
 		s.Discovery = or(in.Discovery, s.Discovery)
 	}
+	json.Unmarshal(text, &s.shape) // it has been read above
 	if _, _, err := net.SplitHostPort(s.Listen); err != nil {
 		return nil, fmt.Errorf("listen: %v", err)
 	}
@@ -102,6 +106,11 @@
 	if s.Deployment, err = Read(in.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %v", err)
 	}
+	if was != nil {
+		if err := replaces(was, s); err != nil {
+			return nil, err
+		}
+	}
 	if !s.Deployment.Policy.MayTell {
 		return s, nil
 	}
@@ -128,6 +137,70 @@
 	return s, nil
 }
 
+// replaces tells why a file can't take the place of the one before: nil where it can. At the start a file may leave out
+// what can be done without; one that replaces another has lost what it lacks. Guards against a file that is written by a
+// program that failed half way, and taken in it would void what clients were promised.
+func replaces(was, s *Station) error {
+	for i, limit := range s.Deployment.OuterLimits {
+		if limit <= 0 {
+			return fmt.Errorf("settings: ServiceGrades[%d].OuterLimitUs is missing or below 1", i)
+		}
+		if s.Deployment.Policy.Grades[i].SetupGoal <= 0 {
+			return fmt.Errorf("settings: ServiceGrades[%d].LatencyGoalUs is missing or below 1", i)
+		}
+	}
+	for name, value := range was.shape {
+		now, stays := s.shape[name]
+		if name == "peers" && !s.Deployment.Policy.MayTell || name == "known" { // not read; judged by its own reader
+			continue
+		}
+		if !stays {
+			return fmt.Errorf("%s is missing; the file in force has it", name)
+		}
+		if key := lost(value, now, name); key != "" {
+			return fmt.Errorf("%s is missing; the file in force has it", key)
+		}
+	}
+	return nil
+}
+
+// lost names a key that was in a part of the file and is there no more, empty if there is none. Each thing of a list must
+// have what all of them had.
+func lost(was, now any, path string) string {
+	switch was := was.(type) {
+	case map[string]any:
+		now, _ := now.(map[string]any)
+		for _, key := range slices.Sorted(maps.Keys(was)) {
+			value, stays := now[key]
+			if !stays || value == nil && was[key] != nil {
+				return path + "." + key
+			}
+			if key := lost(was[key], value, path+"."+key); key != "" {
+				return key
+			}
+		}
+	case []any:
+		var all map[string]any // what all had
+		for n, one := range was {
+			one, _ := one.(map[string]any)
+			if n == 0 {
+				all = maps.Clone(one)
+			}
+			maps.DeleteFunc(all, func(key string, _ any) bool { _, has := one[key]; return !has })
+		}
+		now, is := now.([]any)
+		if !is {
+			return path
+		}
+		for n, one := range now {
+			if key := lost(all, one, fmt.Sprintf("%s[%d]", path, n)); len(all) > 0 && key != "" {
+				return key
+			}
+		}
+	}
+	return ""
+}
+
 func or(first, second string) string {
 	if first != "" {
 		return first
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -100,7 +100,8 @@
 	load         float64
 	waitsOn      int           // the server whose report it waits for,
 	waits        time.Duration // until then at the latest
-	tries, asks  int           // made; reports it has waited for
+	tries, asks  int           // made; reports it has waited for;
+	most         int           // setup tries that its settings allowed
 	wanted       bool          // it came to a cold server
 	sentAt       time.Duration // when the newest try was sent,
 	ranAt        time.Duration // when the first that may have run
@@ -181,8 +182,8 @@
 }
 
 // Reconfigure has a Deployment hold in place of the one before; the other two tell the new rows of the old
-// grades and tenants, -1 for those that are gone. What is held stays; each circuit keeps the grade that it
-// came with: what it was promised holds. Learned loads of a grade that is gone are forgotten.
+// grades and tenants, -1 for those that are gone. What is held stays; each circuit keeps the grade and the most
+// tries that it came with: what it was promised holds. Learned loads of a grade that is gone are forgotten.
 func (b *Balancer) Reconfigure(dep *Deployment, grades, tenants []int) {
 	usual := make([]float64, len(dep.Grades)+1)
 	for row, now := range grades {
@@ -317,7 +318,7 @@
 	c := &circuit{
 		id: a.ID, key: cmp.Or(a.Key, uint64(a.ID)), place: cmp.Or(a.Group, a.Key, uint64(a.ID)),
 		grade: &b.dep.Grades[a.Grade], row: a.Grade, tenant: a.Tenant,
-		until: b.now + a.Left, server: -1, ranOn: -1,
+		until: b.now + a.Left, server: -1, ranOn: -1, most: b.dep.MostTries,
 		load: cmp.Or(a.Load, b.usualOf[a.Grade], 1),
 	}
 	b.circuit[a.ID] = c
@@ -540,8 +541,7 @@
 	}
 }
 
-// close holds a server for jammed for two seconds.
-func (b *Balancer) close(i int, left float64) {
+func (b *Balancer) close(i int, left float64) { // holds a server for jammed for two seconds
 	if !b.busy(i, lost) {
 		b.delay[i], b.delayAt[i] = b.goal, b.now
 		b.room[i] = min(b.room[i], max(0, b.known(i)-left))
@@ -637,7 +637,7 @@
 
 // mayTry tells whether a circuit's next setup try may go to server i, under all four rules.
 func (b *Balancer) mayTry(c *circuit, i int) bool {
-	if c.answered || c.out || c.open || c.until <= b.now || c.tries >= b.dep.MostTries { // no circuit is lost
+	if c.answered || c.out || c.open || c.until <= b.now || c.tries >= c.most { // no circuit is lost
 		return false
 	}
 	if j := c.ranOn; j >= 0 && c.grade.Effect != Idempotent { // no effect happens twice
@@ -922,7 +922,7 @@
 // timeOut leaves a set-up's goal for one more setup try while there may be one, or half the time.
 func (b *Balancer) timeOut(c *circuit) time.Duration {
 	left := c.until - b.now
-	if c.tries < b.dep.MostTries && c.grade.Effect != Unrepeatable && !b.ailing() {
+	if c.tries < c.most && c.grade.Effect != Unrepeatable && !b.ailing() {
 		half := max(left/2, min(left, c.grade.SetupGoal))
 		if left -= c.grade.SetupGoal; left < half || b.turn == 0 {
 			left = half // more, but for a set-up's time, where balancers are so many that each try is dear
