--- a/cmd/sabletally/main.go
+++ b/cmd/sabletally/main.go
@@ -84,6 +84,11 @@
 		defer m.Close()
 		go m.Serve()
 	}
+	if gate.Shared() {
+		if err := l.Succeed(os.Getenv("TMPDIR"), s.Name, int64(s.MemoryMB)<<20, s.Sockets-sockets+balancer.KeptFds); err != nil {
+			log.Warn("alone: an upgrade will have clients moved", zap.Error(err))
+		}
+	}
 	failed, emptied := make(chan error, 1), make(chan struct{})
 	go func() {
 		if err := l.Serve(gate); err != nil {
--- a/cmd/sabletally/main_test.go
+++ b/cmd/sabletally/main_test.go
@@ -126,6 +126,9 @@
 	if slices.Contains(env, "PROBES=yes") { // else a probe that is late on a busy machine could steer a test
 		text = strings.Replace(text, `"Probes":false`, `"Probes":true`, 1)
 	}
+	if slices.Contains(env, "SHARED") { // two processes hold them together
+		text = strings.Replace(text, `"sockets":64`, `"sockets":512`, 1)
+	}
 	if slices.Contains(env, "MGMT") {
 		s.mgmt = free(t)
 		text = strings.Replace(text, `"listen"`, fmt.Sprintf(`"mgmt":%q,"listen"`, s.mgmt), 1)
@@ -133,6 +136,12 @@
 	if err := child.Write([]byte(text)); err != nil {
 		t.Fatal(err)
 	}
+	if slices.Contains(env, "SHARED") {
+		if err := child.Share(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(child.Unshare)
+	}
 	if err := child.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/sabletally/operations_test.go
+++ b/cmd/sabletally/operations_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"sabletally/internal/lab/field"
 	"sabletally/internal/lab/standin"
 )
 
@@ -173,3 +174,134 @@
 		t.Fatalf("%d reloads, %d refused", good, bad)
 	}
 }
+
+// next starts another process beside the site's and waits for its yes.
+func (s *site) next() *field.Process {
+	s.t.Helper()
+	old := s.child
+	s.mgmt = free(s.t)
+	s.child = old.Beside("EDGE_MGMT=" + s.mgmt)
+	if err := s.child.Launch(); err != nil {
+		s.t.Fatal(err)
+	}
+	child := s.child
+	s.t.Cleanup(child.Kill)
+	for end := time.Now().Add(bound); ; {
+		if r, err := http.Get("http://" + s.mgmt + "/control/ready"); err == nil {
+			r.Body.Close()
+			if r.StatusCode == 200 {
+				return old
+			}
+		}
+		if time.Now().After(end) {
+			s.t.Fatalf("the new process is not ready: %s", s.child.Tail())
+		}
+	}
+}
+
+func gone(t *testing.T, p *field.Process) {
+	t.Helper()
+	select {
+	case <-p.Exited():
+		if err := p.Err(); err != nil {
+			t.Fatal(err)
+		}
+	case <-time.After(bound):
+		t.Fatal("the old process does not end")
+	}
+}
+
+// TestUpgradesPassOnWhatIsHeld runs two upgrades in a row under circuits that stand, with half a line on its way either
+// side, a client that has sent half its first line, one that has sent nothing and one whose try is out. Guards against
+// lines that are lost or doubled at the passing, and against clients that nobody reads.
+func TestUpgradesPassOnWhatIsHeld(t *testing.T) {
+	s := begin(t, []string{"MGMT", "SHARED"}, "s-1")
+	var clients []*ask
+	var ends []*standin.Session
+	for range 20 {
+		a, e := s.up()
+		a.write("M 1 x\r\nM 2 ")
+		if l, _ := e.R.ReadString('\n'); l != "M 1 x\r\n" {
+			t.Fatalf("%q", l)
+		}
+		io.WriteString(e, "M 1 x\r\nM 0 hal") // answered, or it would count as a server that says nothing
+		a.want("M 1 x\r\n")
+		clients, ends = append(clients, a), append(ends, e)
+	}
+	for round := range 2 {
+		half, silent := s.client("OPEN 77"), s.client("")
+		out := s.client(strings.Replace(open, "d=1500", "d=8000", 1))
+		at := s.session()
+		old := s.next()
+		old.Signal(syscall.SIGTERM)
+		s.waitLog("leaving")
+		io.WriteString(at, "UP 3\r\n")
+		out.want("UP 3\r\n")
+		half.write(fmt.Sprint(round) + " 2 c=feed,d=5000\r\n")
+		io.WriteString(s.session(), "UP 4\r\n")
+		half.want("UP 4\r\n")
+		silent.write(fmt.Sprintf("OPEN 99%d 2 c=feed,d=5000\r\n", round))
+		io.WriteString(s.session(), "UP 5\r\n")
+		silent.want("UP 5\r\n")
+		gone(t, old)
+		out.write("M 9\r\n")
+		if l, _ := at.R.ReadString('\n'); l != "M 9\r\n" {
+			t.Fatalf("%q", l)
+		}
+		io.WriteString(at, "M 9\r\n")
+		for n, a := range clients {
+			io.WriteString(ends[n], "f\r\n")
+			a.want("M 0 half\r\n")
+			a.write("y\r\nM 2 ")
+			if l, _ := ends[n].R.ReadString('\n'); l != "M 2 y\r\n" {
+				t.Fatalf("%q", l)
+			}
+			io.WriteString(ends[n], "M 2 y\r\nM 0 hal")
+			a.want("M 2 y\r\n")
+		}
+		if n, m := s.counted("inherited"), s.counted("open"); n != 23+3*round || m != 23+3*round {
+			t.Fatalf("%d inherited, %d open", n, m)
+		}
+	}
+	if n := s.counted("moves"); n != 0 {
+		t.Fatalf("%d moves", n)
+	}
+	s.up()
+}
+
+// TestAnUpgradeThatFails has a new process that dies before its time is up, and one whose directory is not the old one's: the
+// old process goes on, and then moves its clients.
+func TestAnUpgradeThatFails(t *testing.T) {
+	s := begin(t, []string{"MGMT", "SHARED"}, "s-1")
+	a, e := s.up()
+	first := s.child
+	s.next()
+	s.child.Kill()
+	s.waitLog("the new process has gone")
+	s.child = first
+	a.write("M 1\r\n")
+	if l, _ := e.R.ReadString('\n'); l != "M 1\r\n" {
+		t.Fatalf("%q", l)
+	}
+	s.up() // the old one accepts
+	old := s.next()
+	s.child.Kill()
+	s.waitLog("the new process has gone")
+	old.Signal(syscall.SIGTERM)
+	a.want("MOVE\r\n")
+	ends(t, a.r, false)
+	gone(t, old)
+}
+
+// TestADrainOutlivesAnUpgrade guards against a balancer that an operator has emptied and that an upgrade fills again.
+func TestADrainOutlivesAnUpgrade(t *testing.T) {
+	s := begin(t, []string{"MGMT", "SHARED"}, "s-1")
+	s.yes("PUT", "/control/out-of-service")
+	old := s.next() // it says yes: it may take over
+	old.Signal(syscall.SIGTERM)
+	gone(t, old)
+	s.client("PING\r\n").want("NO\r\n")
+	s.yes("PUT", "/control/in-service")
+	s.client("PING\r\n").want("PONG\r\n")
+	s.up()
+}
--- a/internal/balancer/circuit.go
+++ b/internal/balancer/circuit.go
@@ -49,6 +49,7 @@
 	out      bool          // a try is out
 	open     bool          // it stands
 	away     bool          // it is to be moved as soon as its connections are a pair
+	load     float64       // by the newest note, 0 where none has come
 	standing bool          // it was open before the run and goes to its server without the module
 	calledAt time.Duration // when the newest try was decided
 	giveUp   time.Duration // when it is given up
@@ -80,7 +81,7 @@
 // take takes a circuit, which is owed one final answer from here on.
 func (l *Loop) take(c *conn, a *line.Ask) {
 	l.Taken.Add(1)
-	grade, known := l.dep.Grades[a.Grade]
+	_, known := l.dep.Grades[a.Grade]
 	// Guards against judging servers by what they turn away with reason: clients that tell neither grade nor limit
 	// had them set aside.
 	if !known || !a.Limited {
@@ -88,7 +89,7 @@
 		l.end(c, line.BadLine)
 		return
 	}
-	if l.fds.Load() >= l.most-l.most/spareFds { // none left for the server's side
+	if l.fds.Load() >= l.room()-l.most/spareFds { // none left for the server's side
 		l.NoRoom.Add(1)
 		l.Nacked.Add(1)
 		l.end(c, line.Turned(l.comeAgain()))
@@ -99,15 +100,14 @@
 		l.end(c, line.BadLine)
 		return
 	}
-	tenant, known := l.dep.Tenants[a.Tenant]
-	if !known {
-		tenant = len(l.dep.Tenants)
+	if l.leaving && l.heirReady() != nil { // nothing new is begun here
+		l.Taken.Add(-1)
+		l.passClient(c, a.Raw())
+		return
 	}
 	left := a.Left - c.quietFor() - answerEarly
 	l.last++
-	cir := &circuit{id: l.last, ask: a, client: c, until: l.now + left, arrival: policy.Arrival{
-		ID: l.last, Key: a.Key, Group: a.Group, Tenant: tenant, Grade: grade, Left: left, Load: a.Hint,
-	}}
+	cir := &circuit{id: l.last, ask: a, client: c, until: l.now + left, arrival: l.arrival(l.last, a, left)}
 	c.circuit = cir
 	l.circuits[cir.id], l.byAsk[a.ID] = cir, cir
 	if a.At != "" {
@@ -119,6 +119,19 @@
 	l.bal.CircuitArrived(cir.arrival)
 }
 
+// arrival is a circuit for the module, by the settings that hold.
+func (l *Loop) arrival(id policy.CircuitID, a *line.Ask, left time.Duration) policy.Arrival {
+	grade, known := l.dep.Grades[a.Grade]
+	if !known {
+		grade = len(l.dep.Grades)
+	}
+	tenant, known := l.dep.Tenants[a.Tenant]
+	if !known {
+		tenant = len(l.dep.Tenants)
+	}
+	return policy.Arrival{ID: id, Key: a.Key, Group: a.Group, Tenant: tenant, Grade: grade, Left: left, Load: a.Hint}
+}
+
 // end gives a client that has no circuit its last line.
 func (l *Loop) end(c *conn, last []byte) {
 	c.send(last)
@@ -289,6 +302,7 @@
 	case ln.Kind == line.Busy:
 		l.tryEnded(cir, policy.TurnedAway, nil)
 	case ln.Kind == line.Load:
+		cir.load = ln.Figure
 		l.bal.LoadNoted(cir.id, max(cir.tries-1, 0), ln.Figure)
 		cir.server.Listen()
 	case ln.Kind == line.Move:
@@ -360,8 +374,12 @@
 	case !stands:
 		p.Abort()
 	default:
-		if cir.pair, cir.server = p, nil; cir.away {
+		cir.pair, cir.server = p, nil
+		switch {
+		case cir.away:
 			l.move(cir, policy.Cancelled)
+		case l.leaving && l.heirReady() != nil:
+			l.pass(cir)
 		}
 	}
 }
--- a/internal/balancer/conn.go
+++ b/internal/balancer/conn.go
@@ -91,16 +91,19 @@
 	mu      sync.Mutex
 	out     []byte // waits to be written
 	writing bool
-	ending  bool // no more is written once out is empty
-	closed  bool // the descriptor is netpoll's again
-	handed  bool // the connection goes on at a relay, by another descriptor
+	ending  bool              // no more is written once out is empty
+	closed  bool              // the descriptor is netpoll's again
+	handed  bool              // the connection goes on at a relay or in another process, by another descriptor
+	passTo  func(held []byte) // told what came and makes no line, where it goes on in another process
 
 	fds *atomic.Int64
 
 	// The loop's alone.
 	circuit *circuit
-	pings   int  // unanswered, before the balancer is ready
-	over    bool // answered and ended from here, or handed over; what still comes is passed by
+	pings   int    // unanswered, before the balancer is ready
+	over    bool   // answered and ended from here, or handed over; what still comes is passed by
+	passing bool   // it goes on in another process,
+	first   []byte // with these whole lines of it
 }
 
 // adopt takes over a connection before its first byte is read.
@@ -144,6 +147,12 @@
 	}
 	c.split.Add(p)
 	r.Release()
+	c.cutLines()
+	return nil
+}
+
+// cutLines posts what makes whole lines.
+func (c *conn) cutLines() {
 	ev := event{conn: c}
 	for {
 		l, ok, err := c.split.Next()
@@ -164,7 +173,6 @@
 		c.waits.Add(int64(ev.size))
 		c.to.post(ev)
 	}
-	return nil
 }
 
 // asked minds what a client may send before its circuit stands; l is the line that comes after so many others
@@ -196,11 +204,18 @@
 func (c *conn) onClosed() {
 	b := &Broken{Stage: Stage(c.stage.Load()), Cause: errEnded}
 	c.mu.Lock()
-	handed := c.handed
+	handed, passTo := c.handed, c.passTo
 	c.closed = true
 	c.mu.Unlock()
 	c.fds.Add(-1)
 	c.door.left(c)
+	if passTo != nil { // nobody reads it here any more: what was read goes along
+		r := c.nc.Reader()
+		if p, err := r.Next(r.Len()); err == nil {
+			c.split.Add(p)
+		}
+		passTo(c.split.Rest())
+	}
 	if handed {
 		return
 	}
@@ -364,7 +379,15 @@
 
 // handOver gives the connection up for a descriptor of its own, which goes on. The client waits for its answer and must be
 // silent until then: what it sends all the same while netpoll lets go is lost with it.
-func (c *conn) handOver() (int, handed) {
+func (c *conn) handOver() (int, handed) { return c.giveUp(nil) }
+
+// passOn gives the connection up for another process; to is told of its descriptor and of what came and makes no line.
+func (c *conn) passOn(to func(fd int, held []byte)) handed {
+	_, how := c.giveUp(to)
+	return how
+}
+
+func (c *conn) giveUp(to func(fd int, held []byte)) (int, handed) {
 	c.mu.Lock()
 	switch {
 	case c.closed || c.ending:
@@ -380,6 +403,9 @@
 		return -1, stillWriting // no descriptor is left for the moment of the hand-over
 	}
 	c.handed = true
+	if to != nil {
+		c.passTo = func(held []byte) { to(fd, held) }
+	}
 	c.mu.Unlock()
 	c.nc.Close()
 	return fd, isHanded
--- a/internal/balancer/counters.go
+++ b/internal/balancer/counters.go
@@ -20,6 +20,7 @@
 	Open                                      atomic.Int64 // circuits that stand now
 	Lists, ListErrors, Errors, Panics, NoRoom atomic.Int64
 	Reloads, ReloadErrors, Drains             atomic.Int64
+	Passed, Inherited                         atomic.Int64                       // circuits and clients, to the new process and from the old one
 	Sent, Heard, Dropped                      atomic.Int64                       // messages between balancers
 	SameID, Unasked, Late, Shed               atomic.Int64                       // turned away: taken id, more before the answer, silent
 	Ended                                     [policy.NeverSent + 1]atomic.Int64 // tries and circuits, by outcome
@@ -42,6 +43,7 @@
 		{"broken-off", &c.BrokenOff}, {"left", &c.Left}, {"moves", &c.Moves}, {"silent", &c.Silent},
 		{"relayed", &c.Relayed}, {"open", &c.Open}, {"lists", &c.Lists}, {"list-errors", &c.ListErrors},
 		{"reloads", &c.Reloads}, {"reload-errors", &c.ReloadErrors}, {"drains", &c.Drains},
+		{"passed", &c.Passed}, {"inherited", &c.Inherited},
 		{"sent", &c.Sent}, {"heard", &c.Heard}, {"dropped", &c.Dropped},
 		{"same-id", &c.SameID}, {"unasked", &c.Unasked}, {"late", &c.Late}, {"shed", &c.Shed},
 		{"errors", &c.Errors}, {"panics", &c.Panics}, {"no-room", &c.NoRoom},
--- /dev/null
+++ b/internal/balancer/heir.go
@@ -0,0 +1,349 @@
+// This file owns what the two processes of an upgrade pass between them: what the old one gives to its heir, and how it
+// goes on there. It runs in the loop but for the link's own goroutines, which post. It must never choose what happens to a
+// circuit that could not be passed on: the module moves it.
+
+package balancer
+
+import (
+	"cmp"
+	"maps"
+	"net"
+	"runtime/debug"
+	"slices"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"sabletally/internal/discovery"
+	"sabletally/internal/line"
+	"sabletally/internal/relay"
+	"sabletally/internal/upgrade"
+	"sabletally/policy"
+)
+
+const (
+	tellEach   = 200 * time.Millisecond // how often each process tells how many descriptors it holds
+	passWithin = 500 * time.Millisecond // what is not passed on so long after the end began is moved
+	memoryPart = 3                      // quarters of the memory limit that Go's own is
+)
+
+// succession is a process's place among those of its balancer.
+type succession struct {
+	path   string
+	memory int64 // bytes that the processes may hold together
+	base   int64 // descriptors that this one holds beside connections
+
+	ln    *net.UnixListener
+	old   *upgrade.Link // to the process before this one,
+	heir  *upgrade.Link // and to the one after it
+	heard bool          // the heir is ready
+}
+
+// Succeed looks for the old process of this balancer, which it may take circuits over from, and waits for the next. base is
+// how many descriptors this process holds beside connections. An error leaves it without both.
+func (l *Loop) Succeed(dir, name string, memory int64, base int) error {
+	path, err := upgrade.Path(dir, name)
+	if err != nil {
+		return err
+	}
+	s := &succession{path: path, memory: memory, base: int64(base)}
+	old, err := upgrade.Dial(path, func(from *upgrade.Link, m upgrade.Message, fds []int) {
+		l.post(event{do: func() { l.inherit(m, fds) }})
+	}, func(_ *upgrade.Link, why error) {
+		l.post(event{do: func() { l.succeeded(why) }})
+	})
+	if err != nil {
+		return err
+	}
+	l.post(event{do: func() {
+		l.line = s
+		if s.old = old; old == nil {
+			l.await()
+			return
+		}
+		l.log.Info("beside an old process")
+		l.share(true)
+		if l.ready {
+			old.Tell(upgrade.Message{Kind: upgrade.Ready}, nil)
+		}
+	}})
+	l.post(event{do: l.count})
+	return nil
+}
+
+// await opens the socket for the next process.
+func (l *Loop) await() {
+	s := l.line
+	ln, err := upgrade.Listen(s.path, func(link *upgrade.Link) {
+		l.post(event{do: func() { l.heirCame(link) }})
+	}, func(from *upgrade.Link, m upgrade.Message, fds []int) {
+		l.post(event{do: func() { l.heirSaid(from, m, fds) }})
+	}, func(link *upgrade.Link, why error) {
+		l.post(event{do: func() { l.heirGone(link, why) }})
+	})
+	if err != nil {
+		l.log.Warn("no socket for the next process: it will have clients moved", zap.Error(err))
+		return
+	}
+	s.ln = ln
+}
+
+// share has this process leave the other its part of the memory, or not.
+func (l *Loop) share(two bool) {
+	limit := l.line.memory * memoryPart / 4
+	if two {
+		limit /= 2
+	}
+	debug.SetMemoryLimit(limit)
+}
+
+// count tells the other process, again and again while there is one, how many descriptors are held here.
+func (l *Loop) count() {
+	s := l.line
+	l.after(tellEach, l.count)
+	for _, link := range []*upgrade.Link{s.old, s.heir} {
+		if link != nil {
+			link.Tell(upgrade.Message{Kind: upgrade.Descriptors, Descriptors: l.fds.Load() + s.base}, nil)
+		}
+	}
+}
+
+// room is how many descriptors connections may hold here, beside what the other process of an upgrade holds.
+func (l *Loop) room() int64 { return l.most - l.beside.Load() }
+
+// ---- The old process.
+
+// heirCame takes a link from a new process. The newest one counts: one before it has not come to be ready, or was replaced.
+func (l *Loop) heirCame(link *upgrade.Link) {
+	s := l.line
+	if was := s.heir; was != nil {
+		was.Close()
+	}
+	s.heir, s.heard = link, false
+	l.log.Info("a new process is beside this one")
+	l.share(true)
+	known := &upgrade.Known{Out: l.out}
+	for _, sv := range l.servers {
+		if t := &sv.timed; len(t.low) > 0 && sv.state != policy.Gone {
+			known.Servers = append(known.Servers, upgrade.Probed{UID: sv.listedAs.UID, Boot: boot(sv), Last: t.last, Before: t.before,
+				Low: t.low, Pace: sv.pace})
+		}
+	}
+	link.Tell(upgrade.Message{Kind: upgrade.Hello, Known: known}, nil)
+}
+
+func boot(sv *server) int64 {
+	if sv.listedAs.Boot.IsZero() {
+		return 0
+	}
+	return sv.listedAs.Boot.UnixMilli()
+}
+
+func (l *Loop) heirSaid(from *upgrade.Link, m upgrade.Message, fds []int) {
+	closeAll(fds) // none is owed here
+	switch s := l.line; {
+	case from != s.heir:
+	case m.Kind == upgrade.Ready:
+		s.heard = true
+	case m.Kind == upgrade.Descriptors:
+		l.beside.Store(m.Descriptors)
+	}
+}
+
+func (l *Loop) heirGone(link *upgrade.Link, why error) {
+	if s := l.line; link == s.heir {
+		l.log.Info("the new process has gone", zap.NamedError("why", why))
+		s.heir, s.heard = nil, false
+		l.beside.Store(0)
+		l.share(false)
+	}
+}
+
+// heirReady answers the link to a new process that takes what is held; nil where there is none.
+func (l *Loop) heirReady() *upgrade.Link {
+	if s := l.line; s != nil && s.heard {
+		return s.heir
+	}
+	return nil
+}
+
+// passAll passes on all that is held and waits for no server.
+func (l *Loop) passAll() {
+	for _, id := range slices.Sorted(maps.Keys(l.circuits)) {
+		if cir := l.circuits[id]; cir.pair != nil {
+			l.pass(cir)
+		}
+	}
+	for _, c := range l.door.late(time.Now().Add(firstWithin)) {
+		if c.circuit == nil && !c.over {
+			l.passClient(c, nil)
+		}
+	}
+}
+
+// pass passes on a circuit that stands, if its relay still has it.
+func (l *Loop) pass(cir *circuit) {
+	cir.pair.Take(func(t relay.Passed, mine bool) {
+		if !mine {
+			return
+		}
+		l.post(event{do: func() {
+			link := l.heirReady()
+			if link == nil || t.Client.FD < 0 || t.Server.FD < 0 {
+				t.Close(line.MoveLine)
+				l.stoodEnded(cir, policy.Cancelled)
+				return
+			}
+			m := upgrade.Message{Kind: upgrade.Circuit, First: cir.ask.Raw(), At: cir.at.listedAs.UID, Load: cir.load, Pair: &t}
+			link.Tell(m, func() { t.Close(line.MoveLine) }, t.Client.FD, t.Server.FD)
+			l.Passed.Add(1)
+			l.stoodEnded(cir, policy.Cancelled)
+		}})
+	})
+}
+
+// passClient passes on a client without a circuit, with what it has sent: its first line too, if that is here.
+func (l *Loop) passClient(c *conn, first []byte) {
+	how := c.passOn(func(fd int, held []byte) {
+		l.post(event{do: func() {
+			sent := append(c.first, held...)
+			lost := func() { lastWord(fd, line.Turned(l.comeAgain())) }
+			if link := l.heirReady(); link != nil {
+				l.Passed.Add(1)
+				link.Tell(upgrade.Message{Kind: upgrade.Client, First: sent}, lost, fd)
+				return
+			}
+			lost()
+		}})
+	})
+	switch {
+	case how == isHanded:
+		c.over, c.passing, c.first = true, true, first
+	case how == stillWriting: // an answer to PING: its line is here by then, or the end
+		if first != nil {
+			l.end(c, line.Turned(l.comeAgain()))
+		} else {
+			l.door.put(c, l.door.silent)
+		}
+	}
+}
+
+func closeAll(fds []int) {
+	for _, fd := range fds {
+		unix.Close(fd)
+	}
+}
+
+// lastWord ends a client's connection that is nobody's any more.
+func lastWord(fd int, last []byte) {
+	unix.Write(fd, last)
+	unix.Close(fd)
+}
+
+// ---- The new process.
+
+// inherit takes what the old process says.
+func (l *Loop) inherit(m upgrade.Message, fds []int) {
+	switch {
+	case m.Kind == upgrade.Hello && m.Known != nil:
+		l.learn(m.Known)
+	case m.Kind == upgrade.Descriptors:
+		l.beside.Store(m.Descriptors)
+	case m.Kind == upgrade.Client:
+		l.Inherited.Add(1)
+		l.takeClient(fds[0], m.First)
+		return
+	case m.Kind == upgrade.Circuit && m.Pair != nil:
+		l.Inherited.Add(1)
+		m.Pair.Client.FD, m.Pair.Server.FD = fds[0], fds[1]
+		l.takeCircuit(m)
+		return
+	}
+	closeAll(fds)
+}
+
+// learn takes what would be slow to learn anew.
+func (l *Loop) learn(k *upgrade.Known) {
+	l.bal.Spent() // what the old process has let to cold servers of late counts
+	for _, p := range k.Servers {
+		sv := l.byUID[p.UID]
+		if sv == nil || boot(sv) != p.Boot || len(p.Low) == 0 || len(sv.timed.low) > 0 {
+			continue
+		}
+		sv.timed = timed{last: p.Last, before: p.Before, low: slices.Sorted(slices.Values(p.Low[:min(len(p.Low), 3)]))}
+		sv.pace = max(-paceFar, min(p.Pace, paceFar))
+		l.bal.Weighed(sv.id, sv.heft())
+	}
+	if k.Out {
+		l.inheritOut()
+	}
+	l.log.Info("told by the old process", zap.Int("servers", len(k.Servers)), zap.Bool("out", k.Out))
+}
+
+// takeCircuit has a circuit go on here under the rules of this process's settings; it stands, so none of them is owed.
+func (l *Loop) takeCircuit(m upgrade.Message) {
+	ln := line.Decode(m.First)
+	if ln.Kind != line.Open || ln.Bad != nil || l.byAsk[ln.Ask.ID] != nil {
+		l.Errors.Add(1)
+		l.log.Error("a circuit of the old process can't be read", zap.Error(ln.Bad))
+		m.Pair.Close(line.MoveLine)
+		return
+	}
+	sv := l.byUID[m.At]
+	if sv == nil { // a list that is older or newer: it stands where it stands
+		sv = &server{id: policy.ServerID(line.Hash(m.At)), state: policy.Gone, listedAs: discovery.Server{UID: m.At}}
+		l.servers[sv.id], l.byUID[m.At] = sv, sv
+	}
+	l.last++
+	cir := &circuit{id: l.last, ask: ln.Ask, at: sv, tries: 1, open: true, load: m.Load, arrival: l.arrival(l.last, ln.Ask, 0)}
+	cir.arrival.Load = cmp.Or(m.Load, ln.Ask.Hint)
+	cir.client = &conn{circuit: cir, over: true, closed: true}
+	pair, err := l.relays.Go(*m.Pair, uint64(sv.id), cir)
+	if err != nil {
+		l.Errors.Add(1)
+		l.log.Info("no relay", zap.Error(err))
+		return
+	}
+	cir.pair = pair
+	l.circuits[cir.id], l.byAsk[ln.Ask.ID] = cir, cir
+	l.open++
+	l.Open.Store(int64(l.open))
+	l.bal.HandedOver(cir.arrival, sv.id)
+	if l.leaving {
+		if link := l.heirReady(); link != nil {
+			l.pass(cir)
+		}
+	}
+}
+
+// takeClient has a client's connection go on here as if it had been accepted here.
+func (l *Loop) takeClient(fd int, sent []byte) {
+	nc, err := netpoll.NewFDConnection(fd)
+	if err != nil {
+		l.Errors.Add(1)
+		l.log.Info("a client of the old process is lost", zap.Error(err))
+		return
+	}
+	l.Accepted.Add(1)
+	l.fds.Add(1)
+	c := adopt(nc, l, &l.fds)
+	c.door = l.door
+	l.door.put(c, l.door.silent)
+	c.split.Add(sent)
+	c.cutLines()
+	nc.SetOnRequest(c.onRequest)
+}
+
+// succeeded takes the end of the old process: this one is the balancer now.
+func (l *Loop) succeeded(why error) {
+	l.log.Info("the old process has ended", zap.NamedError("why", why))
+	l.line.old = nil
+	l.beside.Store(0)
+	l.share(false)
+	l.bal.Spent()
+	if !l.leaving {
+		l.await()
+	}
+}
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -22,13 +22,14 @@
 	"sabletally/internal/line"
 	"sabletally/internal/peers"
 	"sabletally/internal/relay"
+	"sabletally/internal/upgrade"
 	"sabletally/policy"
 )
 
 const (
 	readyWithin = 2 * time.Second        // ready after that without a list
 	readySoon   = 250 * time.Millisecond // and after that with the one known at the start: what is newer comes at once
-	keptFds     = 24                     // descriptors for the program itself
+	KeptFds     = 24                     // descriptors for the program itself
 	spareFds    = 8                      // so-many-th of the rest, kept for clients that are only told to come again
 )
 
@@ -43,11 +44,12 @@
 	middle time.Duration // what a probe of the middle machine takes, once it is known
 	Counters
 
-	mu    sync.Mutex
-	inbox []event
-	wake  chan struct{}
-	fds   atomic.Int64 // descriptors of connections
-	most  int64        // of those at most
+	mu     sync.Mutex
+	inbox  []event
+	wake   chan struct{}
+	fds    atomic.Int64 // descriptors of connections
+	most   int64        // of those at most, less
+	beside atomic.Int64 // what the other process of an upgrade holds
 
 	link     *peers.Link // to the other balancers, nil where they are not told
 	linked   *peers.Link // the newest one that was opened, which only Reconfigure looks at
@@ -73,7 +75,9 @@
 	gate     atomic.Pointer[Gate] // the listener, where it is shared with another process
 
 	wanted  sync.Mutex
-	service service // under it
+	service service     // under it
+	leaving bool        // the process ends
+	line    *succession // nil where the process can have no heir
 }
 
 // server is what the sockets need to know of one server.
@@ -112,7 +116,7 @@
 func New(log *zap.Logger, dep *deployment.Deployment, seed uint64, known discovery.List, sockets int) (*Loop, error) {
 	l := &Loop{
 		log: log, bal: policy.New(onSockets(dep), seed), start: time.Now(),
-		wake: make(chan struct{}, 1), most: int64(max(sockets-keptFds, 2)),
+		wake: make(chan struct{}, 1), most: int64(max(sockets-KeptFds, 2)),
 		servers: map[policy.ServerID]*server{}, byUID: map[string]*server{},
 		circuits: map[policy.CircuitID]*circuit{}, byAsk: map[uint64]*circuit{}, door: newDoor(),
 		known: known, welcomed: make(chan struct{}),
@@ -281,6 +285,8 @@
 			l.BadLines.Add(1)
 		}
 		switch {
+		case c.passing:
+			c.first = append(c.first, ln.Raw...)
 		case c.over:
 		case c.circuit != nil:
 			l.clientLine(c.circuit)
@@ -391,6 +397,9 @@
 	l.wanted.Lock()
 	l.service.ready = true
 	close(l.welcomed)
+	if l.line != nil && l.line.old != nil {
+		l.line.old.Tell(upgrade.Message{Kind: upgrade.Ready}, nil)
+	}
 	l.wanted.Unlock()
 	l.log.Info("ready", zap.Bool("listed", l.listed), zap.Int("servers", len(l.servers)))
 	for _, c := range l.pinged {
--- a/internal/balancer/serve.go
+++ b/internal/balancer/serve.go
@@ -182,6 +182,9 @@
 	return nil, err
 }
 
+// Shared tells whether other processes have the socket too.
+func (g *Gate) Shared() bool { return g.shared }
+
 func (g *Gate) Fd() int        { return g.fd }
 func (g *Gate) Addr() net.Addr { return g.addr }
 func (g *Gate) Close() error   { return unix.Close(g.fd) }
@@ -239,7 +242,7 @@
 // makeRoom keeps the descriptors of connections without a circuit within what the others leave. Guards against
 // clients that connect by hundreds and say nothing: nothing could be accepted or dialed any more.
 func (l *Loop) makeRoom(c *conn) {
-	for l.fds.Load() > l.most-l.most/roomFds {
+	for l.fds.Load() > l.room()-l.most/roomFds {
 		old, silent := l.door.shed()
 		if old == nil {
 			break
@@ -251,7 +254,7 @@
 		old.shut()
 		runtime.Gosched() // the poller, which runs this, would go on accepting first
 	}
-	if l.fds.Load() > l.most { // nothing to shed: all are circuits
+	if l.fds.Load() > l.room() { // nothing to shed: all are circuits
 		l.NoRoom.Add(1)
 		c.word(line.Turned(l.comeAgain()))
 		c.close()
--- a/internal/balancer/service.go
+++ b/internal/balancer/service.go
@@ -26,9 +26,10 @@
 
 // service is what operators want, published: whoever asks never waits for the loop.
 type service struct {
-	ready   bool // the loop welcomes clients
-	out     bool // an operator wants it empty
-	leaving bool // it ends, whatever operators want
+	ready     bool // the loop welcomes clients
+	out       bool // an operator wants it empty,
+	inherited bool // and wanted so of the process before this one, which may be replaced all the same
+	leaving   bool // it ends, whatever operators want
 }
 
 // Ready tells whether clients are welcome: nil, or why not.
@@ -38,7 +39,7 @@
 	switch {
 	case l.service.leaving:
 		return errLeaving
-	case l.service.out:
+	case l.service.out && !l.service.inherited:
 		return fmt.Errorf("out of service: told by an operator, %d circuits open", l.Open.Load())
 	case !l.service.ready:
 		return errStarting
@@ -64,7 +65,7 @@
 	case l.service.out == out:
 		return nil
 	}
-	l.service.out = out
+	l.service.out, l.service.inherited = out, false
 	l.post(event{do: func() { // in the order of the calls, as they hold the lock
 		l.out = out
 		if out {
@@ -79,6 +80,17 @@
 	return nil
 }
 
+// inheritOut has this process begin out of service, as the one before it was told.
+func (l *Loop) inheritOut() {
+	l.wanted.Lock()
+	defer l.wanted.Unlock()
+	if l.service != (service{ready: l.service.ready}) { // told something itself meanwhile
+		return
+	}
+	l.service.out, l.service.inherited, l.out = true, true, true
+	l.empty(drainFrom, drainWithin)
+}
+
 // Leave tells of the process's end: all that is held goes, from the one time from now to the other. There is no way back.
 // Where the listener is shared no client comes any more, and done is called once nothing is held; until then clients
 // without a line are waited for, up to the end.
@@ -94,6 +106,11 @@
 	l.post(event{do: func() {
 		l.log.Info("leaving", zap.Duration("within", within), zap.Bool("shared", g != nil), zap.Int("open", l.open),
 			zap.Int("held", len(l.circuits)))
+		l.leaving = true
+		if l.heirReady() != nil {
+			from = passWithin
+			l.passAll()
+		}
 		l.empty(from, within)
 		if g != nil {
 			l.after(within, l.turnAway)
@@ -104,7 +121,7 @@
 
 // emptied looks again and again whether nothing is held any more.
 func (l *Loop) emptied(done func()) {
-	if len(l.circuits) == 0 && l.fds.Load() == 0 {
+	if link := l.heirReady(); len(l.circuits) == 0 && l.fds.Load() == 0 && (link == nil || link.Flushed()) {
 		done()
 		return
 	}
--- a/internal/lab/field/proc.go
+++ b/internal/lab/field/proc.go
@@ -16,6 +16,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -43,6 +44,9 @@
 	config  string
 	log     io.Writer
 
+	shared *os.File // its listening socket, where the platform holds it
+	tmp    string   // and the directory that all its processes have then
+
 	CPUs int // it is bound to so many of this machine's; 0: to none
 
 	mu     sync.Mutex
@@ -68,6 +72,35 @@
 	return &Process{Name: name, Addr: ln.Addr().String(), command: command, env: env, config: filepath.Join(dir, name+".json"), log: out}, nil
 }
 
+// Share has the platform hold its listening socket, which each of its processes inherits, and one directory for them all.
+func (p *Process) Share() error {
+	ln, err := net.Listen("tcp", p.Addr)
+	if err != nil {
+		return err
+	}
+	defer ln.Close()
+	if p.shared, err = ln.(*net.TCPListener).File(); err != nil {
+		return err
+	}
+	if p.tmp, err = os.MkdirTemp("", "up"); err != nil {
+		return err
+	}
+	p.env = append(p.env, "EDGE_ACCEPT_FD=3", "TMPDIR="+p.tmp)
+	return nil
+}
+
+// Unshare lets go of both.
+func (p *Process) Unshare() {
+	p.shared.Close()
+	os.RemoveAll(p.tmp)
+}
+
+// Beside is another process of the same balancer, under the same name, address and configuration; more is its own environment.
+func (p *Process) Beside(more ...string) *Process {
+	return &Process{Name: p.Name, Addr: p.Addr, command: p.command, env: append(slices.Clone(p.env), more...), config: p.config,
+		log: p.log, CPUs: p.CPUs, shared: p.shared, tmp: p.tmp}
+}
+
 // Write replaces its configuration whole.
 func (p *Process) Write(config []byte) error {
 	if err := os.WriteFile(p.config+".new", config, 0o600); err != nil {
@@ -78,8 +111,32 @@
 
 // Start starts it and waits until it is ready.
 func (p *Process) Start() error {
+	if err := p.Launch(); err != nil {
+		return err
+	}
+	for end := time.Now().Add(readyIn); ; {
+		select {
+		case <-p.Exited():
+			return fmt.Errorf("balancer %s ended at its start: %s", p.Name, p.Tail())
+		default:
+		}
+		if pong(p.Addr) {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("balancer %s is not ready within %v: %s", p.Name, readyIn, p.Tail())
+		}
+		time.Sleep(pingEach)
+	}
+}
+
+// Launch starts it.
+func (p *Process) Launch() error {
 	cmd := exec.Command(p.command[0], p.command[1:]...)
 	cmd.Env = append(append(os.Environ(), "EDGE_CONFIG="+p.config, "EDGE_NAME="+p.Name, "EDGE_LISTEN="+p.Addr), p.env...)
+	if p.shared != nil {
+		cmd.ExtraFiles = []*os.File{p.shared}
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := cmd.StderrPipe()
 	if err != nil {
@@ -114,20 +171,7 @@
 		p.mu.Unlock()
 		close(exited)
 	}()
-	for end := time.Now().Add(readyIn); ; {
-		select {
-		case <-exited:
-			return fmt.Errorf("balancer %s ended at its start: %s", p.Name, p.Tail())
-		default:
-		}
-		if pong(p.Addr) {
-			return nil
-		}
-		if time.Now().After(end) {
-			return fmt.Errorf("balancer %s is not ready within %v: %s", p.Name, readyIn, p.Tail())
-		}
-		time.Sleep(pingEach)
-	}
+	return nil
 }
 
 // launch starts a command bound to its processors, which a child inherits from the thread that starts it.
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -89,6 +89,9 @@
 // Held tells whether bytes are left that make no whole line, or that Next has not answered yet.
 func (s *Splitter) Held() bool { return len(s.held) > 0 }
 
+// Rest answers those bytes.
+func (s *Splitter) Rest() []byte { return s.held }
+
 // Next answers the next whole line, false when there is none yet. After an error the stream can't be cut.
 func (s *Splitter) Next() (Line, bool, error) {
 	end := bytes.IndexByte(s.held, '\n')
@@ -228,6 +231,9 @@
 	return h.Sum64()
 }
 
+// Raw is the line as it came.
+func (a *Ask) Raw() []byte { return a.raw }
+
 // Onward writes the line for a server: unchanged, but for how long the balancer waits.
 func (a *Ask) Onward(left time.Duration) []byte {
 	if !a.Limited {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -82,7 +82,9 @@
 	buf  []byte
 	told atomic.Bool // there are loads
 
-	mu    sync.Mutex // of the table, the times and the loads
+	mu    sync.Mutex // of the table, the times, the loads and the jobs
+	jobs  []func()   // for its goroutine, between two events
+	ended bool
 	loads []Load
 	conns []*Conn
 	gens  []int32
@@ -95,7 +97,7 @@
 
 // New makes so many shards and starts them; fds counts the descriptors of their connections.
 func New(many int, owner Owner, fds *atomic.Int64) (*Shards, error) {
-	s := &Shards{owner: owner, fds: fds, start: time.Now(), stall: stallMost}
+	s := &Shards{owner: owner, fds: fds, start: time.Now().Add(-passedMost), stall: stallMost}
 	for range max(1, many) {
 		epfd, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 		if err != nil {
@@ -121,14 +123,53 @@
 
 // Close ends the shards; their connections are not seen to.
 func (s *Shards) Close() {
-	one := [8]byte{7: 1}
 	s.ending.Do(func() { // a second time the bells are closed, and their descriptors may be others'
 		for _, sh := range s.all {
-			unix.Write(sh.bell, one[:])
+			sh.mu.Lock()
+			sh.ended = true
+			sh.ring()
+			sh.mu.Unlock()
 		}
 	})
 }
 
+// ring wakes the shard's goroutine; mu is held, and it has not ended.
+func (sh *shard) ring() {
+	one := [8]byte{7: 1}
+	unix.Write(sh.bell, one[:])
+}
+
+// do has the shard's goroutine do something between two events: nothing of its connections is on its way then.
+func (sh *shard) do(job func()) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if !sh.ended {
+		sh.jobs = append(sh.jobs, job)
+		sh.ring()
+	}
+}
+
+// rung does what the bell was rung for; false: it was the end.
+func (sh *shard) rung() bool {
+	var text [8]byte
+	unix.Read(sh.bell, text[:])
+	sh.mu.Lock()
+	jobs, ended := sh.jobs, sh.ended
+	sh.jobs = nil
+	sh.mu.Unlock()
+	for _, job := range jobs {
+		func() {
+			defer func() {
+				if p := recover(); p != nil {
+					sh.of.owner.Panicked("a relay's job", p, debug.Stack())
+				}
+			}()
+			job()
+		}()
+	}
+	return !ended
+}
+
 func (s *Shards) now() time.Duration { return time.Since(s.start) }
 
 // run serves a shard until its bell rings. It sleeps in the kernel, on a thread of its own, for as long as nothing
@@ -152,7 +193,10 @@
 		wait = 0
 		for _, ev := range events[:n] {
 			if ev.Fd == bellSlot {
-				return
+				if !sh.rung() {
+					return
+				}
+				continue
 			}
 			if c := sh.find(ev.Fd, ev.Pad); c != nil {
 				sh.handle(c, ev.Events)
--- /dev/null
+++ b/internal/upgrade/upgrade_test.go
@@ -0,0 +1,186 @@
+package upgrade
+
+import (
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"sabletally/internal/relay"
+)
+
+const bound = 20 * time.Second
+
+// side is one end of a link, with what it was told.
+type side struct {
+	link chan *Link
+	said chan Message
+	fds  chan int
+	gone chan error
+}
+
+func newSide() *side {
+	return &side{make(chan *Link, 4), make(chan Message, 100), make(chan int, 100), make(chan error, 4)}
+}
+
+func (s *side) heed(_ *Link, m Message, fds []int) {
+	for _, fd := range fds {
+		s.fds <- fd
+	}
+	s.said <- m
+}
+
+func (s *side) ended(_ *Link, why error) { s.gone <- why }
+
+func get[T any](t *testing.T, from chan T) T {
+	t.Helper()
+	select {
+	case got := <-from:
+		return got
+	case <-time.After(bound):
+		t.Fatal("nothing has come")
+		panic(0)
+	}
+}
+
+func linked(t *testing.T) (path string, old, young *side, from, to *Link) {
+	path, err := Path(t.TempDir(), "n0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	old, young = newSide(), newSide()
+	ln, err := Listen(path, func(l *Link) { old.link <- l }, old.heed, old.ended)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	if to, err = Dial(path, young.heed, young.ended); err != nil || to == nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(to.Close)
+	return path, old, young, get(t, old.link), to
+}
+
+// pipe is a descriptor to send and the end that proves it is the same.
+func pipe(t *testing.T) (int, *os.File) {
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { r.Close() })
+	fd, err := unix.Dup(int(w.Fd()))
+	w.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fd, r
+}
+
+// TestDescriptorsGoAlong sends more messages with descriptors than may be on their way at once, in order.
+func TestDescriptorsGoAlong(t *testing.T) {
+	_, _, young, from, _ := linked(t)
+	var ends []*os.File
+	for n := range 3 * onTheWay {
+		fd, r := pipe(t)
+		ends = append(ends, r)
+		from.Tell(Message{Kind: Client, First: []byte{byte(n)}}, func() { t.Error("lost") }, fd)
+	}
+	for n, r := range ends {
+		m, fd := get(t, young.said), get(t, young.fds)
+		if m.Kind != Client || len(m.First) != 1 || m.First[0] != byte(n) {
+			t.Fatalf("%d: %+v", n, m)
+		}
+		unix.Write(fd, []byte("x"))
+		unix.Close(fd)
+		if text, err := io.ReadAll(r); string(text) != "x" || err != nil { // nobody else holds it any more
+			t.Fatalf("%q, %v", text, err)
+		}
+	}
+	for end := time.Now().Add(bound); !from.Flushed(); {
+		if time.Now().After(end) {
+			t.Fatal("not all was taken")
+		}
+	}
+	pair := &relay.Passed{Client: relay.End{Held: []byte("half")}, AskedAgo: time.Second}
+	a, _ := pipe(t)
+	b, _ := pipe(t)
+	from.Tell(Message{Kind: Circuit, At: "s-1", Load: 7, Pair: pair}, nil, a, b)
+	if m := get(t, young.said); m.At != "s-1" || m.Load != 7 || string(m.Pair.Client.Held) != "half" || m.Pair.AskedAgo != time.Second {
+		t.Fatalf("%+v", m)
+	}
+}
+
+// TestWhatIsNotSentIsTheCallersAgain ends a link under its messages. Guards against clients that neither process holds.
+func TestWhatIsNotSentIsTheCallersAgain(t *testing.T) {
+	_, old, _, from, to := linked(t)
+	to.Close()
+	get(t, old.gone)
+	lost := make(chan bool, 1)
+	fd, r := pipe(t)
+	from.Tell(Message{Kind: Client}, func() { lost <- true }, fd)
+	get(t, lost)
+	unix.Write(fd, []byte("mine"))
+	unix.Close(fd)
+	if text, err := io.ReadAll(r); string(text) != "mine" || err != nil {
+		t.Fatalf("%q, %v", text, err)
+	}
+}
+
+// TestOddWordsEndTheLink has another version, no message, and one whose descriptors are missing.
+func TestOddWordsEndTheLink(t *testing.T) {
+	for _, text := range []string{`{"V":2,"Kind":2}`, "hello", `{"V":1,"Kind":4}`, `{"V":1,"Kind":2` + strings.Repeat(" ", textMost) + "}"} {
+		path, old, _, _, _ := linked(t)
+		c, err := net.DialUnix("unixpacket", nil, &net.UnixAddr{Name: path, Net: "unixpacket"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		get(t, old.link)
+		c.SetWriteBuffer(sendBuffer)
+		if _, err := c.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+		get(t, old.gone)
+		c.Close()
+		select {
+		case m := <-old.said:
+			t.Errorf("%.20s: %+v", text, m)
+		default:
+		}
+	}
+}
+
+func TestNobodyAndLeftovers(t *testing.T) {
+	s := newSide()
+	path, _ := Path(t.TempDir(), "n0")
+	if l, err := Dial(path, s.heed, s.ended); l != nil || err != nil {
+		t.Fatal(l, err)
+	}
+	ln, err := Listen(path, func(l *Link) { s.link <- l }, s.heed, s.ended)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close() // as a process that was killed leaves it
+	if l, err := Dial(path, s.heed, s.ended); l != nil || err != nil {
+		t.Fatal(l, err)
+	}
+	again, err := Listen(path, func(l *Link) { s.link <- l }, s.heed, s.ended)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again.Close()
+	os.Remove(path)
+	os.WriteFile(path, nil, 0o600) // no socket
+	if l, err := Dial(path, s.heed, s.ended); l != nil || err != nil {
+		t.Fatal(l, err)
+	}
+	for _, bad := range [][2]string{{"", "n0"}, {"/tmp", "../n0"}, {"/tmp", "a/b"}, {filepath.Join("/tmp", strings.Repeat("x", 100)), "n0"}} {
+		if path, err := Path(bad[0], bad[1]); err == nil {
+			t.Error(path)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -182,8 +182,8 @@
 }
 
 // Reconfigure has a Deployment hold in place of the one before; the other two tell the new rows of the old
-// grades and tenants, -1 for those that are gone. What is held stays; each circuit keeps the grade and the most
-// tries that it came with: what it was promised holds. Learned loads of a grade that is gone are forgotten.
+// grades and tenants, -1 for those that are gone. What is held stays; each circuit keeps the grade and the
+// most tries that it came with. Learned loads of a grade that is gone are forgotten.
 func (b *Balancer) Reconfigure(dep *Deployment, grades, tenants []int) {
 	usual := make([]float64, len(dep.Grades)+1)
 	for row, now := range grades {
@@ -309,10 +309,17 @@
 
 func (b *Balancer) newest() *version { return b.pools[len(b.pools)-1] }
 
-// Leave has the balancer emptied: from the one time on all that is open is moved, up to the other; Stay ends that.
+// Leave has all that is open moved, from the one time on, up to the other; Stay ends that.
 func (b *Balancer) Leave(from, by time.Duration) { b.leaveFrom, b.leaveBy = from, by }
 func (b *Balancer) Stay()                        { b.leaveBy = never }
 
+// Spent has cold servers get nothing for one span: another process of this balancer may have spent its part.
+func (b *Balancer) Spent() {
+	for i := range b.id {
+		b.budget[i], b.paidAt[i] = 0, b.now
+	}
+}
+
 func (b *Balancer) take(a Arrival) *circuit {
 	a.Grade, a.Tenant = min(a.Grade, len(b.dep.Grades)-1), min(a.Tenant, len(b.dep.Tenants))
 	c := &circuit{
@@ -484,8 +491,7 @@
 	return t
 }
 
-// PeerTold takes another balancer's message; from is its number. Lists differ for seconds: what does not fit
-// the newest version is passed by.
+// PeerTold takes the message of balancer from; what does not fit the newest version is passed by.
 func (b *Balancer) PeerTold(from int, t Told) {
 	if from < 0 || from >= len(b.peers) || t.Mark != b.newest().mark {
 		return
@@ -562,8 +568,7 @@
 }
 
 // throttled tells whether a circuit is to be nacked at once, as setup tries fail whatever server they go to:
-// some fail and enough are out, or by chance, the likelier the more failed than stood. Guards against retries
-// that keep a store or the fleet down. Only tries count: while nacks did too, the brake held itself on.
+// some fail and enough are out, or by chance. Guards against retries that keep a store down.
 func (b *Balancer) throttled(c *circuit) bool {
 	bad := b.bad + b.late
 	besides := triesBesides * (b.good + 1) / (b.good + bad + 1) / float64(b.dep.Peers)
@@ -661,12 +666,11 @@
 // mayWarm tells whether a circuit may go to a cold server. All balancers together may send it, each span in
 // which it could fall, as many connections as servers hold on the mean, times the multiple and cut to its
 // warmth, over a part of the warm-up. Where a balancer's part is far under one it lets in so much of what
-// comes to a cold server, by one chance a decision. Guards against two hundred balancers that send one each,
-// and against cold servers that stay empty: a part dealt out before is lost where none comes.
+// comes, by one chance a decision: two hundred would send one each, or a part dealt out before is lost.
 func (b *Balancer) mayWarm(c *circuit, i int) bool {
 	mean, fill := float64(b.total)/float64(max(len(b.newest().servers), 1)), coldFill
 	mean = math.Sqrt(mean * max(mean, b.warmMean)) // warm ones hold more, maybe too much
-	if b.heard {                                   // less is left to chance; two hundred that tell nothing came near the rule with this
+	if b.heard {                                   // less is left to chance
 		mean, fill = b.warmMean, coldTold
 	}
 	mean = max(mean, coldLeast/float64(b.dep.Peers))
@@ -713,8 +717,8 @@
 	score  float64
 }
 
-// order ranks the newest version's servers for a circuit by weighted rendezvous hashing of its group. The
-// first few, by the group's share of the connections, are its home; there the client's key ranks.
+// order ranks the newest version's servers by weighted rendezvous hashing of a circuit's group. The first, by
+// the group's share of the connections, are its home; there the client's key ranks.
 func (b *Balancer) order(c *circuit) []ranked {
 	b.rank, b.reach, b.across = b.rank[:0], len(b.newest().servers), b.away
 	small := b.total < fewHeld && b.total*b.dep.Peers < fewInAll
@@ -804,11 +808,10 @@
 			b.known(i)+c.load > max(even*b.heft[i]*b.warmth(i), 2*b.shown[i])) {
 		return true
 	}
-	// A young report that tells of room lets one in, whatever is held here: with a hundred balancers each holds
-	// one connection of a server or none, and took a half empty one for full.
+	// A young report that tells of room lets one in: a hundred balancers each know of one connection or none.
 	told := b.now-b.askedAt[i] <= reportYoung && b.asked[i] < crowded.asked && b.sentAt[i] < b.askedAt[i]
-	// Of a server where nothing is held no notes come: it is taken for jammed as often as those with some are.
-	// Guards against dozens of balancers that each fill a jammed fleet up where they are blind.
+	// Of a server where nothing is held no notes come: it is taken for jammed as often as those with some are,
+	// or dozens of balancers would each fill a jammed fleet up where they are blind.
 	blind := len(b.held[i]) == 0 && unit(mix(uint64(b.id[i]), b.seed+uint64(b.now/noteFresh))) < b.gloom
 	return b.busy(i, jammed) || blind && !told || b.known(i)+c.load > b.room[i] && !told
 }
@@ -866,8 +869,7 @@
 }
 
 // asksFirst tells whether a circuit waits for server i's load report before it is sent there: it is old, and
-// there is time. Guards against two hundred balancers that ask every server all the time: a report is asked
-// for where a decision hangs on it.
+// there is time. Guards against two hundred balancers that ask all the time.
 func (b *Balancer) asksFirst(c *circuit, i int) bool {
 	if !b.dep.MayProbe || !b.dep.ReportsOnAsk || b.now-b.askedAt[i] <= reportYoung || c.asks >= asksMost ||
 		c.asks > 0 && c.waitsOn == i { // asked already, and it told nothing
@@ -1023,8 +1025,7 @@
 	return b.pick(&again, byAll)
 }
 
-// leave plans to move an even part of what is open. Guards against clients cut off by a planned restart, and
-// against all of them coming to the other balancers at once.
+// leave plans to move an even part of what is open: guards against all that come to other balancers at once.
 func (b *Balancer) leave() {
 	for i, rounds := 0, max(1, int((b.leaveBy-b.now)/roundEvery)); b.leaveFrom <= b.now && i < len(b.id); i++ {
 		all := b.movable(i, func(x, y *circuit) int { return x.slot - y.slot })
@@ -1045,10 +1046,9 @@
 }
 
 // moveSome plans to move so much load away from a server, in connections that would now be placed elsewhere
-// without a departure: lone members of their group first, then the heaviest. By load, the last one by chance:
-// guards against two hundred balancers of one connection each, where one move by each would empty the server.
-// At the end what finds no place is ended, least utility for its load first: guards against a fleet that
-// holds all connections and serves none.
+// without a departure: lone members of their group first, then the heaviest. The last one goes by chance, or
+// two hundred balancers of one connection each would empty it. At the end what finds no place is ended, least
+// utility for its load first: guards against a fleet that holds all connections and serves none.
 func (b *Balancer) moveSome(i int, load float64, end bool) {
 	mates := map[uint64]int{}
 	for _, c := range b.held[i] {
