--- a/internal/balancer/service.go
+++ b/internal/balancer/service.go
@@ -16,7 +16,7 @@
 const (
 	drainFrom   = 400 * time.Millisecond  // so long clients still come after a no; who is moved before would come back
 	emptyEach   = 20 * time.Millisecond   // how often an old process looks whether it holds nothing
-	drainWithin = 3200 * time.Millisecond // and nothing is held after this, with room before the 4 s that are owed
+	drainWithin = 3500 * time.Millisecond // and nothing is held after this, with room before the 4 s that are owed
 )
 
 var (
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,7 +47,8 @@
 	coldLeast    = 12.0                   // connections that a server is thought to hold, over all balancers
 	evenMost     = 2.0                    // so many times an even share of the load a server takes unproven,
 	evenTold     = 1.2                    // and where the others tell what they hold
-	evenLeast    = 4.0                    // connections that an even share is taken for, at the least
+	evenAsked    = 1.4                    // where load is a guess and heft too,
+	evenLeast    = 4.0                    // of so many connections at the least
 	reachFar     = 2                      // servers past a group's home that its members may go to
 	homeSpread   = 2.0                    // servers in a group's home, over its share of the connections
 	fewHeld      = 7                      // connections here, below which nothing is known of groups,
@@ -773,10 +774,9 @@
 	} else if b.dep.HeftExact {
 		even = evenMost * load / heft
 	} else if b.dep.ReportsOnAsk { // of a few connections nothing is learned where heft is a guess
-		even = max(evenMost*load, evenLeast*max(b.usual, 1)*float64(len(rank))) / heft
+		even = max(evenAsked*load, evenLeast*max(b.usual, 1)*float64(len(rank))) / heft
 	}
-	for step := byAll; step <= upTo; step++ {
-		left := b.reach
+	for step, left := byAll, b.reach; step <= upTo; step, left = step+1, b.reach {
 		for _, r := range rank {
 			i := r.server
 			if !b.passed(c, i, step, sum, even) && b.mayTry(c, i) {
@@ -995,7 +995,7 @@
 		} else if asks := b.dep.ReportsOnAsk && askedBy*b.total >= len(b.newest().servers); due && b.dep.MayProbe &&
 			(b.aside[i] || asks) {
 			b.due, b.probing[i] = append(b.due, Decision{Do: Probe, Server: b.id[i]}), true
-			b.probeAt[i] = b.now + b.jitter(b.reportEvery()) // one set aside: by its answer
+			b.probeAt[i] = b.now + b.jitter(time.Duration(b.dep.Peers)*reportEach) // one set aside: by its answer
 		}
 	}
 }
@@ -1027,17 +1027,17 @@
 
 // leave plans to move an even part of what is open: guards against all that come to other balancers at once.
 func (b *Balancer) leave() {
-	for i, rounds := 0, max(1, int((b.leaveBy-b.now)/roundEvery)); b.leaveFrom <= b.now && i < len(b.id); i++ {
-		all := b.movable(i, func(x, y *circuit) int { return x.slot - y.slot })
-		for _, c := range all[:(len(all)+rounds-1)/rounds] {
-			b.due, c.moving = append(b.due, Decision{Do: Move, Circuit: c.id}), true
-		}
+	var all []*circuit
+	for i := 0; b.leaveFrom <= b.now && i < len(b.id); i++ {
+		all = append(all, b.movable(i, func(x, y *circuit) int { return 0 })...)
+	}
+	slices.SortStableFunc(all, func(x, y *circuit) int { return x.slot - y.slot })
+	rounds := max(1, int((b.leaveBy-b.now)/roundEvery))
+	for _, c := range all[:(len(all)+rounds-1)/rounds] {
+		b.due, c.moving = append(b.due, Decision{Do: Move, Circuit: c.id}), true
 	}
 }
 
-// reportEvery is how often this balancer asks a server for its report anyway: all together as often as a few.
-func (b *Balancer) reportEvery() time.Duration { return time.Duration(b.dep.Peers) * reportEach }
-
 // movable answers the connections of a server that can be moved, first those that sort by less.
 func (b *Balancer) movable(i int, less func(x, y *circuit) int) []*circuit {
 	all := slices.DeleteFunc(slices.Clone(b.held[i]), func(c *circuit) bool { return !c.open || c.moving })
