--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,9 +1,8 @@
 // Package policy holds every decision of the balancer; it knows no wire and does no input or output.
 //
-// Calling it: New starts a Balancer from its Deployment and a seed. The host calls Clock with the time since
-// the start, then one method for each thing that came in (ListArrived, CircuitArrived, SetUp, TryEnded and so
-// on); these only update what is known. It then calls Next until that answers false, carries out each
-// Decision, and calls again at the latest when Wake says. The plain types of this interface are in types.go.
+// Calling it: New starts a Balancer. The host calls Clock with the time since the start, then a method for
+// each thing that came in (ListArrived, SetUp and so on), which only update what is known; then Next until it
+// answers false, carries out each Decision, and calls again when Wake says. Plain types: types.go.
 package policy
 
 import (
@@ -47,8 +46,8 @@
 	coldLeast    = 12.0                   // connections that a server is thought to hold, over all balancers
 	evenMost     = 2.0                    // so many times an even share of the load a server takes unproven,
 	evenTold     = 1.2                    // and where the others tell what they hold
-	evenAsked    = 1.4                    // where load is a guess and heft too,
-	evenLeast    = 4.0                    // of so many connections at the least
+	evenLeast    = 4.0                    // connections that an even share is taken for, at the least
+	evenGrown    = 0.7                    // part of it while this balancer holds much more than a while ago
 	reachFar     = 2                      // servers past a group's home that its members may go to
 	homeSpread   = 2.0                    // servers in a group's home, over its share of the connections
 	fewHeld      = 7                      // connections here, below which nothing is known of groups,
@@ -101,7 +100,7 @@
 	load         float64
 	waitsOn      int           // the server whose report it waits for,
 	waits        time.Duration // until then at the latest
-	tries, asks  int           // made; reports it has waited for;
+	tries, asks  int           // made; reports it has waited for
 	most         int           // setup tries that its settings allowed
 	wanted       bool          // it came to a cold server
 	sentAt       time.Duration // when the newest try was sent,
@@ -132,7 +131,7 @@
 	trying, total      int            // setup tries out; connections and setup tries held
 	group              map[uint64]int // the same by group
 	tenant             []int          // the same by tenant
-	warmMean           float64        // connections held at a warm server
+	warmMean, calm     float64        // connections held at a warm server; here, over a while
 	gloom              float64        // part of the servers that hold something that are jammed
 	usual              float64        // usual load of a connection, learned
 	usualOf            []float64      // the same by grade
@@ -173,9 +172,8 @@
 // New starts a balancer.
 func New(dep *Deployment, seed uint64) *Balancer {
 	b := &Balancer{
-		seed: seed, chance: seed&0xffffffff | 1<<32, leaveBy: never,
+		seed: seed, chance: seed&0xffffffff | 1<<32, leaveBy: never, pools: []*version{{}},
 		index: map[ServerID]int{}, circuit: map[CircuitID]*circuit{}, group: map[uint64]int{},
-		pools: []*version{{}},
 	}
 	b.Reconfigure(dep, nil, nil)
 	b.roundAt = time.Duration(b.random() * float64(roundEvery))
@@ -685,8 +683,7 @@
 		b.wanted++
 	}
 	draws := b.heft[i] * min(1, coolMore*b.warmth(i)) // circuits of its zone, against other cold servers
-	// The chance lies in the key, for a while: whichever balancer it comes to finds it so. Guards against cold
-	// servers that stay empty, as each report that is asked for and each move drew it anew.
+	// The chance lies in the key, for a while: drawn anew at each report and move it left cold servers empty.
 	draw := unit(mix(mix(c.key, uint64(b.id[i])), uint64((b.now-b.started[i])/fillEach)))
 	return b.budget[i] >= 1 && (part >= 1 || draw < coldSlack*part*b.colds/draws/max(b.wanted, 1))
 }
@@ -774,7 +771,9 @@
 	} else if b.dep.HeftExact {
 		even = evenMost * load / heft
 	} else if b.dep.ReportsOnAsk { // of a few connections nothing is learned where heft is a guess
-		even = max(evenAsked*load, evenLeast*max(b.usual, 1)*float64(len(rank))) / heft
+		// Guards against all that another balancer lost on one server, before any report can tell of it.
+		grown := max(evenGrown, min(1, b.calm/float64(max(b.total, 1))))
+		even = max(evenMost*grown*load, evenLeast*max(b.usual, 1)*float64(len(rank))) / heft
 	}
 	for step, left := byAll, b.reach; step <= upTo; step, left = step+1, b.reach {
 		for _, r := range rank {
@@ -793,7 +792,7 @@
 	return -1
 }
 
-// cool tells whether a server has not warmed up yet for this key; all balancers agree on it.
+// cool tells whether a server is not warm yet for this key; all balancers agree on it.
 func (b *Balancer) cool(c *circuit, i int) bool {
 	return b.warmth(i) < 1 && unit(mix(c.key, ^uint64(b.id[i]))) >= coolMore*b.warmth(i)
 }
@@ -937,6 +936,7 @@
 func (b *Balancer) round() {
 	b.due, b.colds, b.across = b.due[:0], 0, b.away
 	b.sumPeers()
+	b.calm += (float64(b.total) - b.calm) * float64(roundEvery) / float64(tallyFor)
 	if b.leaveBy < never {
 		b.leave()
 		return
