--- a/internal/balancer/load.go
+++ b/internal/balancer/load.go
@@ -16,17 +16,20 @@
 )
 
 const (
-	steep   = 2.5 // by which a guess rises over what the probe has waited: it gets its turn at a full server too
-	slowest = 2   // so many times slower than the middle one a server may be by its machine alone,
-	against = 4   // and so many times slower than the fastest: more is a queue that never ends
-	trifle  = 100 // a probe that takes under so-many-th of the shortest message goal tells of no load
-	paces   = 2.0 // steps of pace in which a machine is twice as fast
-	paceFar = 4   // steps that a machine may be from the middle one
+	steep   = 2.5         // by which a guess rises over what the probe has waited: it gets its turn at a full server too
+	slowest = 2           // so many times slower than the middle one a server may be by its machine alone,
+	against = 4           // and so many times slower than the fastest: more is a queue that never ends
+	trifle  = 100         // a probe that takes under so-many-th of the shortest message goal tells of no load
+	paces   = 2.0         // steps of pace in which a machine is twice as fast
+	doubtAt = 0.85        // a load of which one probe tells and the one before did not is asked for again at once
+	anewIn  = time.Second // a probe that ended so long ago is judged anew once more is known
+	paceFar = 4           // steps that a machine may be from the middle one
 )
 
 // timed is what probes of one server took.
 type timed struct {
 	last, before time.Duration
+	at           time.Duration   // when the last ended
 	low          []time.Duration // the three shortest, the shortest first
 }
 
@@ -57,6 +60,7 @@
 		l.middle = middle
 		for _, id := range slices.Sorted(maps.Keys(l.servers)) {
 			l.step(l.servers[id], idle)
+			l.again(l.servers[id], sv, idle)
 		}
 	default:
 		l.step(sv, idle)
@@ -86,7 +90,7 @@
 // said: its probes are slow for another reason.
 func (l *Loop) guess(sv *server, took time.Duration) (float64, bool) {
 	t := &sv.timed
-	t.before, t.last = t.last, max(took, time.Microsecond)
+	t.before, t.last, t.at = t.last, max(took, time.Microsecond), l.now
 	if l.cold(sv) {
 		return 0, false
 	}
@@ -100,16 +104,45 @@
 		}
 	}
 	slices.Sort(idle)
-	alone := t.idle()
 	if len(idle) > 0 {
-		alone = t.alone(idle)
 		l.weigh(sv, idle)
 	}
-	figure := t.took(l.dep.Policy.Peers, alone)
-	if trifle*figure < l.goal { // what is so short may be this machine's own doing
-		return 0, true
+	load := l.figure(t, idle)
+	if load < doubtAt && l.told(t.last, l.alone(t, idle)) >= doubtAt {
+		l.bal.Doubted(sv.id) // guards against a queue that is seen only by the second long probe, seconds later
+	}
+	return load, true
+}
+
+// figure is the load over capacity that the newest probes tell of, against the idle times of all, sorted.
+func (l *Loop) figure(t *timed, idle []time.Duration) float64 {
+	alone := l.alone(t, idle)
+	return l.told(t.took(l.dep.Policy.Peers, alone), alone)
+}
+
+func (l *Loop) alone(t *timed, idle []time.Duration) time.Duration {
+	if len(idle) == 0 {
+		return t.idle()
+	}
+	return t.alone(idle)
+}
+
+// told is the load over capacity where a probe takes so long, and so long while there is nothing else to do.
+func (l *Loop) told(took, alone time.Duration) float64 {
+	if trifle*took < l.goal { // what is so short may be this machine's own doing
+		return 0
+	}
+	return max(0, steep*(1-alone.Seconds()/took.Seconds()))
+}
+
+// again judges a server's newest probe anew, now that the others have shown what is usual. Guards against a fleet that is
+// full from the start: the first probe of a jammed server was taken for its usual one, and nothing left it for two seconds.
+func (l *Loop) again(sv, but *server, idle []time.Duration) {
+	if t := &sv.timed; sv != but && len(t.low) > 0 && l.now-t.at < anewIn && sv.state == policy.Ready && !l.cold(sv) {
+		load := l.figure(t, idle)
+		l.log.Debug("guess", zap.String("server", sv.listedAs.UID), zap.Float64("load", load), zap.Duration("took", t.last))
+		l.bal.Reported(sv.id, policy.Report{Asked: load, Piled: -1, Util: -1})
 	}
-	return max(0, steep*(1-alone.Seconds()/figure.Seconds())), true
 }
 
 // cold tells whether a server still warms up.
--- a/internal/balancer/loop_test.go
+++ b/internal/balancer/loop_test.go
@@ -204,6 +204,66 @@
 	}
 }
 
+// TestTheFirstProbeOfAJammedServerIsJudgedAnew has a fleet that is full where a balancer starts: the slow server is probed
+// first, the others show what is usual, and the module passes the slow one over without a second probe. A long probe after
+// short ones is asked again at the next round. Guards against seconds in which clients stay on, and come to, a jammed server.
+func TestTheFirstProbeOfAJammedServerIsJudgedAnew(t *testing.T) {
+	ms := time.Millisecond
+	dep := &deployment.Deployment{Policy: &policy.Deployment{Peers: 2, MayProbe: true, ReportsOnAsk: true, MostTries: 3,
+		Grades: []policy.Grade{{SetupGoal: 300 * ms, MessageGoal: 250 * ms}}}}
+	l := &Loop{log: zap.NewNop(), bal: policy.New(dep.Policy, 7), start: time.Now(), servers: map[policy.ServerID]*server{}}
+	l.settings(dep)
+	var list []policy.Listed
+	for id := range policy.ServerID(4) {
+		l.servers[id] = &server{id: id, listedAs: discovery.Server{UID: fmt.Sprint(id), Heft: 1}}
+		list = append(list, policy.Listed{Server: id, Heft: 1, Started: policy.LongAgo})
+	}
+	l.bal.ListArrived(list, true)
+	tell := func(id policy.ServerID, took time.Duration) {
+		load, _ := l.guess(l.servers[id], took)
+		l.bal.Reported(id, policy.Report{Asked: load, Piled: -1, Util: -1})
+	}
+	for id, took := range []time.Duration{47, 7, 8, 7} {
+		tell(policy.ServerID(id), took*ms)
+	}
+	next := func() (tries map[policy.ServerID]int, probed map[policy.ServerID]bool) {
+		tries, probed = map[policy.ServerID]int{}, map[policy.ServerID]bool{}
+		for d, ok := l.bal.Next(); ok; d, ok = l.bal.Next() {
+			switch d.Do {
+			case policy.Try:
+				tries[d.Server]++
+				l.bal.SetUp(d.Circuit, 0, ms)
+			case policy.Probe:
+				probed[d.Server] = true
+				l.bal.ProbeAnswered(d.Server, policy.Succeeded)
+			}
+		}
+		return tries, probed
+	}
+	for id := range policy.CircuitID(40) {
+		l.bal.CircuitArrived(policy.Arrival{ID: id + 1, Key: uint64(id + 1), Left: time.Second})
+	}
+	if tries, _ := next(); tries[0] > 0 || tries[1] == 0 || tries[2] == 0 || tries[3] == 0 {
+		t.Fatalf("%v", tries)
+	}
+	at := time.Second
+	for _, x := range []struct {
+		took time.Duration
+		want bool
+	}{{7, false}, {8, false}, {28, true}} {
+		for probed := map[policy.ServerID]bool{}; !probed[1]; at += 10 * ms { // its own turn comes
+			l.bal.Clock(at)
+			l.now = at
+			_, probed = next()
+		}
+		tell(1, x.took*ms)
+		l.bal.Clock(at + 260*ms) // the next round: no turn of its own comes before 700 ms
+		if _, probed := next(); probed[1] != x.want {
+			t.Fatalf("asked again after %d ms: %t", x.took, probed[1])
+		}
+	}
+}
+
 // The first probes of a fresh balancer meet its own start and are all slow; one probe of each server later they tell how
 // fast each machine is. With the middle kept as it first stood, all were taken for four times as fast as the middle.
 func TestAFewProbesTellTheMachinesPace(t *testing.T) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,6 +37,7 @@
 	roomGrowth   = 0.015                  // by which an uncrowded server may be filled further, each round
 	movePart     = 0.12                   // of the load held at a jammed server, moved away at a time
 	moveEvery    = time.Second            // between moves away from one jammed server
+	excessPart   = 0.8                    // of what a report tells over full, moved where that is more
 	spill        = 0.25                   // least share of a server in another zone in the limit
 	coolMore     = 1.7                    // so much of its least warmth a cold server is taken for
 	coldSlack    = 1.0                    // of its part, where that is let in by chance
@@ -180,9 +181,8 @@
 	return b
 }
 
-// Reconfigure has a Deployment hold in place of the one before; the other two tell the new rows of the old
-// grades and tenants, -1 for those that are gone. What is held stays; each circuit keeps the grade and the
-// most tries that it came with. Learned loads of a grade that is gone are forgotten.
+// Reconfigure has a Deployment hold; the other two tell the new rows of the old grades and tenants, -1 for
+// none. What is held stays, each circuit under the grade and the most tries that it came with.
 func (b *Balancer) Reconfigure(dep *Deployment, grades, tenants []int) {
 	usual := make([]float64, len(dep.Grades)+1)
 	for row, now := range grades {
@@ -278,6 +278,9 @@
 	b.freeze()
 }
 
+// Doubted has a server asked again at the next round: its newest report may be chance.
+func (b *Balancer) Doubted(server ServerID) { b.probeAt[b.server(server)] = b.now }
+
 // freeze makes a new version when the ready servers or their heft have changed.
 func (b *Balancer) freeze() {
 	v := &version{}
@@ -297,7 +300,7 @@
 	}
 }
 
-// dropPools drops unused versions, and the oldest beyond the cap: its connections keep their server.
+// dropPools drops unused versions, and the oldest beyond the cap; connections keep their server.
 func (b *Balancer) dropPools() {
 	last, excess, n := b.newest(), len(b.pools)-versionCap, -1
 	b.pools = slices.DeleteFunc(b.pools, func(v *version) bool {
@@ -522,7 +525,7 @@
 // known is the load of all connections at a server that this balancer knows of.
 func (b *Balancer) known(i int) float64 { return b.load[i] + b.others[i] }
 
-// judge learns of a server from how a try ended there.
+// judge learns of a server from how a try ended there. Only a part of the ready servers is ever set aside.
 func (b *Balancer) judge(c *circuit, how Outcome) {
 	i := c.server
 	if how == Succeeded {
@@ -530,13 +533,11 @@
 	} else if c.out { // one that stood was shed: a jam, not a failure
 		b.fails[i] += failsBy[how]
 	}
-	// Jams. Guards also against more dead servers at once than may be set aside: no try goes on to them.
-	// Resets of what stood are no jam where a young report tells of room: once all reset, none was left.
+	// Jams: no try goes on there. Resets of what stood are none where a young report tells of room.
 	told := b.now-b.askedAt[i] <= reportYoung && b.asked[i] < crowded.asked/2
 	if how == TurnedAway || how == ConnectFailed || how == Reset && c.open && !told {
 		b.close(i, c.load)
 	}
-	// Set aside. Guards against emptying an overloaded fleet: only a part of the ready servers ever is.
 	ready := b.newest().servers
 	n := len(slices.DeleteFunc(slices.Clone(ready), func(j int) bool { return !b.aside[j] }))
 	bad := b.fails[i] >= asideFails && !b.aside[i] && b.state[i] == Ready
@@ -560,7 +561,7 @@
 	b.wanted *= fade
 }
 
-// gate has nothing tried for a while. Guards against a store that does only what nobody waits for any more.
+// gate has nothing tried for a while: a store would do only what nobody waits for any more.
 func (b *Balancer) gate() {
 	b.shut = min(max(2*b.shut, b.turn), gateTimes*b.turn)
 	b.shutTill = b.now + b.jitter(b.shut)
@@ -576,8 +577,7 @@
 		b.random() < (bad-b.good-1)/(bad+b.good+1)
 }
 
-// ailing tells whether setup tries fail so often that another server is no remedy. Late ones tell of it only
-// while few servers are jammed, or a fleet that is jammed would never be unloaded.
+// ailing tells whether tries fail so often that no other server is a remedy; late ones while few are jammed.
 func (b *Balancer) ailing() bool {
 	bad := b.bad
 	if b.gloom < fewJammed {
@@ -867,8 +867,7 @@
 	return at, true
 }
 
-// asksFirst tells whether a circuit waits for server i's load report before it is sent there: it is old, and
-// there is time. Guards against two hundred balancers that ask all the time.
+// asksFirst tells whether a circuit waits for server i's report: it is old, and there is time to ask for it.
 func (b *Balancer) asksFirst(c *circuit, i int) bool {
 	if !b.dep.MayProbe || !b.dep.ReportsOnAsk || b.now-b.askedAt[i] <= reportYoung || c.asks >= asksMost ||
 		c.asks > 0 && c.waitsOn == i { // asked already, and it told nothing
@@ -892,7 +891,6 @@
 	c.wanted = c.wanted && c.waits > 0 // one that waited for a report is counted already
 	c.waits = 0
 	i := -1
-	// While it leaves, whoever is set up now would have to move at once.
 	if b.leaveBy == never && !(b.throttled(c) && b.mayNack(c)) {
 		// Guards against jams that no server comes out of: a newcomer that finds only jammed servers is nacked.
 		i = b.pick(c, byAside)
@@ -984,6 +982,9 @@
 			if b.busy(i, far) {
 				part *= 2
 			}
+			if b.askedAt[i] > b.movedAt[i] { // once for each report, what it tells of
+				part = max(part, excessPart*(1-fullAsked/b.asked[i]))
+			}
 			b.movedAt[i] = b.now
 			b.moveSome(i, part*held, b.busy(i, lost))
 		}
@@ -1045,10 +1046,9 @@
 	return all
 }
 
-// moveSome plans to move so much load away from a server, in connections that would now be placed elsewhere
-// without a departure: lone members of their group first, then the heaviest. The last one goes by chance, or
-// two hundred balancers of one connection each would empty it. At the end what finds no place is ended, least
-// utility for its load first: guards against a fleet that holds all connections and serves none.
+// moveSome plans to move so much load away from a server, in connections that would now be placed elsewhere:
+// lone members of their group first, then the heaviest; the last by chance, or many balancers would empty it.
+// At the end what finds no place is ended, least utility first, or a fleet would hold all and serve none.
 func (b *Balancer) moveSome(i int, load float64, end bool) {
 	mates := map[uint64]int{}
 	for _, c := range b.held[i] {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -473,6 +473,32 @@
 	connect(t, b, 1000, 4)
 }
 
+// TestAJamIsLeftByWhatItsReportTells guards against a server twice over full that loses an eighth a second, and against moves
+// that a second time go by the same report.
+func TestAJamIsLeftByWhatItsReportTells(t *testing.T) {
+	d := deployment()
+	d.ReportsOnAsk = true
+	b := started(d, fleet(4))
+	tell := func(first float64) {
+		for _, l := range fleet(4) {
+			b.Reported(l.Server, Report{Asked: first, Piled: -1, Util: -1})
+			first = 0.1
+		}
+	}
+	tell(0.1)
+	held := connect(t, b, 1, 80)
+	tell(1.6)
+	var moved [2]int
+	for step := range 20 {
+		b.Clock(b.now + 100*ms)
+		moved[step/10] += count(pull(b), Move)
+	}
+	// 0.8 of what 1.6 is over 0.85; then, by the same report, an eighth.
+	if part := float64(moved[0]) / float64(held[100]); part < 0.25 || part > 0.5 || moved[1]*2 > moved[0] {
+		t.Fatalf("of %d %v were moved", held[100], moved)
+	}
+}
+
 // TestADrainGoesEvenly has servers that hold few connections each: a part of each, rounded up, once emptied a balancer in
 // half the time that it has, and all came to the others before their load could be seen.
 func TestADrainGoesEvenly(t *testing.T) {
