--- a/cmd/sabletally/main_test.go
+++ b/cmd/sabletally/main_test.go
@@ -53,7 +53,6 @@
 	agent  *standin.Agent
 	child  *field.Process
 	config string // the configuration's file
-	mgmt   string // the operators' address, where MGMT stands in the environment
 	mu     sync.Mutex
 	addrs  map[string]string // of the servers in the list
 	asked  uint64            // circuits asked for
@@ -77,13 +76,6 @@
 	return ln
 }
 
-// free is an address that a listener has had and closed: nobody else is given it soon.
-func free(t *testing.T) string {
-	ln := listen(t)
-	ln.Close()
-	return ln.Addr().String()
-}
-
 // refused is an address that nobody listens at and nobody else is given.
 func refused(t *testing.T) string {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
@@ -130,8 +122,10 @@
 		text = strings.Replace(text, `"sockets":64`, `"sockets":512`, 1)
 	}
 	if slices.Contains(env, "MGMT") {
-		s.mgmt = free(t)
-		text = strings.Replace(text, `"listen"`, fmt.Sprintf(`"mgmt":%q,"listen"`, s.mgmt), 1)
+		if err := child.Operate(); err != nil {
+			t.Fatal(err)
+		}
+		text = strings.Replace(text, `"listen"`, fmt.Sprintf(`"mgmt":%q,"listen"`, child.Mgmt), 1)
 	}
 	if err := child.Write([]byte(text)); err != nil {
 		t.Fatal(err)
--- a/cmd/sabletally/operations_test.go
+++ b/cmd/sabletally/operations_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"strings"
 	"syscall"
@@ -14,21 +13,13 @@
 	"sabletally/internal/lab/standin"
 )
 
-// call makes one call at the operators' address and answers its code and what it says.
 func (s *site) call(method, path string) (int, string) {
 	s.t.Helper()
-	req, err := http.NewRequest(method, "http://"+s.mgmt+path, nil)
+	code, says, err := s.child.Call(method, path)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	req.Close = true
-	r, err := (&http.Client{Timeout: bound}).Do(req)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	defer r.Body.Close()
-	text, _ := io.ReadAll(r.Body)
-	return r.StatusCode, string(text)
+	return code, says
 }
 
 func (s *site) yes(method, path string) {
@@ -179,24 +170,19 @@
 func (s *site) next() *field.Process {
 	s.t.Helper()
 	old := s.child
-	s.mgmt = free(s.t)
-	s.child = old.Beside("EDGE_MGMT=" + s.mgmt)
-	if err := s.child.Launch(); err != nil {
+	child, err := old.Beside()
+	if err != nil {
 		s.t.Fatal(err)
 	}
-	child := s.child
+	s.child = child
 	s.t.Cleanup(child.Kill)
-	for end := time.Now().Add(bound); ; {
-		if r, err := http.Get("http://" + s.mgmt + "/control/ready"); err == nil {
-			r.Body.Close()
-			if r.StatusCode == 200 {
-				return old
-			}
-		}
-		if time.Now().After(end) {
-			s.t.Fatalf("the new process is not ready: %s", s.child.Tail())
-		}
+	if err := child.Launch(); err != nil {
+		s.t.Fatal(err)
+	}
+	if err := child.Yes(); err != nil {
+		s.t.Fatal(err)
 	}
+	return old
 }
 
 func gone(t *testing.T, p *field.Process) {
--- a/cmd/sabletally/world_test.go
+++ b/cmd/sabletally/world_test.go
@@ -6,7 +6,9 @@
 	"testing"
 
 	"sabletally/internal/lab/field"
+	"sabletally/internal/lab/judge"
 	"sabletally/internal/lab/plan"
+	"sabletally/internal/lab/report"
 )
 
 // world is a small one with a fault of most kinds, close together.
@@ -95,10 +97,87 @@
 }
 `
 
+// operators is a small world in which operators work on every balancer while clients come in pieces and crowds.
+const operators = `
+experiment {
+  mode   = "sockets"
+  length = "14s"
+}
+world {
+  balancers    = 2
+  outer_limit  = "1500ms"
+  message_each = "200ms"
+  notice       = ["50ms", "300ms"]
+  sheds        = "1s"
+  warmup {
+    for = "4s"
+  }
+  store {
+    rate = 300
+    time = "3ms"
+  }
+  grade "feed" {}
+  grade "order" { effect = "unrepeatable" }
+  server "std" { count = 8 }
+}
+load {
+  standing = 80
+  fill     = "1s"
+  rate     = 20
+  life     = "5s"
+  groups   = 15
+}
+fault "upgrade" {
+  at   = "1500ms"
+  for  = "1s"
+  part = "100%"
+}
+fault "pieces" {
+  at  = "2s"
+  for = "10s"
+}
+fault "retune" {
+  at  = "3s"
+  for = "5s"
+}
+fault "balancer-drain" {
+  at   = "4s"
+  for  = "5s"
+  part = "50%"
+}
+fault "crowd" {
+  at   = "5s"
+  for  = "7s"
+  rate = 200
+}
+fault "upgrade" {
+  at   = "10s"
+  for  = "1s"
+  part = "100%"
+}
+`
+
 // TestAWorldOfFaultsKeepsTheRules plays the program through a timetable and has the lab's judge read what was seen.
 func TestAWorldOfFaultsKeepsTheRules(t *testing.T) {
 	t.Parallel()
-	x, err := plan.Parse([]byte(world), "world.hcl")
+	v, run := judged(t, world)
+	if v.Circuits < 200 || run.Setups < 150 || run.BadClients < 50 || run.BadUnanswered > 0 {
+		t.Errorf("%d circuits, %d set-ups, %d bad clients, %d of them unanswered", v.Circuits, run.Setups, run.BadClients, run.BadUnanswered)
+	}
+}
+
+// TestOperatorsWorkKeepsTheRules plays two upgrades of each balancer, a drain, a retune and a crowd.
+func TestOperatorsWorkKeepsTheRules(t *testing.T) {
+	t.Parallel()
+	v, run := judged(t, operators)
+	if v.Circuits < 200 || run.Setups < 150 {
+		t.Errorf("%d circuits, %d set-ups", v.Circuits, run.Setups)
+	}
+}
+
+// judged plays a world on sockets; a broken rule fails the test.
+func judged(t *testing.T, text string) (judge.Verdict, report.Run) {
+	x, err := plan.Parse([]byte(text), "world.hcl")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -114,7 +193,5 @@
 	if !v.Kept() {
 		t.Errorf("%v\n%v", v, run.Broken)
 	}
-	if v.Circuits < 200 || run.Setups < 150 || run.BadClients < 50 || run.BadUnanswered > 0 {
-		t.Errorf("%d circuits, %d set-ups, %d bad clients, %d of them unanswered", v.Circuits, run.Setups, run.BadClients, run.BadUnanswered)
-	}
+	return v, run
 }
--- a/internal/lab/field/field.go
+++ b/internal/lab/field/field.go
@@ -8,8 +8,10 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +26,7 @@
 	"sabletally/internal/lab/scene"
 	"sabletally/internal/lab/standin"
 	"sabletally/internal/lab/timetable"
+	"sabletally/policy"
 )
 
 const (
@@ -32,6 +35,7 @@
 	eventMost = 8 << 20
 	comeOn    = 300 * time.Millisecond // clients still come so long to a balancer that was told to leave
 	deadSeen  = time.Second            // and to one that has died
+	emptyIn   = 4 * time.Second        // a balancer that is taken out of service holds nothing after that
 	killAfter = 700 * time.Millisecond // beyond the longest outer limit a leaving balancer is killed
 	fromStart = -time.Hour             // servers of before the run are warm
 )
@@ -67,6 +71,7 @@
 	in     []bool // the front deals to it
 	lives  []int
 	stopBd context.CancelFunc // ends the bad clients
+	olds   []*Process         // that were replaced by one beside them
 	errs   []error
 }
 
@@ -79,6 +84,9 @@
 	for _, fault := range w.Faults {
 		f.linked = f.linked || fault.Kind == timetable.LinkSlow || fault.Kind == timetable.LinkCut
 	}
+	operated := slices.ContainsFunc(w.Faults, func(x timetable.Fault) bool {
+		return x.Kind == timetable.Upgrade || x.Kind == timetable.BalancerDrain
+	})
 	dir, err := os.MkdirTemp("", "sablelab")
 	if err != nil {
 		return nil, err
@@ -113,6 +121,14 @@
 			return fail(err)
 		}
 		f.Procs = append(f.Procs, p)
+		if operated {
+			if err := p.Operate(); err != nil {
+				return fail(err)
+			}
+			if err := p.Share(); err != nil {
+				return fail(err)
+			}
+		}
 		if err := f.begin(b); err != nil {
 			return fail(err)
 		}
@@ -167,7 +183,7 @@
 	seed := f.seed<<16 | uint64(b)<<8 | uint64(f.lives[b])
 	f.mu.Unlock()
 	f.Log.Add(record.Event{At: f.Clock.Now(), What: record.Begun, Balancer: int32(b), Server: -1})
-	p := f.Procs[b]
+	p := f.proc(b)
 	if err := p.Write(Config(&f.World, b, p.Addr, f.agents[b].Addr(), seed*0x9e3779b97f4a7c15, json.RawMessage(f.agents[b].Known()))); err != nil {
 		return err
 	}
@@ -194,6 +210,13 @@
 	return 0, "", false
 }
 
+// proc is a balancer's newest process.
+func (f *Field) proc(b int) *Process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Procs[b]
+}
+
 func (f *Field) out(b int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -262,7 +285,7 @@
 		run.GroupServers += n
 	}
 	run.Late = float64(crowd.Late().Milliseconds())
-	for _, p := range f.Procs {
+	for _, p := range append(f.olds, f.Procs...) {
 		p.Kill()
 		used, mb := p.Used()
 		run.BalancerCPU += used.Seconds()
@@ -392,14 +415,14 @@
 		crowd.Drop(st.Figure, st.For, f.rng)
 	case timetable.KillBalancer:
 		f.Log.Add(record.Event{At: f.Clock.Now(), What: record.Killed, Balancer: int32(st.Who), Server: -1, Text: "outright"})
-		f.Procs[st.Who].Kill()
+		f.proc(st.Who).Kill()
 		beside(func() {
 			select {
 			case <-ctx.Done():
 			case <-time.After(deadSeen):
 			}
 			select {
-			case <-f.Procs[st.Who].Exited(): // not started again meanwhile
+			case <-f.proc(st.Who).Exited(): // not started again meanwhile
 				f.out(st.Who)
 			default:
 			}
@@ -409,11 +432,24 @@
 	case timetable.LeaveBalancer:
 		beside(func() { f.leave(ctx, st.Who) })
 	case timetable.ReloadAll:
-		for b, p := range f.Procs {
+		for b := range f.agents {
 			f.fail(f.agents[b].Replace())
-			f.fail(p.Write(Config(&f.World, b, p.Addr, f.agents[b].Addr(), 1, json.RawMessage(f.agents[b].Known()))))
-			f.fail(p.Signal(syscall.SIGHUP))
 		}
+		f.reload(&f.World)
+	case timetable.SetTune:
+		w := f.World
+		if on {
+			w = retuned(w)
+		}
+		f.reload(&w)
+	case timetable.UpgradeBalancer:
+		beside(func() { f.fail(f.upgrade(ctx, st.Who)) })
+	case timetable.DrainBalancer:
+		beside(func() { f.fail(f.drain(ctx, st.Who, st.For)) })
+	case timetable.SetCrowd:
+		beside(func() { standin.Mob(ctx, st.Figure, st.For, f.Door, f.seed) })
+	case timetable.SetPieces:
+		crowd.Pieces.Store(on)
 	case timetable.SetBad:
 		if f.stopBd != nil {
 			f.stopBd()
@@ -426,14 +462,110 @@
 	}
 }
 
+// reload has all balancers take a world's settings in.
+func (f *Field) reload(w *scene.World) {
+	for b := range f.agents {
+		p := f.proc(b)
+		f.fail(p.Write(Config(w, b, p.Addr, f.agents[b].Addr(), 1, json.RawMessage(f.agents[b].Known()))))
+		f.fail(p.Signal(syscall.SIGHUP))
+	}
+}
+
+// retuned is a world whose settings have a grade more, in the first place, and half the tries.
+func retuned(w scene.World) scene.World {
+	w.Deployment.MostTries = max(1, w.Deployment.MostTries/2)
+	w.Deployment.Grades = append([]policy.Grade{{Effect: policy.Unrepeatable, SetupGoal: time.Second, Utility: 1}}, w.Deployment.Grades...)
+	w.GradeNames = append([]string{"retuned"}, w.GradeNames...)
+	w.OuterLimits = append([]time.Duration{2 * time.Second}, w.OuterLimits...)
+	return w
+}
+
+// upgrade starts a new process of a balancer beside the old one, which ends once the new one says yes.
+func (f *Field) upgrade(ctx context.Context, b int) error {
+	old := f.proc(b)
+	young, err := old.Beside()
+	if err != nil {
+		return err
+	}
+	if err := young.Launch(); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.Procs[b], f.olds = young, append(f.olds, old)
+	f.mu.Unlock()
+	if err := young.Yes(); err != nil {
+		return err
+	}
+	f.fail(old.Signal(syscall.SIGTERM))
+	select {
+	case <-old.Exited():
+		return old.Err()
+	case <-ctx.Done():
+	case <-time.After(f.longest() + killAfter):
+		old.Kill()
+		return fmt.Errorf("balancer %s: the old process does not end: %s", old.Name, old.Tail())
+	}
+	return nil
+}
+
+// drain empties a balancer, looks that it says no meanwhile and holds nothing after 4 s, and takes it back.
+func (f *Field) drain(ctx context.Context, b int, span time.Duration) error {
+	p := f.proc(b)
+	call := func(path string) error {
+		code, text, err := p.Call(http.MethodPut, path)
+		if err == nil && code != http.StatusOK {
+			err = fmt.Errorf("balancer %s answers %s with %d %s", p.Name, path, code, text)
+		}
+		return err
+	}
+	wait := func(d time.Duration) bool {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(d):
+			return true
+		}
+	}
+	if err := call("/control/out-of-service"); err != nil {
+		return err
+	}
+	if pong(p.Addr) {
+		return fmt.Errorf("balancer %s says yes while it is emptied", p.Name)
+	}
+	if !wait(comeOn) {
+		return nil
+	}
+	f.out(b)
+	if !wait(emptyIn - comeOn) {
+		return nil
+	}
+	if _, text, err := p.Call(http.MethodGet, "/control/ready"); err != nil || !strings.Contains(text, " 0 circuits open") {
+		return fmt.Errorf("balancer %s after %v: %s, %v", p.Name, emptyIn, text, err)
+	}
+	wait(span - emptyIn)
+	if err := call("/control/in-service"); err != nil {
+		return err
+	}
+	if !pong(p.Addr) {
+		return fmt.Errorf("balancer %s says no once it is back", p.Name)
+	}
+	f.mu.Lock()
+	f.in[b] = true
+	f.mu.Unlock()
+	return nil
+}
+
+func (f *Field) longest() (most time.Duration) {
+	for _, l := range f.World.OuterLimits {
+		most = max(most, l)
+	}
+	return most
+}
+
 // leave restarts a balancer as planned.
 func (f *Field) leave(ctx context.Context, b int) {
-	p := f.Procs[b]
+	p := f.proc(b)
 	f.fail(p.Signal(syscall.SIGTERM))
-	longest := time.Duration(0)
-	for _, l := range f.World.OuterLimits {
-		longest = max(longest, l)
-	}
 	wait := func(d time.Duration) bool {
 		select {
 		case <-ctx.Done():
@@ -448,7 +580,7 @@
 		return
 	}
 	f.out(b)
-	if !wait(longest + killAfter - comeOn) {
+	if !wait(f.longest() + killAfter - comeOn) {
 		return
 	}
 	f.Log.Add(record.Event{At: f.Clock.Now(), What: record.Killed, Balancer: int32(b), Server: -1, Text: "planned"})
@@ -464,8 +596,9 @@
 
 // Close ends all that is left.
 func (f *Field) Close() {
-	for _, p := range f.Procs {
+	for _, p := range append(f.olds, f.Procs...) {
 		p.Kill()
+		p.Unshare()
 	}
 	for _, s := range f.Servers {
 		s.Close()
@@ -490,6 +623,8 @@
 	timetable.SetFaulty: "discovery answers with faults", timetable.Hide: "is missing from the list", timetable.Show: "is in the list again",
 	timetable.DropClients: "clients drop, share", timetable.KillBalancer: "is killed", timetable.StartBalancer: "starts again",
 	timetable.LeaveBalancer: "restarts as planned", timetable.ReloadAll: "all balancers reload", timetable.SetBad: "bad clients a second",
+	timetable.UpgradeBalancer: "gets a new process beside it", timetable.DrainBalancer: "is emptied", timetable.SetTune: "all balancers are retuned",
+	timetable.SetCrowd: "clients that never finish, a second", timetable.SetPieces: "clients write in pieces",
 	timetable.SetLinkLate: "its link is later", timetable.SetLinkCut: "its link is cut",
 }
 
--- a/internal/lab/field/proc.go
+++ b/internal/lab/field/proc.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -44,6 +45,7 @@
 	config  string
 	log     io.Writer
 
+	Mgmt   string   // its operators' address, empty where it has none
 	shared *os.File // its listening socket, where the platform holds it
 	tmp    string   // and the directory that all its processes have then
 
@@ -72,6 +74,45 @@
 	return &Process{Name: name, Addr: ln.Addr().String(), command: command, env: env, config: filepath.Join(dir, name+".json"), log: out}, nil
 }
 
+// Operate gives it an operators' address, for its next start.
+func (p *Process) Operate() error {
+	ln, err := net.Listen("tcp", standin.Loopback())
+	if err != nil {
+		return err
+	}
+	p.Mgmt = ln.Addr().String()
+	p.env = append(p.env[:len(p.env):len(p.env)], "EDGE_MGMT="+p.Mgmt)
+	return ln.Close()
+}
+
+// Call makes a call at its operators' address and answers its code and what it says.
+func (p *Process) Call(method, path string) (int, string, error) {
+	req, err := http.NewRequest(method, "http://"+p.Mgmt+path, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	req.Close = true
+	r, err := (&http.Client{Timeout: readyIn}).Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer r.Body.Close()
+	text, err := io.ReadAll(r.Body)
+	return r.StatusCode, string(text), err
+}
+
+// Yes waits until it says that it is ready.
+func (p *Process) Yes() error {
+	for end := time.Now().Add(readyIn); ; time.Sleep(pingEach) {
+		if code, _, err := p.Call(http.MethodGet, "/control/ready"); err == nil && code == http.StatusOK {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("balancer %s says no yes within %v: %s", p.Name, readyIn, p.Tail())
+		}
+	}
+}
+
 // Share has the platform hold its listening socket, which each of its processes inherits, and one directory for them all.
 func (p *Process) Share() error {
 	ln, err := net.Listen("tcp", p.Addr)
@@ -91,14 +132,18 @@
 
 // Unshare lets go of both.
 func (p *Process) Unshare() {
-	p.shared.Close()
-	os.RemoveAll(p.tmp)
+	if p.shared != nil {
+		p.shared.Close()
+		os.RemoveAll(p.tmp)
+	}
 }
 
-// Beside is another process of the same balancer, under the same name, address and configuration; more is its own environment.
-func (p *Process) Beside(more ...string) *Process {
-	return &Process{Name: p.Name, Addr: p.Addr, command: p.command, env: append(slices.Clone(p.env), more...), config: p.config,
+// Beside is another process of the same balancer, under the same name, address and configuration but with an operators'
+// address of its own.
+func (p *Process) Beside() (*Process, error) {
+	q := &Process{Name: p.Name, Addr: p.Addr, command: p.command, env: slices.Clone(p.env), config: p.config,
 		log: p.log, CPUs: p.CPUs, shared: p.shared, tmp: p.tmp}
+	return q, q.Operate()
 }
 
 // Write replaces its configuration whole.
--- a/internal/lab/standin/client.go
+++ b/internal/lab/standin/client.go
@@ -42,6 +42,8 @@
 	Return load.Return
 	Seed   uint64
 
+	Pieces atomic.Bool // they write their first lines in pieces
+
 	ids  atomic.Uint64
 	late atomic.Int64 // the most that a client came after its time
 	mu   sync.Mutex
@@ -157,6 +159,9 @@
 		group = fmt.Sprintf(",g=%x", p.Group)
 	}
 	text := fmt.Sprintf("OPEN %x %x c=%s,d=%d%s,h=%.4f\r\n", id, p.Key, c.Grades[p.Grade], limit.Milliseconds(), group, p.Load)
+	if c.Pieces.Load() {
+		text = inPieces(nc, text)
+	}
 	at := c.Clock.Now()
 	if _, err := nc.Write([]byte(text)); err != nil {
 		return load.Failed, 0, false // its last byte was not written: nothing was taken
--- a/internal/lab/standin/rude.go
+++ b/internal/lab/standin/rude.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	"sabletally/internal/lab/report"
@@ -74,6 +75,58 @@
 	}
 }
 
+const (
+	pieceMost = 5                    // bytes of a piece
+	pieceEach = 3 * time.Millisecond // between two
+)
+
+// inPieces writes a line but for its last bytes, which it answers: the line counts from those. An error shows at them.
+func inPieces(nc net.Conn, text string) string {
+	for len(text) > pieceMost {
+		io.WriteString(nc, text[:pieceMost])
+		text = text[pieceMost:]
+		time.Sleep(pieceEach)
+	}
+	return text
+}
+
+// Mob has so many clients a second connect and never finish a line, for a while. Each stays until it is closed.
+func Mob(ctx context.Context, rate float64, span time.Duration, door func(*rand.Rand) (int, string, bool), seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0x30b))
+	ctx, stop := context.WithTimeout(ctx, span)
+	defer stop()
+	each := time.NewTicker(max(time.Millisecond, time.Duration(float64(time.Second)/rate)))
+	defer each.Stop()
+	var all sync.WaitGroup
+	defer all.Wait()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-each.C:
+		}
+		_, address, ok := door(rng)
+		if !ok {
+			continue
+		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			c, err := net.DialTimeout("tcp", address, rudeWithin)
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			if n%2 == 0 {
+				io.WriteString(c, "OPEN 12")
+			}
+			closed := context.AfterFunc(ctx, func() { c.Close() })
+			defer closed()
+			io.Copy(io.Discard, c)
+		}()
+	}
+}
+
 // RudeCrowd sends so many bad clients a second, kind after kind, until the context is done.
 func RudeCrowd(ctx context.Context, rate float64, door func(*rand.Rand) (int, string, bool), meter *report.Meter, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 0xbad))
--- a/internal/lab/timetable/timetable.go
+++ b/internal/lab/timetable/timetable.go
@@ -36,6 +36,11 @@
 	BalancerRestart Kind = "balancer-restart" // Part restart as planned, one after the other within For
 	Reload          Kind = "reload"           // a new configuration names the other discovery; sockets only
 	BadClients      Kind = "bad-clients"      // Rate of them a second for For; sockets only
+	Upgrade         Kind = "upgrade"          // Part get a new process beside the old one, one after the other within For; sockets only
+	BalancerDrain   Kind = "balancer-drain"   // an operator empties Part, one after the other, each for For; sockets only
+	Retune          Kind = "retune"           // a new configuration has a grade more and fewer tries, for For; sockets only
+	Crowd           Kind = "crowd"            // Rate clients a second connect and never finish, for For; sockets only
+	Pieces          Kind = "pieces"           // clients write their first lines in pieces for For; sockets only
 	LinkSlow        Kind = "link-slow"        // the way to Part of the servers takes Late longer; sockets only
 	LinkCut         Kind = "link-cut"         // it carries nothing back from them for For; sockets only
 )
@@ -46,12 +51,14 @@
 	Errors: {"part", "for", "rate"}, Full: {"part", "for"}, Drip: {"part", "for"}, TornLines: {"part", "for"}, HalfOpen: {"part", "for"},
 	StoreSlow: {"for", "times"}, DiscoveryOut: {"for"}, DiscoveryLate: {"for", "late"}, DiscoveryFaulty: {"for"},
 	ListMisses: {"part", "for"}, Reconnect: {"part", "for"}, BalancerCrash: {"part", "for"}, BalancerRestart: {"part", "for"},
+	Upgrade: {"part", "for"}, BalancerDrain: {"part", "for"}, Retune: {"for"}, Crowd: {"for", "rate"}, Pieces: {"for"},
 	Reload: {}, BadClients: {"for", "rate"}, LinkSlow: {"part", "for", "late"}, LinkCut: {"part", "for"},
 }
 
 // SocketsOnly tells whether a fault has no meaning in virtual time.
 func SocketsOnly(k Kind) bool {
-	return slices.Contains([]Kind{Drip, TornLines, HalfOpen, DiscoveryFaulty, Reload, BadClients, LinkSlow, LinkCut}, k)
+	return slices.Contains([]Kind{Drip, TornLines, HalfOpen, DiscoveryFaulty, Reload, BadClients, LinkSlow, LinkCut,
+		Upgrade, BalancerDrain, Retune, Crowd, Pieces}, k)
 }
 
 // Fault is one line of the timetable.
@@ -94,9 +101,14 @@
 	StartBalancer // again
 	LeaveBalancer // planned; it starts again once it has left
 	ReloadAll
-	SetBad      // Figure: bad clients a second
-	SetLinkLate // For: how much later all passes
-	SetLinkCut  // Figure: 1 or 0
+	SetBad // Figure: bad clients a second
+	UpgradeBalancer
+	DrainBalancer // For: until it is back
+	SetTune       // Figure: 1 retuned, 0 as it was
+	SetCrowd      // Figure: clients a second
+	SetPieces     // Figure: 1 or 0
+	SetLinkLate   // For: how much later all passes
+	SetLinkCut    // Figure: 1 or 0
 )
 
 // Step is one act. Who is a server, or a balancer for the acts on balancers.
@@ -111,7 +123,8 @@
 
 func onServer(a Act) bool {
 	switch a {
-	case SetStore, SetDiscovery, SetLate, SetFaulty, DropClients, KillBalancer, StartBalancer, LeaveBalancer, ReloadAll, SetBad:
+	case SetStore, SetDiscovery, SetLate, SetFaulty, DropClients, KillBalancer, StartBalancer, LeaveBalancer, ReloadAll, SetBad,
+		UpgradeBalancer, DrainBalancer, SetTune, SetCrowd, SetPieces:
 		return false
 	}
 	return true
@@ -228,6 +241,23 @@
 			for n, b := range which {
 				step(f.At+time.Duration(float64(f.For)*float64(n)/float64(len(which))), LeaveBalancer, b, 0, 0)
 			}
+		case Upgrade:
+			which := some(balancers)
+			for n, b := range which {
+				step(f.At+time.Duration(float64(f.For)*float64(n)/float64(len(which))), UpgradeBalancer, b, 0, 0)
+			}
+		case BalancerDrain:
+			for n, b := range some(balancers) {
+				step(f.At+time.Duration(n)*f.For, DrainBalancer, b, 0, f.For)
+			}
+		case Retune:
+			step(f.At, SetTune, 0, 1, 0)
+			step(f.At+f.For, SetTune, 0, 0, 0)
+		case Crowd:
+			step(f.At, SetCrowd, 0, f.Rate, f.For)
+		case Pieces:
+			step(f.At, SetPieces, 0, 1, 0)
+			step(f.At+f.For, SetPieces, 0, 0, 0)
 		case Reload:
 			step(f.At, ReloadAll, 0, 0, 0)
 		case BadClients:
