--- a/policy/policy.go
+++ b/policy/policy.go
@@ -278,8 +278,12 @@
 	b.freeze()
 }
 
-// Doubted has a server asked again at the next round: its newest report may be chance.
-func (b *Balancer) Doubted(server ServerID) { b.probeAt[b.server(server)] = b.now }
+// Doubted has a server asked again at once, as its newest report may be chance; not where balancers are many.
+func (b *Balancer) Doubted(server ServerID) {
+	if b.turn == 0 {
+		b.probeAt[b.server(server)] = b.now
+	}
+}
 
 // freeze makes a new version when the ready servers or their heft have changed.
 func (b *Balancer) freeze() {
@@ -448,7 +452,6 @@
 	learn(&b.usualOf[c.row], load)
 }
 
-// learn follows a figure slowly.
 func learn(mean *float64, figure float64) {
 	*mean = cmp.Or(*mean, figure)
 	*mean += (figure - *mean) / 32
@@ -732,8 +735,7 @@
 	}
 	slices.SortFunc(b.rank, higher)
 	if c.place != c.key && b.total > 0 {
-		// With its chance error taken off, or one connection among a dozen would make a home of several.
-		n := float64(b.group[c.place])
+		n := float64(b.group[c.place]) // with its chance error taken off: one of a dozen is no home of several
 		home := max(1, int(math.Ceil(homeSpread*(n-2*math.Sqrt(n))/float64(b.total)*sum/max(top, 1e-9))))
 		b.reach = min(b.reach, home+reachFar)
 		first := b.rank[:min(home, len(b.rank))]
@@ -892,8 +894,7 @@
 	c.waits = 0
 	i := -1
 	if b.leaveBy == never && !(b.throttled(c) && b.mayNack(c)) {
-		// Guards against jams that no server comes out of: a newcomer that finds only jammed servers is nacked.
-		i = b.pick(c, byAside)
+		i = b.pick(c, byAside) // who finds only jams is nacked, or no server would come out of its jam
 	}
 	if i < 0 {
 		c.answered = true
@@ -982,7 +983,7 @@
 			if b.busy(i, far) {
 				part *= 2
 			}
-			if b.askedAt[i] > b.movedAt[i] { // once for each report, what it tells of
+			if b.turn == 0 && b.askedAt[i] > b.movedAt[i] { // what each report tells; many balancers overshoot
 				part = max(part, excessPart*(1-fullAsked/b.asked[i]))
 			}
 			b.movedAt[i] = b.now
@@ -1070,8 +1071,7 @@
 
 // part plans to move a connection if so much load is to go, by chance if less is; false: that was the last.
 func (b *Balancer) part(c *circuit, load *float64) bool {
-	weight := max(c.load, 1) // where no load is told, each counts alike
-	left := *load - weight
+	weight, left := max(c.load, 1), *load-max(c.load, 1) // where no load is told, each counts alike
 	if left >= 0 || b.random()*weight < *load {
 		b.due, c.moving = append(b.due, Decision{Do: Move, Circuit: c.id}), true
 	}
