--- a/internal/balancer/heir.go
+++ b/internal/balancer/heir.go
@@ -209,7 +209,8 @@
 	how := c.passOn(func(fd int, held []byte) {
 		l.post(event{do: func() {
 			sent := append(c.first, held...)
-			lost := func() { lastWord(fd, line.Turned(l.comeAgain())) }
+			last := line.Turned(l.comeAgain()) // here: a link that has ended tells of it beside the loop
+			lost := func() { lastWord(fd, last) }
 			if link := l.heirReady(); link != nil {
 				l.Passed.Add(1)
 				link.Tell(upgrade.Message{Kind: upgrade.Client, First: sent}, lost, fd)
