--- a/cmd/sabletally/world_test.go
+++ b/cmd/sabletally/world_test.go
@@ -11,8 +11,8 @@
 	"sabletally/internal/lab/report"
 )
 
-// world is a small one with a fault of most kinds, close together.
-const world = `
+// small is a world for faults that lie close together.
+const small = `
 experiment {
   mode   = "sockets"
   length = "14s"
@@ -45,6 +45,10 @@
   life     = "5s"
   groups   = 15
 }
+`
+
+// faults are of most kinds.
+const faults = `
 fault "crash" {
   at   = "2s"
   for  = "2s"
@@ -97,36 +101,8 @@
 }
 `
 
-// operators is a small world in which operators work on every balancer while clients come in pieces and crowds.
+// operators is operators' work on every balancer while clients come in pieces and crowds.
 const operators = `
-experiment {
-  mode   = "sockets"
-  length = "14s"
-}
-world {
-  balancers    = 2
-  outer_limit  = "1500ms"
-  message_each = "200ms"
-  notice       = ["50ms", "300ms"]
-  sheds        = "1s"
-  warmup {
-    for = "4s"
-  }
-  store {
-    rate = 300
-    time = "3ms"
-  }
-  grade "feed" {}
-  grade "order" { effect = "unrepeatable" }
-  server "std" { count = 8 }
-}
-load {
-  standing = 80
-  fill     = "1s"
-  rate     = 20
-  life     = "5s"
-  groups   = 15
-}
 fault "upgrade" {
   at   = "1500ms"
   for  = "1s"
@@ -160,7 +136,7 @@
 // TestAWorldOfFaultsKeepsTheRules plays the program through a timetable and has the lab's judge read what was seen.
 func TestAWorldOfFaultsKeepsTheRules(t *testing.T) {
 	t.Parallel()
-	v, run := judged(t, world)
+	v, run := judged(t, faults)
 	if v.Circuits < 200 || run.Setups < 150 || run.BadClients < 50 || run.BadUnanswered > 0 {
 		t.Errorf("%d circuits, %d set-ups, %d bad clients, %d of them unanswered", v.Circuits, run.Setups, run.BadClients, run.BadUnanswered)
 	}
@@ -175,9 +151,9 @@
 	}
 }
 
-// judged plays a world on sockets; a broken rule fails the test.
-func judged(t *testing.T, text string) (judge.Verdict, report.Run) {
-	x, err := plan.Parse([]byte(text), "world.hcl")
+// judged plays the small world on sockets; a broken rule fails the test.
+func judged(t *testing.T, timetable string) (judge.Verdict, report.Run) {
+	x, err := plan.Parse([]byte(small+timetable), "world.hcl")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/standin/rude.go
+++ b/internal/lab/standin/rude.go
@@ -92,26 +92,12 @@
 
 // Mob has so many clients a second connect and never finish a line, for a while. Each stays until it is closed.
 func Mob(ctx context.Context, rate float64, span time.Duration, door func(*rand.Rand) (int, string, bool), seed uint64) {
-	rng := rand.New(rand.NewPCG(seed, 0x30b))
 	ctx, stop := context.WithTimeout(ctx, span)
 	defer stop()
-	each := time.NewTicker(max(time.Millisecond, time.Duration(float64(time.Second)/rate)))
-	defer each.Stop()
 	var all sync.WaitGroup
 	defer all.Wait()
-	for n := 0; ; n++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-each.C:
-		}
-		_, address, ok := door(rng)
-		if !ok {
-			continue
-		}
-		all.Add(1)
-		go func() {
-			defer all.Done()
+	come(ctx, rate, door, rand.New(rand.NewPCG(seed, 0x30b)), func(n int, address string) {
+		all.Go(func() {
 			c, err := net.DialTimeout("tcp", address, rudeWithin)
 			if err != nil {
 				return
@@ -123,13 +109,12 @@
 			closed := context.AfterFunc(ctx, func() { c.Close() })
 			defer closed()
 			io.Copy(io.Discard, c)
-		}()
-	}
+		})
+	})
 }
 
-// RudeCrowd sends so many bad clients a second, kind after kind, until the context is done.
-func RudeCrowd(ctx context.Context, rate float64, door func(*rand.Rand) (int, string, bool), meter *report.Meter, seed uint64) {
-	rng := rand.New(rand.NewPCG(seed, 0xbad))
+// come has so many clients a second arrive at the front, numbered, until the context is done.
+func come(ctx context.Context, rate float64, door func(*rand.Rand) (int, string, bool), rng *rand.Rand, do func(n int, address string)) {
 	each := time.NewTicker(max(time.Millisecond, time.Duration(float64(time.Second)/rate)))
 	defer each.Stop()
 	for n := 0; ; n++ {
@@ -138,11 +123,16 @@
 			return
 		case <-each.C:
 		}
-		_, address, ok := door(rng)
-		if !ok {
-			continue
+		if _, address, ok := door(rng); ok {
+			do(n, address)
 		}
+	}
+}
+
+// RudeCrowd sends so many bad clients a second, kind after kind, until the context is done.
+func RudeCrowd(ctx context.Context, rate float64, door func(*rand.Rand) (int, string, bool), meter *report.Meter, seed uint64) {
+	come(ctx, rate, door, rand.New(rand.NewPCG(seed, 0xbad)), func(n int, address string) {
 		kind, own := Rudes[n%len(Rudes)], rand.New(rand.NewPCG(seed, uint64(n)))
 		go func() { meter.Bad(kind.Be(address, own)) }()
-	}
+	})
 }
