Read the change: derived state, shared ways out, names; three defects found by reading

State: the loop's own copies of 'out' and 'leaving', the published 'ready' (the closed channel tells it), the circuit's load beside its arrival's, and a listener nobody closed are gone. A pair's detaching and closing share one function. mayReplace removes what is exempt and then compares, in place of a loop with exceptions. Names: takesAll, passesOn, mostFds, silentSince, setOut, judgeAnew, missing, letGo, Resume.

Also: a circuit that arrives while all is passed on is no longer counted as taken here; a drain told to a process that had inherited one is a drain of its own; a process that is told to end before it is ready ends by itself.

--- a/cmd/sabletally/main.go
+++ b/cmd/sabletally/main.go
@@ -71,6 +71,11 @@
 	defer stop()
 	l.Follow(ctx, s.Discovery)
 	go l.Run(ctx.Done())
+	if gate.Shared() {
+		if err := l.Succeed(os.Getenv("TMPDIR"), s.Name, int64(s.MemoryMB)<<20, s.Sockets-sockets+balancer.KeptFds); err != nil {
+			log.Warn("alone: an upgrade will have clients moved", zap.Error(err))
+		}
+	}
 	if err := l.Reconfigure(s.Deployment, s.Peers); err != nil {
 		log.Error("can't start", zap.Error(err))
 		return 2
@@ -84,11 +89,6 @@
 		defer m.Close()
 		go m.Serve()
 	}
-	if gate.Shared() {
-		if err := l.Succeed(os.Getenv("TMPDIR"), s.Name, int64(s.MemoryMB)<<20, s.Sockets-sockets+balancer.KeptFds); err != nil {
-			log.Warn("alone: an upgrade will have clients moved", zap.Error(err))
-		}
-	}
 	failed, emptied := make(chan error, 1), make(chan struct{})
 	go func() {
 		if err := l.Serve(gate); err != nil {
--- a/internal/balancer/called.go
+++ b/internal/balancer/called.go
@@ -121,7 +121,7 @@
 		for _, one := range all {
 			cir := one.Pair.Data.(*circuit)
 			if ln := line.Decode(one.Raw); ln.Bad == nil && r.l.circuits[cir.id] == cir {
-				cir.load = ln.Figure
+				cir.arrival.Load = ln.Figure
 				r.l.bal.LoadNoted(cir.id, max(cir.tries-1, 0), ln.Figure)
 			}
 		}
--- a/internal/balancer/circuit.go
+++ b/internal/balancer/circuit.go
@@ -38,21 +38,20 @@
 	id       policy.CircuitID
 	ask      *line.Ask
 	client   *conn
-	called   *called     // the newest try's dial
-	server   *relay.Conn // its connection, once that stands
-	pair     *relay.Pair // both connections, once the circuit stands
-	at       *server     // of the newest try
-	arrival  policy.Arrival
-	until    time.Duration // the client's outer limit, by the loop's clock
-	tries    int           // made; the newest has this number less one
-	turn     int           // counts tries and their ends, so that what comes late is known as such
-	out      bool          // a try is out
-	open     bool          // it stands
-	away     bool          // it is to be moved as soon as its connections are a pair
-	load     float64       // by the newest note, 0 where none has come
-	standing bool          // it was open before the run and goes to its server without the module
-	calledAt time.Duration // when the newest try was decided
-	giveUp   time.Duration // when it is given up
+	called   *called        // the newest try's dial
+	server   *relay.Conn    // its connection, once that stands
+	pair     *relay.Pair    // both connections, once the circuit stands
+	at       *server        // of the newest try
+	arrival  policy.Arrival // its load by the newest note
+	until    time.Duration  // the client's outer limit, by the loop's clock
+	tries    int            // made; the newest has this number less one
+	turn     int            // counts tries and their ends, so that what comes late is known as such
+	out      bool           // a try is out
+	open     bool           // it stands
+	away     bool           // it is to be moved as soon as its connections are a pair
+	standing bool           // it was open before the run and goes to its server without the module
+	calledAt time.Duration  // when the newest try was decided
+	giveUp   time.Duration  // when it is given up
 }
 
 // firstLine takes a client's first line.
@@ -80,6 +79,10 @@
 
 // take takes a circuit, which is owed one final answer from here on.
 func (l *Loop) take(c *conn, a *line.Ask) {
+	if l.passesOn() { // nothing new is begun here
+		l.passClient(c, a.Raw())
+		return
+	}
 	l.Taken.Add(1)
 	_, known := l.dep.Grades[a.Grade]
 	// Guards against judging servers by what they turn away with reason: clients that tell neither grade nor limit
@@ -89,7 +92,7 @@
 		l.end(c, line.BadLine)
 		return
 	}
-	if l.fds.Load() >= l.room()-l.most/spareFds { // none left for the server's side
+	if l.fds.Load() >= l.mostFds()-l.most/spareFds { // none left for the server's side
 		l.NoRoom.Add(1)
 		l.Nacked.Add(1)
 		l.end(c, line.Turned(l.comeAgain()))
@@ -100,11 +103,6 @@
 		l.end(c, line.BadLine)
 		return
 	}
-	if l.leaving && l.heirReady() != nil { // nothing new is begun here
-		l.Taken.Add(-1)
-		l.passClient(c, a.Raw())
-		return
-	}
 	left := a.Left - c.quietFor() - answerEarly
 	l.last++
 	cir := &circuit{id: l.last, ask: a, client: c, until: l.now + left, arrival: l.arrival(l.last, a, left)}
@@ -302,7 +300,7 @@
 	case ln.Kind == line.Busy:
 		l.tryEnded(cir, policy.TurnedAway, nil)
 	case ln.Kind == line.Load:
-		cir.load = ln.Figure
+		cir.arrival.Load = ln.Figure
 		l.bal.LoadNoted(cir.id, max(cir.tries-1, 0), ln.Figure)
 		cir.server.Listen()
 	case ln.Kind == line.Move:
@@ -378,7 +376,7 @@
 		switch {
 		case cir.away:
 			l.move(cir, policy.Cancelled)
-		case l.leaving && l.heirReady() != nil:
+		case l.passesOn():
 			l.pass(cir)
 		}
 	}
--- a/internal/balancer/conn.go
+++ b/internal/balancer/conn.go
@@ -379,15 +379,15 @@
 
 // handOver gives the connection up for a descriptor of its own, which goes on. The client waits for its answer and must be
 // silent until then: what it sends all the same while netpoll lets go is lost with it.
-func (c *conn) handOver() (int, handed) { return c.giveUp(nil) }
+func (c *conn) handOver() (int, handed) { return c.letGo(nil) }
 
 // passOn gives the connection up for another process; to is told of its descriptor and of what came and makes no line.
 func (c *conn) passOn(to func(fd int, held []byte)) handed {
-	_, how := c.giveUp(to)
+	_, how := c.letGo(to)
 	return how
 }
 
-func (c *conn) giveUp(to func(fd int, held []byte)) (int, handed) {
+func (c *conn) letGo(to func(fd int, held []byte)) (int, handed) {
 	c.mu.Lock()
 	switch {
 	case c.closed || c.ending:
--- a/internal/balancer/heir.go
+++ b/internal/balancer/heir.go
@@ -5,9 +5,7 @@
 package balancer
 
 import (
-	"cmp"
 	"maps"
-	"net"
 	"runtime/debug"
 	"slices"
 	"time"
@@ -35,15 +33,15 @@
 	memory int64 // bytes that the processes may hold together
 	base   int64 // descriptors that this one holds beside connections
 
-	ln    *net.UnixListener
-	old   *upgrade.Link // to the process before this one,
-	heir  *upgrade.Link // and to the one after it
-	heard bool          // the heir is ready
+	old       *upgrade.Link // to the process before this one,
+	heir      *upgrade.Link // and to the one after it,
+	heirReady bool          // which takes what is held
 }
 
 // Succeed looks for the old process of this balancer, which it may take circuits over from, and waits for the next. base is
-// how many descriptors this process holds beside connections. An error leaves it without both.
+// how many descriptors this process holds beside connections. An error leaves it without both. It is called before Reconfigure.
 func (l *Loop) Succeed(dir, name string, memory int64, base int) error {
+	l.shared = true
 	path, err := upgrade.Path(dir, name)
 	if err != nil {
 		return err
@@ -58,25 +56,29 @@
 		return err
 	}
 	l.post(event{do: func() {
-		l.line = s
+		l.succession = s
 		if s.old = old; old == nil {
 			l.await()
 			return
 		}
 		l.log.Info("beside an old process")
 		l.share(true)
-		if l.ready {
-			old.Tell(upgrade.Message{Kind: upgrade.Ready}, nil)
-		}
+		l.tellReady()
 	}})
 	l.post(event{do: l.count})
 	return nil
 }
 
+// tellReady tells the old process, if there is one, that this one takes what it holds.
+func (l *Loop) tellReady() {
+	if s := l.succession; l.ready && s != nil && s.old != nil {
+		s.old.Tell(upgrade.Message{Kind: upgrade.Ready}, nil)
+	}
+}
+
 // await opens the socket for the next process.
 func (l *Loop) await() {
-	s := l.line
-	ln, err := upgrade.Listen(s.path, func(link *upgrade.Link) {
+	err := upgrade.Listen(l.succession.path, func(link *upgrade.Link) {
 		l.post(event{do: func() { l.heirCame(link) }})
 	}, func(from *upgrade.Link, m upgrade.Message, fds []int) {
 		l.post(event{do: func() { l.heirSaid(from, m, fds) }})
@@ -85,14 +87,12 @@
 	})
 	if err != nil {
 		l.log.Warn("no socket for the next process: it will have clients moved", zap.Error(err))
-		return
 	}
-	s.ln = ln
 }
 
 // share has this process leave the other its part of the memory, or not.
 func (l *Loop) share(two bool) {
-	limit := l.line.memory * memoryPart / 4
+	limit := l.succession.memory * memoryPart / 4
 	if two {
 		limit /= 2
 	}
@@ -101,7 +101,7 @@
 
 // count tells the other process, again and again while there is one, how many descriptors are held here.
 func (l *Loop) count() {
-	s := l.line
+	s := l.succession
 	l.after(tellEach, l.count)
 	for _, link := range []*upgrade.Link{s.old, s.heir} {
 		if link != nil {
@@ -110,21 +110,25 @@
 	}
 }
 
-// room is how many descriptors connections may hold here, beside what the other process of an upgrade holds.
-func (l *Loop) room() int64 { return l.most - l.beside.Load() }
+// mostFds is how many descriptors connections may hold here, beside what the other process of an upgrade holds.
+func (l *Loop) mostFds() int64 { return l.most - l.beside.Load() }
 
 // ---- The old process.
 
 // heirCame takes a link from a new process. The newest one counts: one before it has not come to be ready, or was replaced.
 func (l *Loop) heirCame(link *upgrade.Link) {
-	s := l.line
+	s := l.succession
+	if l.isLeaving() { // what is held is on its way to another, or is moved
+		link.Close()
+		return
+	}
 	if was := s.heir; was != nil {
 		was.Close()
 	}
-	s.heir, s.heard = link, false
+	s.heir, s.heirReady = link, false
 	l.log.Info("a new process is beside this one")
 	l.share(true)
-	known := &upgrade.Known{Out: l.out}
+	known := &upgrade.Known{Out: l.isOut()}
 	for _, sv := range l.servers {
 		if t := &sv.timed; len(t.low) > 0 && sv.state != policy.Gone {
 			known.Servers = append(known.Servers, upgrade.Probed{UID: sv.listedAs.UID, Boot: boot(sv), Last: t.last, Before: t.before,
@@ -143,32 +147,35 @@
 
 func (l *Loop) heirSaid(from *upgrade.Link, m upgrade.Message, fds []int) {
 	closeAll(fds) // none is owed here
-	switch s := l.line; {
+	switch s := l.succession; {
 	case from != s.heir:
 	case m.Kind == upgrade.Ready:
-		s.heard = true
+		s.heirReady = true
 	case m.Kind == upgrade.Descriptors:
 		l.beside.Store(m.Descriptors)
 	}
 }
 
 func (l *Loop) heirGone(link *upgrade.Link, why error) {
-	if s := l.line; link == s.heir {
+	if s := l.succession; link == s.heir {
 		l.log.Info("the new process has gone", zap.NamedError("why", why))
-		s.heir, s.heard = nil, false
+		s.heir, s.heirReady = nil, false
 		l.beside.Store(0)
 		l.share(false)
 	}
 }
 
-// heirReady answers the link to a new process that takes what is held; nil where there is none.
-func (l *Loop) heirReady() *upgrade.Link {
-	if s := l.line; s != nil && s.heard {
+// takesAll answers the link to a new process that takes what is held; nil where there is none.
+func (l *Loop) takesAll() *upgrade.Link {
+	if s := l.succession; s != nil && s.heirReady {
 		return s.heir
 	}
 	return nil
 }
 
+// passesOn tells whether all goes to a new process now.
+func (l *Loop) passesOn() bool { return l.isLeaving() && l.takesAll() != nil }
+
 // passAll passes on all that is held and waits for no server.
 func (l *Loop) passAll() {
 	for _, id := range slices.Sorted(maps.Keys(l.circuits)) {
@@ -176,7 +183,7 @@
 			l.pass(cir)
 		}
 	}
-	for _, c := range l.door.late(time.Now().Add(firstWithin)) {
+	for _, c := range l.door.silentSince(time.Now()) {
 		if c.circuit == nil && !c.over {
 			l.passClient(c, nil)
 		}
@@ -190,33 +197,47 @@
 			return
 		}
 		l.post(event{do: func() {
-			link := l.heirReady()
-			if link == nil || t.Client.FD < 0 || t.Server.FD < 0 {
-				t.Close(line.MoveLine)
-				l.stoodEnded(cir, policy.Cancelled)
+			l.stoodEnded(cir, policy.Cancelled)
+			link := l.takesAll()
+			if link == nil {
+				l.sendAway(t)
 				return
 			}
-			m := upgrade.Message{Kind: upgrade.Circuit, First: cir.ask.Raw(), At: cir.at.listedAs.UID, Load: cir.load, Pair: &t}
-			link.Tell(m, func() { t.Close(line.MoveLine) }, t.Client.FD, t.Server.FD)
 			l.Passed.Add(1)
-			l.stoodEnded(cir, policy.Cancelled)
+			m := upgrade.Message{Kind: upgrade.Circuit, First: cir.ask.Raw(), At: cir.at.listedAs.UID, Load: cir.arrival.Load, Pair: &t}
+			link.Tell(m, func() { l.post(event{do: func() { l.sendAway(t) }}) }, t.Client.FD, t.Server.FD)
 		}})
 	})
 }
 
+// sendAway ends a pair that no process holds any more as any other is moved: with what waits for its client first.
+func (l *Loop) sendAway(t relay.Passed) {
+	p, err := l.relays.Resume(t, 0, &circuit{})
+	if err != nil {
+		l.Errors.Add(1)
+		l.log.Info("no relay", zap.Error(err))
+		return
+	}
+	if p.End(line.MoveLine, false) {
+		l.Moves.Add(1)
+	}
+	l.after(lingerFor, p.Close)
+}
+
 // passClient passes on a client without a circuit, with what it has sent: its first line too, if that is here.
 func (l *Loop) passClient(c *conn, first []byte) {
 	how := c.passOn(func(fd int, held []byte) {
 		l.post(event{do: func() {
 			sent := append(c.first, held...)
-			last := line.Turned(l.comeAgain()) // here: a link that has ended tells of it beside the loop
-			lost := func() { lastWord(fd, last) }
-			if link := l.heirReady(); link != nil {
-				l.Passed.Add(1)
-				link.Tell(upgrade.Message{Kind: upgrade.Client, First: sent}, lost, fd)
+			link := l.takesAll()
+			if link == nil {
+				l.takeClient(fd, sent)
 				return
 			}
-			lost()
+			l.Passed.Add(1)
+			link.Tell(upgrade.Message{Kind: upgrade.Client, First: sent}, func() {
+				l.post(event{do: func() { l.takeClient(fd, sent) }}) // it is nacked here
+			}, fd)
 		}})
 	})
 	switch {
@@ -237,12 +258,6 @@
 	}
 }
 
-// lastWord ends a client's connection that is nobody's any more.
-func lastWord(fd int, last []byte) {
-	unix.Write(fd, last)
-	unix.Close(fd)
-}
-
 // ---- The new process.
 
 // inherit takes what the old process says.
@@ -289,7 +304,7 @@
 	if ln.Kind != line.Open || ln.Bad != nil || l.byAsk[ln.Ask.ID] != nil {
 		l.Errors.Add(1)
 		l.log.Error("a circuit of the old process can't be read", zap.Error(ln.Bad))
-		m.Pair.Close(line.MoveLine)
+		l.sendAway(*m.Pair)
 		return
 	}
 	sv := l.byUID[m.At]
@@ -298,10 +313,10 @@
 		l.servers[sv.id], l.byUID[m.At] = sv, sv
 	}
 	l.last++
-	cir := &circuit{id: l.last, ask: ln.Ask, at: sv, tries: 1, open: true, load: m.Load, arrival: l.arrival(l.last, ln.Ask, 0)}
-	cir.arrival.Load = cmp.Or(m.Load, ln.Ask.Hint)
+	cir := &circuit{id: l.last, ask: ln.Ask, at: sv, tries: 1, open: true, arrival: l.arrival(l.last, ln.Ask, 0)}
+	cir.arrival.Load = m.Load
 	cir.client = &conn{circuit: cir, over: true, closed: true}
-	pair, err := l.relays.Go(*m.Pair, uint64(sv.id), cir)
+	pair, err := l.relays.Resume(*m.Pair, uint64(sv.id), cir)
 	if err != nil {
 		l.Errors.Add(1)
 		l.log.Info("no relay", zap.Error(err))
@@ -312,10 +327,8 @@
 	l.open++
 	l.Open.Store(int64(l.open))
 	l.bal.HandedOver(cir.arrival, sv.id)
-	if l.leaving {
-		if link := l.heirReady(); link != nil {
-			l.pass(cir)
-		}
+	if l.passesOn() {
+		l.pass(cir)
 	}
 }
 
@@ -340,11 +353,11 @@
 // succeeded takes the end of the old process: this one is the balancer now.
 func (l *Loop) succeeded(why error) {
 	l.log.Info("the old process has ended", zap.NamedError("why", why))
-	l.line.old = nil
+	l.succession.old = nil
 	l.beside.Store(0)
 	l.share(false)
 	l.bal.Spent()
-	if !l.leaving {
+	if !l.isLeaving() {
 		l.await()
 	}
 }
--- a/internal/balancer/load.go
+++ b/internal/balancer/load.go
@@ -60,7 +60,7 @@
 		l.middle = middle
 		for _, id := range slices.Sorted(maps.Keys(l.servers)) {
 			l.step(l.servers[id], idle)
-			l.again(l.servers[id], sv, idle)
+			l.judgeAnew(l.servers[id], sv, idle)
 		}
 	default:
 		l.step(sv, idle)
@@ -135,9 +135,9 @@
 	return max(0, steep*(1-alone.Seconds()/took.Seconds()))
 }
 
-// again judges a server's newest probe anew, now that the others have shown what is usual. Guards against a fleet that is
+// judgeAnew judges a server's newest probe anew, now that the others have shown what is usual. Guards against a fleet that is
 // full from the start: the first probe of a jammed server was taken for its usual one, and nothing left it for two seconds.
-func (l *Loop) again(sv, but *server, idle []time.Duration) {
+func (l *Loop) judgeAnew(sv, but *server, idle []time.Duration) {
 	if t := &sv.timed; sv != but && len(t.low) > 0 && l.now-t.at < anewIn && sv.state == policy.Ready && !l.cold(sv) {
 		load := l.figure(t, idle)
 		l.log.Debug("guess", zap.String("server", sv.listedAs.UID), zap.Float64("load", load), zap.Duration("took", t.last))
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -22,7 +22,6 @@
 	"sabletally/internal/line"
 	"sabletally/internal/peers"
 	"sabletally/internal/relay"
-	"sabletally/internal/upgrade"
 	"sabletally/policy"
 )
 
@@ -52,7 +51,8 @@
 	beside atomic.Int64 // what the other process of an upgrade holds
 
 	link     *peers.Link // to the other balancers, nil where they are not told
-	linked   *peers.Link // the newest one that was opened, which only Reconfigure looks at
+	linked   *peers.Link // the newest one that was opened, and whether another process of this balancer may run
+	shared   bool        // beside it, which only Reconfigure looks at
 	relays   *relay.Shards
 	watch    *discovery.Watch
 	unwatch  context.CancelFunc // ends it
@@ -68,16 +68,15 @@
 	order    int
 	listed   bool    // discovery has answered since the start
 	ready    bool    // clients are welcome
-	out      bool    // but for now, as an operator wants it empty
 	pinged   []*conn // ask whether it is so
 
 	welcomed chan struct{}        // closed once it is ready
 	gate     atomic.Pointer[Gate] // the listener, where it is shared with another process
 
 	wanted  sync.Mutex
-	service service     // under it
-	leaving bool        // the process ends
-	line    *succession // nil where the process can have no heir
+	service service // under it
+
+	succession *succession // nil where this process can have no heir
 }
 
 // server is what the sockets need to know of one server.
@@ -394,13 +393,8 @@
 		return
 	}
 	l.ready = true
-	l.wanted.Lock()
-	l.service.ready = true
 	close(l.welcomed)
-	if l.line != nil && l.line.old != nil {
-		l.line.old.Tell(upgrade.Message{Kind: upgrade.Ready}, nil)
-	}
-	l.wanted.Unlock()
+	l.tellReady()
 	l.log.Info("ready", zap.Bool("listed", l.listed), zap.Int("servers", len(l.servers)))
 	for _, c := range l.pinged {
 		for ; c.pings > 0; c.pings-- {
--- a/internal/balancer/serve.go
+++ b/internal/balancer/serve.go
@@ -94,12 +94,12 @@
 	return nil, false
 }
 
-// late takes out the connections that have been silent for too long.
-func (d *door) late(now time.Time) []*conn {
+// silentSince takes out the connections that have been silent since then or longer.
+func (d *door) silentSince(then time.Time) []*conn {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var all []*conn
-	for e := d.silent.Front(); e != nil && now.Sub(e.Value.(*guest).since) >= firstWithin; e = d.silent.Front() {
+	for e := d.silent.Front(); e != nil && !e.Value.(*guest).since.After(then); e = d.silent.Front() {
 		all = append(all, e.Value.(*guest).conn)
 		d.take(e.Value.(*guest).conn)
 	}
@@ -203,9 +203,9 @@
 // Serve accepts clients until the listener fails; one that is shared only until this process leaves, which is no failure.
 func (l *Loop) Serve(g *Gate) error {
 	type key struct{}
-	if g.shared { // guards against clients that come to this process while the old one still knows more
-		<-l.welcomed
+	if g.shared {
 		l.gate.Store(g)
+		<-l.welcomed // guards against clients that come to this process while the old one still knows more
 	}
 	events, err := netpoll.NewEventLoop(
 		func(ctx context.Context, nc netpoll.Connection) error {
@@ -232,7 +232,7 @@
 
 // turnAway has the clients that are here without a line come again.
 func (l *Loop) turnAway() {
-	for _, c := range l.door.late(time.Now().Add(firstWithin)) {
+	for _, c := range l.door.silentSince(time.Now()) {
 		if c.circuit == nil && !c.over {
 			l.end(c, line.Turned(l.comeAgain()))
 		}
@@ -242,7 +242,7 @@
 // makeRoom keeps the descriptors of connections without a circuit within what the others leave. Guards against
 // clients that connect by hundreds and say nothing: nothing could be accepted or dialed any more.
 func (l *Loop) makeRoom(c *conn) {
-	for l.fds.Load() > l.room()-l.most/roomFds {
+	for l.fds.Load() > l.mostFds()-l.most/roomFds {
 		old, silent := l.door.shed()
 		if old == nil {
 			break
@@ -254,7 +254,7 @@
 		old.shut()
 		runtime.Gosched() // the poller, which runs this, would go on accepting first
 	}
-	if l.fds.Load() > l.room() { // nothing to shed: all are circuits
+	if l.fds.Load() > l.mostFds() { // nothing to shed: all are circuits
 		l.NoRoom.Add(1)
 		c.word(line.Turned(l.comeAgain()))
 		c.close()
@@ -264,7 +264,7 @@
 // sweep ends silent clients whose time is up.
 func (l *Loop) sweep() {
 	l.after(sweepEach, l.sweep)
-	for _, c := range l.door.late(time.Now()) {
+	for _, c := range l.door.silentSince(time.Now().Add(-firstWithin)) {
 		switch {
 		case c.circuit != nil || c.over:
 		case c.pings > 0: // it waits for us
--- a/internal/balancer/service.go
+++ b/internal/balancer/service.go
@@ -24,9 +24,8 @@
 	errLeaving  = errors.New("leaving: this process was told to end and takes no clients any more")
 )
 
-// service is what operators want, published: whoever asks never waits for the loop.
+// service is what is wanted of this process. Whoever asks never waits for the loop.
 type service struct {
-	ready     bool // the loop welcomes clients
 	out       bool // an operator wants it empty,
 	inherited bool // and wanted so of the process before this one, which may be replaced all the same
 	leaving   bool // it ends, whatever operators want
@@ -41,20 +40,35 @@
 		return errLeaving
 	case l.service.out && !l.service.inherited:
 		return fmt.Errorf("out of service: told by an operator, %d circuits open", l.Open.Load())
-	case !l.service.ready:
+	}
+	select {
+	case <-l.welcomed:
+		return nil
+	default:
 		return errStarting
 	}
-	return nil
+}
+
+func (l *Loop) isOut() bool {
+	l.wanted.Lock()
+	defer l.wanted.Unlock()
+	return l.service.out
+}
+
+func (l *Loop) isLeaving() bool {
+	l.wanted.Lock()
+	defer l.wanted.Unlock()
+	return l.service.leaving
 }
 
 // OutOfService has the balancer emptied; it goes on running. What is asked after it has answered finds it so: its
 // post stands in the inbox before theirs.
-func (l *Loop) OutOfService() error { return l.serve(true) }
+func (l *Loop) OutOfService() error { return l.setOut(true) }
 
 // InService has it take clients again, whatever is left of the emptying.
-func (l *Loop) InService() error { return l.serve(false) }
+func (l *Loop) InService() error { return l.setOut(false) }
 
-func (l *Loop) serve(out bool) error {
+func (l *Loop) setOut(out bool) error {
 	l.wanted.Lock()
 	defer l.wanted.Unlock()
 	switch {
@@ -62,12 +76,11 @@
 		return nil
 	case l.service.leaving:
 		return errLeaving
-	case l.service.out == out:
+	case l.service == service{out: out}: // an inherited drain is no call to this process
 		return nil
 	}
 	l.service.out, l.service.inherited = out, false
 	l.post(event{do: func() { // in the order of the calls, as they hold the lock
-		l.out = out
 		if out {
 			l.Drains.Add(1)
 			l.log.Info("out of service", zap.Duration("within", drainWithin), zap.Int("open", l.open), zap.Int("held", len(l.circuits)))
@@ -84,11 +97,10 @@
 func (l *Loop) inheritOut() {
 	l.wanted.Lock()
 	defer l.wanted.Unlock()
-	if l.service != (service{ready: l.service.ready}) { // told something itself meanwhile
-		return
+	if l.service == (service{}) { // it was told nothing itself meanwhile
+		l.service = service{out: true, inherited: true}
+		l.empty(drainFrom, drainWithin)
 	}
-	l.service.out, l.service.inherited, l.out = true, true, true
-	l.empty(drainFrom, drainWithin)
 }
 
 // Leave tells of the process's end: all that is held goes, from the one time from now to the other. There is no way back.
@@ -106,8 +118,7 @@
 	l.post(event{do: func() {
 		l.log.Info("leaving", zap.Duration("within", within), zap.Bool("shared", g != nil), zap.Int("open", l.open),
 			zap.Int("held", len(l.circuits)))
-		l.leaving = true
-		if l.heirReady() != nil {
+		if l.takesAll() != nil {
 			from = passWithin
 			l.passAll()
 		}
@@ -121,7 +132,7 @@
 
 // emptied looks again and again whether nothing is held any more.
 func (l *Loop) emptied(done func()) {
-	if link := l.heirReady(); len(l.circuits) == 0 && l.fds.Load() == 0 && (link == nil || link.Flushed()) {
+	if link := l.takesAll(); len(l.circuits) == 0 && l.fds.Load() == 0 && (link == nil || link.Flushed()) {
 		done()
 		return
 	}
@@ -140,7 +151,7 @@
 
 // pong answers a question for readiness once the list is here: yes or no.
 func (l *Loop) pong() []byte {
-	if l.out {
+	if l.isOut() {
 		return line.NoLine
 	}
 	return line.PongLine
--- a/internal/balancer/settings.go
+++ b/internal/balancer/settings.go
@@ -37,7 +37,8 @@
 
 // Reconfigure has new settings and other peers hold, in one turn of the loop. What is taken in stays: circuits that
 // wait, tries that are out and what stands go on under the rules that they were taken by, also where their grade is gone;
-// a first line that the loop has not read yet is taken by the new ones. It waits for that turn, so the loop must run. An error means that all is as before.
+// a first line that the loop has not read yet is taken by the new ones. It waits for that turn, so the loop must run. An
+// error means that all is as before.
 func (l *Loop) Reconfigure(dep *deployment.Deployment, at deployment.Peers) error {
 	was, known := l.linked, []netip.AddrPort(nil)
 	if was != nil {
@@ -114,7 +115,7 @@
 	var link *peers.Link
 	ready := make(chan struct{})
 	counts := &peers.Counts{Sent: &l.Sent, Heard: &l.Heard, Dropped: &l.Dropped}
-	link, err := peers.Open(at.Listen, at.Others, counts, func(from int, t policy.Told, done func()) {
+	link, err := peers.Open(at.Listen, l.shared, at.Others, counts, func(from int, t policy.Told, done func()) {
 		<-ready
 		l.post(event{do: func() {
 			if done(); l.link == link {
--- a/internal/deployment/station.go
+++ b/internal/deployment/station.go
@@ -107,7 +107,7 @@
 		return nil, fmt.Errorf("settings: %v", err)
 	}
 	if was != nil {
-		if err := replaces(was, s); err != nil {
+		if err := mayReplace(was, s); err != nil {
 			return nil, err
 		}
 	}
@@ -137,10 +137,10 @@
 	return s, nil
 }
 
-// replaces tells why a file can't take the place of the one before: nil where it can. At the start a file may leave out
+// mayReplace tells why a file can't take the place of the one before: nil where it can. At the start a file may leave out
 // what can be done without; one that replaces another has lost what it lacks. Guards against a file that is written by a
 // program that failed half way, and taken in it would void what clients were promised.
-func replaces(was, s *Station) error {
+func mayReplace(was, s *Station) error {
 	for i, limit := range s.Deployment.OuterLimits {
 		if limit <= 0 {
 			return fmt.Errorf("settings: ServiceGrades[%d].OuterLimitUs is missing or below 1", i)
@@ -149,24 +149,20 @@
 			return fmt.Errorf("settings: ServiceGrades[%d].LatencyGoalUs is missing or below 1", i)
 		}
 	}
-	for name, value := range was.shape {
-		now, stays := s.shape[name]
-		if name == "peers" && !s.Deployment.Policy.MayTell || name == "known" { // not read; judged by its own reader
-			continue
-		}
-		if !stays {
-			return fmt.Errorf("%s is missing; the file in force has it", name)
-		}
-		if key := lost(value, now, name); key != "" {
-			return fmt.Errorf("%s is missing; the file in force has it", key)
-		}
+	had := maps.Clone(was.shape)
+	delete(had, "known") // judged by its own reader
+	if !s.Deployment.Policy.MayTell {
+		delete(had, "peers") // nobody reads it
+	}
+	if key := missing(had, s.shape, ""); key != "" {
+		return fmt.Errorf("%s is missing; the file in force has it", key[1:])
 	}
 	return nil
 }
 
-// lost names a key that was in a part of the file and is there no more, empty if there is none. Each thing of a list must
-// have what all of them had.
-func lost(was, now any, path string) string {
+// missing names a key that was in a part of the file and is there no more, empty if there is none. Each thing of a list
+// must have what all of them had.
+func missing(was, now any, path string) string {
 	switch was := was.(type) {
 	case map[string]any:
 		now, _ := now.(map[string]any)
@@ -175,7 +171,7 @@
 			if !stays || value == nil && was[key] != nil {
 				return path + "." + key
 			}
-			if key := lost(was[key], value, path+"."+key); key != "" {
+			if key := missing(was[key], value, path+"."+key); key != "" {
 				return key
 			}
 		}
@@ -193,7 +189,7 @@
 			return path
 		}
 		for n, one := range now {
-			if key := lost(all, one, fmt.Sprintf("%s[%d]", path, n)); len(all) > 0 && key != "" {
+			if key := missing(all, one, fmt.Sprintf("%s[%d]", path, n)); key != "" {
 				return key
 			}
 		}
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -1,11 +1,15 @@
 package peers
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/netip"
 	"slices"
 	"sync/atomic"
+	"syscall"
+
+	"golang.org/x/sys/unix"
 
 	"sabletally/policy"
 )
@@ -31,13 +35,21 @@
 type Counts struct{ Sent, Heard, Dropped *atomic.Int64 }
 
 // Open listens at an address and knows the others, whose numbers are their places. What they tell goes to told, which
-// must not block and calls done when the message is taken in.
-func Open(listen netip.AddrPort, others []netip.AddrPort, n *Counts, told func(from int, t policy.Told, done func())) (*Link, error) {
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(listen))
+// must not block and calls done when the message is taken in. shared: another process of the same balancer may listen there
+// too; what comes then goes to the newest.
+func Open(listen netip.AddrPort, shared bool, others []netip.AddrPort, n *Counts, told func(from int, t policy.Told, done func())) (*Link, error) {
+	config := net.ListenConfig{}
+	if shared { // guards against an upgrade that can't start: the old process still listens there
+		config.Control = func(_, _ string, raw syscall.RawConn) (err error) {
+			raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEADDR, 1) })
+			return err
+		}
+	}
+	conn, err := config.ListenPacket(context.Background(), "udp", listen.String())
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{conn: conn, send: make(chan [][]byte, waitMost), told: told, n: n}
+	l := &Link{conn: conn.(*net.UDPConn), send: make(chan [][]byte, waitMost), told: told, n: n}
 	l.Know(others)
 	go l.read()
 	go l.write()
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -51,7 +51,7 @@
 	counts := make([]Counts, 3)
 	for n := range 3 {
 		counts[n] = Counts{new(atomic.Int64), new(atomic.Int64), new(atomic.Int64)}
-		l, err := Open(any, nil, &counts[n], told)
+		l, err := Open(any, false, nil, &counts[n], told)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -72,7 +72,22 @@
 	if from := <-heard; from != 1 || counts[0].Heard.Load() != 1 {
 		t.Fatalf("heard from %d, %d messages", from, counts[0].Heard.Load())
 	}
-	if _, err := Open(a.At(), nil, &counts[0], told); err == nil {
+	if _, err := Open(a.At(), false, nil, &counts[0], told); err == nil {
 		t.Fatal("two listen at one address")
 	}
+	old, err := Open(any, true, nil, &counts[2], told) // two processes of one balancer may, and the newest hears
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer old.Close()
+	young, err := Open(old.At(), true, []netip.AddrPort{b.At()}, &counts[0], told)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer young.Close()
+	b.Know([]netip.AddrPort{old.At()})
+	b.Tell(policy.Told{})
+	if from := <-heard; from != 0 || counts[0].Heard.Load() != 2 {
+		t.Fatalf("heard from %d, %d messages", from, counts[0].Heard.Load())
+	}
 }
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -96,14 +96,18 @@
 
 // shut closes the descriptor; mu is held.
 func (c *Conn) shut() {
-	if c.closed {
-		return
+	if !c.closed {
+		c.detach()
+		unix.Close(c.fd)
 	}
+}
+
+// detach takes it out of its shard, for good; mu is held.
+func (c *Conn) detach() {
 	c.closed = true
 	c.stalledAt.Store(0)
 	// Another descriptor of the same socket may be open for a moment: the set would go on telling of it.
 	unix.EpollCtl(c.sh.epfd, unix.EPOLL_CTL_DEL, c.fd, nil)
-	unix.Close(c.fd)
 	c.sh.drop(c)
 	c.sh.of.fds.Add(-1)
 	c.out, c.written = nil, 0
--- a/internal/relay/pass.go
+++ b/internal/relay/pass.go
@@ -26,8 +26,7 @@
 }
 
 // Take has a pair taken out, by the goroutine that passes its lines, so that none is lost or passed twice. Its descriptors
-// are then the caller's, -1 for a side that has ended. done is told of it there; false: it was over already, and the owner
-// has been or will be told.
+// are then the caller's. done is told of it there; false: it was over already, and the owner has been or will be told.
 func (p *Pair) Take(done func(Passed, bool)) {
 	p.side[Server].sh.do(func() {
 		if !p.over.CompareAndSwap(false, true) {
@@ -44,36 +43,18 @@
 	})
 }
 
-// takeOut takes a connection out of its shard and leaves its descriptor open; -1 if it is closed already.
+// takeOut takes a side of a pair that is not over out of its shard and leaves its descriptor open.
 func (c *Conn) takeOut() End {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		return End{FD: -1}
-	}
 	e := End{FD: c.fd, Held: c.held, Out: c.out[c.written:]}
-	c.closed = true
-	c.stalledAt.Store(0)
-	unix.EpollCtl(c.sh.epfd, unix.EPOLL_CTL_DEL, c.fd, nil)
-	c.sh.drop(c)
-	c.sh.of.fds.Add(-1)
-	c.held, c.out, c.written = nil, nil, 0
+	c.detach()
+	c.held = nil
 	return e
 }
 
-// Close ends a passed pair that nobody takes, with a last line for its client where that still makes a line.
-func (t Passed) Close(last []byte) {
-	if t.Client.FD >= 0 {
-		unix.Write(t.Client.FD, append(t.Client.Out, last...))
-		unix.Close(t.Client.FD)
-	}
-	if t.Server.FD >= 0 {
-		unix.Close(t.Server.FD)
-	}
-}
-
-// Go has a passed pair go on here; its descriptors are the relay's. The server is the one that times are told of.
-func (s *Shards) Go(t Passed, number uint64, data any) (*Pair, error) {
+// Resume has a passed pair go on here; its descriptors are the relay's. The server is the one that times are told of.
+func (s *Shards) Resume(t Passed, number uint64, data any) (*Pair, error) {
 	sh := s.all[int(s.next.Add(1))%len(s.all)]
 	p := &Pair{s: s, server: number, Data: data}
 	p.byed.Store(t.Byed)
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -21,11 +21,11 @@
 
 const (
 	version    = 1
-	pathMost   = 107             // bytes of a socket's path, by the kernel
-	textMost   = 160 << 10       // bytes of a message: a circuit's waiting lines are most of it
-	fdsMost    = 2               // descriptors of a message
-	onTheWay   = 16              // messages with descriptors that are not taken yet: the kernel counts those too
-	writeFor   = 2 * time.Second // a message that is not taken by then ends the link
+	pathMost   = 107                    // bytes of a socket's path, by the kernel
+	textMost   = 160 << 10              // bytes of a message: a circuit's waiting lines are most of it
+	fdsMost    = 2                      // descriptors of a message
+	onTheWay   = 16                     // messages with descriptors that are not taken yet: the kernel counts those too
+	takeFor    = 700 * time.Millisecond // a message that is not taken by then ends the link: lines may be held for a second
 	sendBuffer = 512 << 10
 )
 
@@ -116,14 +116,15 @@
 	return start(c, heed, gone)
 }
 
-// Listen opens the socket for the next process, in place of whatever file is there. accepted is told of each link.
-func Listen(path string, accepted func(*Link), heed func(*Link, Message, []int), gone func(*Link, error)) (*net.UnixListener, error) {
+// Listen opens the socket for the next process, in place of whatever file is there, for as long as this one lives. accepted
+// is told of each link.
+func Listen(path string, accepted func(*Link), heed func(*Link, Message, []int), gone func(*Link, error)) error {
 	if err := os.Remove(path); err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return nil, err
+		return err
 	}
 	ln, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: path, Net: "unixpacket"})
 	if err != nil {
-		return nil, err
+		return err
 	}
 	ln.SetUnlinkOnClose(false) // by then it may be another's
 	go func() {
@@ -137,7 +138,7 @@
 			}
 		}
 	}()
-	return ln, nil
+	return nil
 }
 
 func start(c *net.UnixConn, heed func(*Link, Message, []int), gone func(*Link, error)) (*Link, error) {
@@ -190,9 +191,16 @@
 func (l *Link) write() {
 	for {
 		l.mu.Lock()
+		var late *time.Timer // guards against a process that hangs: what waits for it would wait for ever
 		for !l.ended && (len(l.queue) == 0 || len(l.queue[0].fds) > 0 && l.room == 0) {
+			if len(l.queue) > 0 && late == nil {
+				late = time.AfterFunc(takeFor, func() { l.end(errors.New("the other process takes nothing")) })
+			}
 			l.wake.Wait()
 		}
+		if late != nil {
+			late.Stop()
+		}
 		if l.ended {
 			queue := l.queue
 			l.queue = nil
@@ -212,7 +220,7 @@
 			rights = unix.UnixRights(it.fds...)
 		}
 		l.mu.Unlock()
-		l.conn.SetWriteDeadline(time.Now().Add(writeFor))
+		l.conn.SetWriteDeadline(time.Now().Add(takeFor))
 		if _, _, err := l.conn.WriteMsgUnix(it.text, rights, nil); err != nil {
 			if it.lost != nil {
 				it.lost()
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -54,11 +54,9 @@
 		t.Fatal(err)
 	}
 	old, young = newSide(), newSide()
-	ln, err := Listen(path, func(l *Link) { old.link <- l }, old.heed, old.ended)
-	if err != nil {
+	if err := Listen(path, func(l *Link) { old.link <- l }, old.heed, old.ended); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { ln.Close() })
 	if to, err = Dial(path, young.heed, young.ended); err != nil || to == nil {
 		t.Fatal(err)
 	}
@@ -131,6 +129,27 @@
 	}
 }
 
+// TestAProcessThatHangsEndsTheLink has one that takes nothing. Guards against clients that wait for it for ever.
+func TestAProcessThatHangsEndsTheLink(t *testing.T) {
+	path, old, _, _, _ := linked(t)
+	c, err := net.DialUnix("unixpacket", nil, &net.UnixAddr{Name: path, Net: "unixpacket"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	from, lost := get(t, old.link), make(chan int, 3*onTheWay)
+	for n := range 2 * onTheWay {
+		fd, _ := pipe(t)
+		from.Tell(Message{Kind: Client}, func() { unix.Close(fd); lost <- n }, fd)
+	}
+	for n := onTheWay; n < 2*onTheWay; n++ {
+		if got := get(t, lost); got != n {
+			t.Fatalf("%d is lost in place of %d", got, n)
+		}
+	}
+	get(t, old.gone)
+}
+
 // TestOddWordsEndTheLink has another version, no message, and one whose descriptors are missing.
 func TestOddWordsEndTheLink(t *testing.T) {
 	for _, text := range []string{`{"V":2,"Kind":2}`, "hello", `{"V":1,"Kind":4}`, `{"V":1,"Kind":2` + strings.Repeat(" ", textMost) + "}"} {
@@ -160,19 +179,18 @@
 	if l, err := Dial(path, s.heed, s.ended); l != nil || err != nil {
 		t.Fatal(l, err)
 	}
-	ln, err := Listen(path, func(l *Link) { s.link <- l }, s.heed, s.ended)
+	ln, err := net.ListenUnix("unixpacket", &net.UnixAddr{Name: path, Net: "unixpacket"})
 	if err != nil {
 		t.Fatal(err)
 	}
+	ln.SetUnlinkOnClose(false)
 	ln.Close() // as a process that was killed leaves it
 	if l, err := Dial(path, s.heed, s.ended); l != nil || err != nil {
 		t.Fatal(l, err)
 	}
-	again, err := Listen(path, func(l *Link) { s.link <- l }, s.heed, s.ended)
-	if err != nil {
+	if err := Listen(path, func(l *Link) { s.link <- l }, s.heed, s.ended); err != nil {
 		t.Fatal(err)
 	}
-	again.Close()
 	os.Remove(path)
 	os.WriteFile(path, nil, 0o600) // no socket
 	if l, err := Dial(path, s.heed, s.ended); l != nil || err != nil {
