A pair's way between processes is tested under lines both ways and a slow reader

4,000 lines each way while the pair is taken out and resumed ten times, some of them waiting to be written: none lost, doubled or cut, also under the race detector.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -375,6 +375,58 @@
 	other.want("M 1\r\n")
 }
 
+// TestAPairGoesOnElsewhere takes a pair out under lines both ways, with some that wait for a slow reader, and has it go on in
+// other shards, again and again. Guards against a line that is lost, doubled or cut where a process passes it on.
+func TestAPairGoesOnElsewhere(t *testing.T) {
+	here, there := begin(t, 1), begin(t, 2)
+	p, client, server := here.pair()
+	client.Conn.(*net.TCPConn).SetReadBuffer(128 << 10)
+	unix.SetsockoptInt(p.side[Client].fd, unix.SOL_SOCKET, unix.SO_SNDBUF, 128<<10)
+	const lines = 4000
+	text := strings.Repeat("x", 1000)
+	for _, from := range []*side{client, server} {
+		go func() {
+			for n := range lines {
+				fmt.Fprintf(from, "%d %s\r\n", n, text)
+			}
+		}()
+	}
+	for end := time.Now().Add(bound); !p.side[Client].stalled.Load(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("nothing waits for the reader")
+		}
+	}
+	waited := 0
+	for n := range lines {
+		if n%400 == 0 {
+			type took struct {
+				Passed
+				mine bool
+			}
+			done := make(chan took, 1)
+			p.Take(func(t Passed, mine bool) { done <- took{t, mine} })
+			got := get(t, done)
+			if !got.mine || p.Abort() || here.fds.Load() != 0 {
+				t.Fatalf("%+v, %d descriptors", got.mine, here.fds.Load())
+			}
+			waited += len(got.Client.Out) + len(got.Server.Out)
+			var err error
+			if p, err = there.Resume(got.Passed, 1, nil); err != nil {
+				t.Fatal(err)
+			}
+			here, there = there, here
+		}
+		for _, to := range []*side{client, server} {
+			to.want(fmt.Sprintf("%d %s\r\n", n, text))
+		}
+	}
+	if waited == 0 {
+		t.Fatal("nothing waited to be written")
+	}
+	server.Close()
+	client.ends(false)
+}
+
 func TestGathering(t *testing.T) {
 	b := begin(t, 2)
 	_, client, server := b.pair()
