--- a/cmd/sabletally/operations_test.go
+++ b/cmd/sabletally/operations_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
+	"os/exec"
 	"strings"
 	"syscall"
 	"testing"
@@ -47,6 +49,9 @@
 	s.yes("PUT", "/control/out-of-service")
 	s.yes("PUT", "/control/out-of-service")
 	s.client("PING\r\n").want("NO\r\n")
+	s.child.Signal(syscall.SIGHUP) // which ends no drain
+	s.waitLog(`"reloaded"`)
+	s.client("PING\r\n").want("NO\r\n")
 	if code, says := s.call("GET", "/control/ready"); code != 503 || !strings.Contains(says, "out of service") {
 		t.Fatalf("%d, %q", code, says)
 	}
@@ -117,6 +122,30 @@
 	}
 	io.WriteString(never, "UP 3\r\n")
 	late.want("UP 3\r\n")
+	// A first line that waits in the socket's buffer at a switch is answered by the old rules or the new ones.
+	s.child.Signal(syscall.SIGSTOP)
+	if err := os.WriteFile(s.config, []byte(strings.Replace(first, `"order"`, `"other"`, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.child.Signal(syscall.SIGHUP)
+	buffered := s.client(strings.NewReplacer("c=feed", "c=order", "d=1500", "d=8000").Replace(open))
+	s.child.Signal(syscall.SIGCONT)
+	answered := make(chan bool)
+	go func() {
+		for {
+			select {
+			case e := <-s.Sessions:
+				io.WriteString(e, "ERR\r\n")
+			case <-answered:
+				return
+			}
+		}
+	}()
+	if got := buffered.line(); got != "ERR SYNTAX\r\n" && !strings.HasPrefix(got, "BUSY ") {
+		t.Fatalf("%q", got)
+	}
+	close(answered)
+	s.load(strings.NewReplacer("non_idempotent", "read_like", `"MostSetupTries":6`, `"MostSetupTries":2`).Replace(first), `"reloaded"`)
 	again, try := order() // by the new rules
 	io.WriteString(try, "ERR\r\n")
 	io.WriteString(s.session(), "ERR\r\n")
@@ -366,3 +395,51 @@
 	s.client("PING\r\n").want("PONG\r\n")
 	s.up()
 }
+
+// TestTheOperatorsAddressBesideACrowd has more clients at the door than there are descriptors, half with half a line, and silent
+// callers past the address's bound. Guards against operators who are not answered when they most need to be.
+func TestTheOperatorsAddressBesideACrowd(t *testing.T) {
+	s := begin(t, []string{"MGMT", "SHARED"}, "s-1") // 512 descriptors
+	s.allUp()
+	for n := range 1500 {
+		if n%10 == 0 {
+			c, err := net.Dial("tcp", s.child.Mgmt)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.Hold(c)
+			io.WriteString(c, "PUT /control/out")
+		}
+		s.client([]string{"", "OPEN 12"}[n%2])
+		if n%300 == 299 {
+			began := time.Now()
+			s.yes("GET", "/control/ready")
+			if took := time.Since(began); took > time.Second {
+				t.Fatalf("answered after %v", took)
+			}
+			if got := s.client(open).line(); got != "UP 1\r\n" {
+				t.Fatalf("%q for a true client", got)
+			}
+		}
+	}
+	if n := s.counted("shed"); n < 500 {
+		t.Fatalf("%d shed", n)
+	}
+	if kb := s.child.RSS(); kb > 64<<10 {
+		t.Fatalf("%d KiB", kb)
+	}
+}
+
+// TestABadAcceptDescriptorNamesTheVariable guards against a new process that starts beside the old one and accepts nothing.
+func TestABadAcceptDescriptorNamesTheVariable(t *testing.T) {
+	s := begin(t, nil)
+	for _, number := range []string{"x", "2", "77", "0", "4294967299"} {
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "SABLETALLY_CHILD=1", "EDGE_CONFIG="+s.config, "EDGE_ACCEPT_FD="+number)
+		out, err := cmd.CombinedOutput()
+		var exit *exec.ExitError
+		if !errors.As(err, &exit) || exit.ExitCode() != 2 || !strings.Contains(string(out), "EDGE_ACCEPT_FD") {
+			t.Errorf("%s: %v, %s", number, err, out)
+		}
+	}
+}
