--- a/cmd/sabletally/main_test.go
+++ b/cmd/sabletally/main_test.go
@@ -629,7 +629,7 @@
 // TestSilentClientsAreEnded counts from the accept, whatever drips in, and sheds the silent before usual clients
 // want for descriptors.
 func TestSilentClientsAreEnded(t *testing.T) {
-	s := begin(t, []string{"SABLETALLY_FILES=1"}, "s-1")
+	s := begin(t, []string{"SABLETALLY_FILES=1", "SABLETALLY_LOG=debug"}, "s-1") // else ten lines a second are logged
 	s.allUp()
 	began := time.Now()
 	for range 100 {
@@ -756,7 +756,7 @@
 }
 
 func TestOutOfDescriptorsIsBusyAndNoCrash(t *testing.T) {
-	s := begin(t, []string{"SABLETALLY_FILES=1"}, "s-1")
+	s := begin(t, []string{"SABLETALLY_FILES=1", "SABLETALLY_LOG=debug"}, "s-1") // else ten lines a second are logged
 	var clients []*ask
 	s.allUp()
 	up, busy := 0, 0
