--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -110,6 +110,7 @@
 		FallFor:       us(*g.FallUs),
 		CrossingPrice: s.Prices.CrossZone,
 		ReportsOnAsk:  s.Report.How == "probe" || s.Report.How == "answers",
+		ServersTell:   s.Report.How == "probe" || s.Report.How == "answers",
 	}
 	d := &Deployment{
 		Policy: p, ReportFields: s.Report.Fields, ConnectWithin: us(l.ConnectTimeoutUs),
--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -155,6 +155,70 @@
 	}
 }
 
+// TestAnOldReportRefusesNobody guards against nacks beside empty servers: a balancer that holds nothing at a server has room
+// for nothing there once it was told of load, and asked only those it would send to.
+func TestAnOldReportRefusesNobody(t *testing.T) {
+	for _, x := range []struct {
+		tell bool // by the servers, not by probes' times
+		now  float64
+		want Verb
+	}{{true, 0.5, Try}, {true, 0.8, Nack}, {false, 0.5, Nack}} {
+		d := deployment()
+		d.ReportsOnAsk, d.ServersTell = true, x.tell
+		b := started(d, fleet(1))
+		b.Reported(100, Report{Asked: 0.8, Piled: -1, Util: -1})
+		b.Clock(reportYoung + ms)
+		b.CircuitArrived(Arrival{ID: 1, Key: 1, Load: 500, Left: 2 * time.Second})
+		all := pull(b)
+		if asked := count(all, Probe) == 1; asked {
+			b.Reported(100, Report{Asked: x.now, Piled: -1, Util: -1})
+			b.ProbeAnswered(100, Succeeded)
+			all = pull(b)
+		}
+		if count(all, x.want) != 1 {
+			t.Errorf("%+v: %+v", x, all)
+		}
+	}
+}
+
+// TestBeliedWordsOfKinTellOfNoRoom has one server of a cell be slow, or reset what stands, while it reports that it is idle.
+// Guards against hundreds of balancers that each send to its kin, and again, on their word.
+func TestBeliedWordsOfKinTellOfNoRoom(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		for _, tell := range []bool{true, false} {
+			d := deployment()
+			d.ReportsOnAsk, d.ServersTell = true, tell
+			list := fleet(3)
+			list[2].Cell = 1
+			b := started(d, list)
+			report := func(asked float64) {
+				for _, l := range list {
+					b.Reported(l.Server, Report{Asked: asked, Piled: -1, Util: -1})
+				}
+			}
+			report(0.8) // nothing is held: no room by the own load
+			b.HandedOver(Arrival{ID: 1, Load: 1}, 100)
+			report(0.1)
+			b.room[1], b.room[2] = 0, 0
+			if reset {
+				b.TryEnded(1, 0, true, Reset)
+			} else {
+				b.DelayNoted(100, 90*ms)
+			}
+			c := &circuit{grade: &d.Grades[0], load: 1, asks: asksMost, until: never, ranOn: -1, most: 1}
+			for i, in := range []bool{false, !tell, true} {
+				if i > 0 && b.passed(c, i, byAside, 3, 100) == in {
+					t.Errorf("reset %v, own words %v: server %d lets in: %v", reset, tell, i, !in)
+				}
+			}
+			b.Clock(untrueFor + ms)
+			if report(0.1); b.passed(c, 1, byAside, 3, 100) {
+				t.Error("marked for good")
+			}
+		}
+	}
+}
+
 func TestThousandsOfServersAndBalancers(t *testing.T) {
 	list := fleet(4000)
 	for i := range list {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,6 +29,7 @@
 	reportFresh  = 4 * time.Second        // a load report older than this is not used
 	reportEach   = 700 * time.Millisecond // how often all balancers together ask each server for its load report
 	firstAsk     = 50 * time.Millisecond  // and for the first time: then it is learned how fast each is
+	untrueFor    = 10 * time.Second       // how long reports of servers of one kind tell of no room, once belied
 	askedBy      = 4                      // servers that a balancer asks for each connection held
 	reportYoung  = 2 * time.Second        // a load report older than this is asked for again before a setup try
 	asksMost     = 3                      // reports that one circuit waits for
@@ -40,9 +41,7 @@
 	excessPart   = 0.8                    // of what a report tells over full, moved where that is more
 	spill        = 0.25                   // least share of a server in another zone in the limit
 	coolMore     = 1.7                    // so much of its least warmth a cold server is taken for
-	coldSlack    = 1.0                    // of its part, where that is let in by chance
-	coldFill     = 3.0                    // so-many-th of the warm-up in which a cold server may fill,
-	coldTold     = 6.0                    // and where the others tell what they hold
+	coldFill     = 3.0                    // so-many-th of the warm-up in which a cold server may fill
 	fillEach     = 4 * time.Second        // how often a circuit may go home to a cold server
 	coldLeast    = 12.0                   // connections that a server is thought to hold, over all balancers
 	evenMost     = 2.0                    // so many times an even share of the load a server takes unproven,
@@ -86,33 +85,24 @@
 
 // circuit is one circuit taken, from its arrival to its end.
 type circuit struct {
-	id           CircuitID
-	key          uint64 // the client's key
-	place        uint64 // what the ranking hashes: the group where there is one, else the client's key
-	grade        *Grade
-	row, tenant  int           // of its grade, of its tenant
-	until        time.Duration // the outer limit of this client's try
-	out, open    bool          // a setup try is out; the connection stands
-	answered     bool          // the final answer is given; nothing more is sent
-	moving       bool
-	tried        []int // servers already tried
-	server, slot int   // of the newest try, -1 before the first; place in held[server]
-	pool         *version
-	load         float64
-	waitsOn      int           // the server whose report it waits for,
-	waits        time.Duration // until then at the latest
-	tries, asks  int           // made; reports it has waited for
-	most         int           // setup tries that its settings allowed
-	wanted       bool          // it came to a cold server
-	sentAt       time.Duration // when the newest try was sent,
-	ranAt        time.Duration // when the first that may have run
-	ranOn        int           // its server, -1 while no try can have run
-}
-
-// peer is what another balancer told, by dense index of the servers, and when it last did.
-type peer struct {
-	load []float64
-	at   time.Duration
+	id                CircuitID
+	key               uint64 // the client's key
+	place             uint64 // what the ranking hashes: the group where there is one, else the client's key
+	grade             *Grade
+	row, tenant       int           // of its grade, of its tenant
+	until             time.Duration // the outer limit of this client's try
+	out, open         bool          // a setup try is out; the connection stands
+	answered          bool          // the final answer is given; nothing more is sent
+	tried             []int         // servers already tried
+	server, slot      int           // of the newest try, -1 before the first; place in held[server]
+	pool              *version
+	load              float64
+	waits             time.Duration // for a report, until then at the latest
+	tries, most, asks int           // made; that its settings allowed; reports it has waited for
+	moving, wanted    bool          // planned to move; it came to a cold server
+	sentAt            time.Duration // when the newest try was sent,
+	ranAt             time.Duration // when the first that may have run
+	ranOn, waitsOn    int           // its server, -1 while none can have run; whose report it waited for, or -1
 }
 
 // Balancer is one balancer's knowledge and decisions.
@@ -128,53 +118,52 @@
 	queue              []*circuit // circuits that wait for a decision,
 	waiting            []*circuit // for a load report
 	due                []Decision // moves and probes
-	roundAt            time.Duration
-	trying, total      int            // setup tries out; connections and setup tries held
-	group              map[uint64]int // the same by group
-	tenant             []int          // the same by tenant
-	warmMean, calm     float64        // connections held at a warm server; here, over a while
-	gloom              float64        // part of the servers that hold something that are jammed
-	usual              float64        // usual load of a connection, learned
-	usualOf            []float64      // the same by grade
-	good, bad, late    float64        // setup tries that came to stand lately, that failed, that stood late
-	wanted, colds      float64        // circuits that came to a cold server lately; what those draw together
-	tallyAt            time.Duration
-	turn               time.Duration // nothing is tried so long after a first time-out, 0 for few balancers
-	shut, shutTill     time.Duration // the newest such wait, and its end
-	leaveFrom, leaveBy time.Duration // all that is held is moved between these, never while it stays
-	tellAt             time.Duration // when the others are told next, never where they are not,
-	arrived            int           // circuits since the last time
-	peers              []peer        // what they told
-	heard              bool          // most of them did lately
+	roundAt, tallyAt   time.Duration
+	trying, total      int             // setup tries out; connections and setup tries held
+	group              map[uint64]int  // the same by group
+	tenant             []int           // the same by tenant
+	warmMean, calm     float64         // connections held at a warm server; here, over a while
+	gloom, usual       float64         // part of servers holding something that is jammed; usual load
+	usualOf            []float64       // the same by grade
+	good, bad, late    float64         // setup tries that came to stand lately, that failed, that stood late
+	wanted, colds      float64         // circuits that came to a cold server lately; what those draw together
+	turn               time.Duration   // nothing is tried so long after a first time-out, 0 for few balancers
+	shut, shutTill     time.Duration   // the newest such wait, and its end
+	leaveFrom, leaveBy time.Duration   // all that is held is moved between these, never while it stays
+	tellAt             time.Duration   // when the others are told next, never where they are not,
+	arrived            int             // circuits since the last time
+	told               [][]float64     // what each did, by dense index of the servers,
+	toldAt             []time.Duration // and when
+	heard              bool            // most of them did lately
 
 	// Figures about servers, by dense index.
-	id             []ServerID
-	zone, cell     []int
-	state          []State
-	heft           []float64
-	started        []time.Duration
-	held           [][]*circuit // connections and setup tries out
-	load, fails    []float64    // load of the connections held; failures, less what successes took off
-	aside, probing []bool
-	span, probeAt  []time.Duration // how long it is set aside before the next probe, and when that is due
-	answers        []int           // answered probes in a row
-	delay, delayAt []time.Duration // what a message takes, by the newest note, and when that came
-	asked, budget  []float64       // load over capacity, by the newest report; setup tries left while it is cold
-	askedAt        []time.Duration // when that report came,
-	paidAt, sentAt []time.Duration // the budget was paid out, the newest setup try went there,
-	movedAt        []time.Duration // a move away from it was last considered
-	room, shown    []float64       // load of own connections: before it is crowded; with room told since
-	others         []float64       // load of connections that the other balancers told of
-
-	reach int      // how far down the ranking a circuit may go, so that its group is not spread
-	rank  []ranked // scratch of order
+	id               []ServerID
+	zone, cell       []int
+	state            []State
+	heft             []float64
+	started          []time.Duration
+	held             [][]*circuit // connections and setup tries out
+	load, fails      []float64    // load of the connections held; failures, less what successes took off
+	aside, probing   []bool
+	span, probeAt    []time.Duration // how long it is set aside before the next probe, and when that is due
+	answers          []int           // answered probes in a row
+	delay, delayAt   []time.Duration // what a message takes, by the newest note, and when that came
+	asked, budget    []float64       // load over capacity, by the newest report; tries left while it is cold
+	paidAt, sentAt   []time.Duration // the budget was paid out, the newest setup try went there,
+	askedAt, movedAt []time.Duration // when that report came; a move away from it was last considered
+	room, shown      []float64       // load of own connections: before it is crowded; with room told since
+	others           []float64       // load of connections that the other balancers told of
+
+	untrue map[[2]int]time.Duration // by zone and cell: until then reports tell of no room
+	reach  int                      // how far down the ranking a circuit may go, so that its group is not spread
+	rank   []ranked                 // scratch of order
 }
 
 // New starts a balancer.
 func New(dep *Deployment, seed uint64) *Balancer {
 	b := &Balancer{
-		seed: seed, chance: seed&0xffffffff | 1<<32, leaveBy: never, pools: []*version{{}},
-		index: map[ServerID]int{}, circuit: map[CircuitID]*circuit{}, group: map[uint64]int{},
+		seed: seed, chance: seed&0xffffffff | 1<<32, pools: []*version{{}}, untrue: map[[2]int]time.Duration{},
+		index: map[ServerID]int{}, circuit: map[CircuitID]*circuit{}, group: map[uint64]int{}, leaveBy: never,
 	}
 	b.Reconfigure(dep, nil, nil)
 	b.roundAt = time.Duration(b.random() * float64(roundEvery))
@@ -206,9 +195,9 @@
 			b.turn = 0
 		}
 	}
-	b.tellAt, b.peers, b.heard = never, nil, false
+	b.tellAt, b.told, b.heard = never, nil, false
 	if dep.MayTell {
-		b.peers = make([]peer, dep.Peers)
+		b.told, b.toldAt = make([][]float64, dep.Peers), make([]time.Duration, dep.Peers)
 		b.tellAt = b.now + time.Duration(b.random()*float64(tellEvery))
 	}
 }
@@ -331,7 +320,7 @@
 	c := &circuit{
 		id: a.ID, key: cmp.Or(a.Key, uint64(a.ID)), place: cmp.Or(a.Group, a.Key, uint64(a.ID)),
 		grade: &b.dep.Grades[a.Grade], row: a.Grade, tenant: a.Tenant,
-		until: b.now + a.Left, server: -1, ranOn: -1, most: b.dep.MostTries,
+		until: b.now + a.Left, server: -1, ranOn: -1, waitsOn: -1, most: b.dep.MostTries,
 		load: cmp.Or(a.Load, b.usualOf[a.Grade], 1),
 	}
 	b.circuit[a.ID] = c
@@ -467,6 +456,7 @@
 	switch {
 	case len(b.held[i]) == 0: // nothing of ours had a part in it; guards against no room there for ever
 	case b.busy(i, jammed):
+		b.belie(i)
 		b.room[i] = min(b.room[i], 0.9*b.known(i))
 	case b.busy(i, crowded):
 		b.room[i] = min(b.room[i], b.known(i))
@@ -498,13 +488,14 @@
 
 // PeerTold takes the message of balancer from; what does not fit the newest version is passed by.
 func (b *Balancer) PeerTold(from int, t Told) {
-	if from < 0 || from >= len(b.peers) || t.Mark != b.newest().mark {
+	if from < 0 || from >= len(b.told) || t.Mark != b.newest().mark {
 		return
 	}
-	p, servers := &b.peers[from], b.newest().servers
-	p.at, p.load = b.now, append(p.load, make([]float64, len(b.id)-len(p.load))...)
+	servers, load := b.newest().servers, b.told[from]
+	load = append(load, make([]float64, len(b.id)-len(load))...)
+	b.told[from], b.toldAt[from] = load, b.now
 	for n := 0; n < len(t.Loads) && t.First+n < len(servers); n++ {
-		if p.load[servers[t.First+n]] = t.Loads[n]; t.Jammed[n] {
+		if load[servers[t.First+n]] = t.Loads[n]; t.Jammed[n] {
 			b.close(servers[t.First+n], 0)
 		}
 	}
@@ -514,10 +505,10 @@
 func (b *Balancer) sumPeers() {
 	clear(b.others)
 	fresh := 0
-	for _, p := range b.peers {
-		if len(p.load) > 0 && b.now-p.at <= toldFor {
+	for from, told := range b.told {
+		if len(told) > 0 && b.now-b.toldAt[from] <= toldFor {
 			fresh++
-			for i, load := range p.load {
+			for i, load := range told {
 				b.others[i] += load
 			}
 		}
@@ -531,13 +522,13 @@
 // judge learns of a server from how a try ended there. Only a part of the ready servers is ever set aside.
 func (b *Balancer) judge(c *circuit, how Outcome) {
 	i := c.server
-	if how == Succeeded {
-		b.fails[i] *= 0.5
-	} else if c.out { // one that stood was shed: a jam, not a failure
+	if c.out { // one that stood was shed: a jam, not a failure
 		b.fails[i] += failsBy[how]
+	} else if how == Reset {
+		b.belie(i)
 	}
 	// Jams: no try goes on there. Resets of what stood are none where a young report tells of room.
-	told := b.now-b.askedAt[i] <= reportYoung && b.asked[i] < crowded.asked/2
+	told := b.tellsRoom(i, crowded.asked/2)
 	if how == TurnedAway || how == ConnectFailed || how == Reset && c.open && !told {
 		b.close(i, c.load)
 	}
@@ -550,6 +541,20 @@
 	}
 }
 
+// belie weighs a server's word that it has little to do against slow messages or a reset here: for a while
+// such words of its kin in the list count for nothing. Guards against hundreds of balancers that each believe
+// it once. Covers slow and lossy ways too; sound kin of one bad server are filled as if unasked, no worse.
+func (b *Balancer) belie(i int) {
+	if b.dep.ServersTell && b.now-b.askedAt[i] <= reportFresh && b.asked[i] < crowded.asked/2 {
+		b.untrue[[2]int{b.zone[i], b.cell[i]}] = b.now + untrueFor
+	}
+}
+
+func (b *Balancer) tellsRoom(i int, load float64) bool { // by a young report that is believed
+	believed := b.untrue[[2]int{b.zone[i], b.cell[i]}] <= b.now
+	return believed && b.now-b.askedAt[i] <= reportYoung && b.asked[i] < load
+}
+
 func (b *Balancer) close(i int, left float64) { // holds a server for jammed for two seconds
 	if !b.busy(i, lost) {
 		b.delay[i], b.delayAt[i] = b.goal, b.now
@@ -560,8 +565,8 @@
 // tally counts setup tries by how they ended; older ones fade.
 func (b *Balancer) tally(good, bad float64) {
 	fade := math.Exp(-float64(b.now-b.tallyAt) / float64(tallyFor))
-	b.good, b.bad, b.late, b.tallyAt = b.good*fade+good, b.bad*fade+bad, b.late*fade, b.now
-	b.wanted *= fade
+	b.good, b.bad, b.late, b.wanted = b.good*fade+good, b.bad*fade+bad, b.late*fade, b.wanted*fade
+	b.tallyAt = b.now
 }
 
 // gate has nothing tried for a while: a store would do only what nobody waits for any more.
@@ -667,16 +672,12 @@
 
 // mayWarm tells whether a circuit may go to a cold server. All balancers together may send it, each span in
 // which it could fall, as many connections as servers hold on the mean, times the multiple and cut to its
-// warmth, over a part of the warm-up. Where a balancer's part is far under one it lets in so much of what
-// comes, by one chance a decision: two hundred would send one each, or a part dealt out before is lost.
+// warmth, over a part of the warm-up. A part far under one here is a chance: dealt out before it is lost.
 func (b *Balancer) mayWarm(c *circuit, i int) bool {
-	mean, fill := float64(b.total)/float64(max(len(b.newest().servers), 1)), coldFill
+	mean := float64(b.total) / float64(max(len(b.newest().servers), 1))
 	mean = math.Sqrt(mean * max(mean, b.warmMean)) // warm ones hold more, maybe too much
-	if b.heard {                                   // less is left to chance
-		mean, fill = b.warmMean, coldTold
-	}
 	mean = max(mean, coldLeast/float64(b.dep.Peers))
-	spans := max(float64(b.dep.ColdFor)/fill/float64(max(b.dep.FallFor, 1)), 1)
+	spans := max(float64(b.dep.ColdFor)/coldFill/float64(max(b.dep.FallFor, 1)), 1)
 	part := b.dep.FallMultiple * b.warmth(i) * mean / spans
 	if b.now-b.paidAt[i] >= b.dep.FallFor { // what is not used is lost, or all would spend it at once
 		b.budget[i], b.paidAt[i] = max(1, math.Floor(part+b.random())), b.now
@@ -688,7 +689,7 @@
 	draws := b.heft[i] * min(1, coolMore*b.warmth(i)) // circuits of its zone, against other cold servers
 	// The chance lies in the key, for a while: drawn anew at each report and move it left cold servers empty.
 	draw := unit(mix(mix(c.key, uint64(b.id[i])), uint64((b.now-b.started[i])/fillEach)))
-	return b.budget[i] >= 1 && (part >= 1 || draw < coldSlack*part*b.colds/draws/max(b.wanted, 1))
+	return b.budget[i] >= 1 && (part >= 1 || draw < part*b.colds/draws/max(b.wanted, 1))
 }
 
 func mix(a, z uint64) uint64 {
@@ -794,23 +795,19 @@
 	return -1
 }
 
-// cool tells whether a server is not warm yet for this key; all balancers agree on it.
-func (b *Balancer) cool(c *circuit, i int) bool {
-	return b.warmth(i) < 1 && unit(mix(c.key, ^uint64(b.id[i]))) >= coolMore*b.warmth(i)
-}
-
 // passed tells whether a circuit passes server i over at a step; sum is the weight of all servers, even the
 // load for its heft that one takes. Guards against all of a restarted balancer on a zone's one sound server.
 func (b *Balancer) passed(c *circuit, i, step int, sum, even float64) bool {
 	w := b.weight(i, spill) * b.warmth(i)
 	limit := 2*float64(b.total)*w/max(sum, 1e-9) + 2
 	if step < byAside && (b.aside[i] || slices.Contains(c.tried, i)) || step < byCrowd && b.busy(i, crowded) ||
-		step < byLimit && (b.cool(c, i) || float64(len(b.held[i])) > limit ||
+		step < byLimit && (float64(len(b.held[i])) > limit ||
 			b.known(i)+c.load > max(even*b.heft[i]*b.warmth(i), 2*b.shown[i])) {
 		return true
 	}
 	// A young report that tells of room lets one in: a hundred balancers each know of one connection or none.
-	told := b.now-b.askedAt[i] <= reportYoung && b.asked[i] < crowded.asked && b.sentAt[i] < b.askedAt[i]
+	// What an old one told refuses nobody: it is asked again. Guards against nacks beside empty servers.
+	told := b.dep.ServersTell && b.mayAsk(c, i) || b.tellsRoom(i, crowded.asked) && b.sentAt[i] < b.askedAt[i]
 	// Of a server where nothing is held no notes come: it is taken for jammed as often as those with some are,
 	// or dozens of balancers would each fill a jammed fleet up where they are blind.
 	blind := len(b.held[i]) == 0 && unit(mix(uint64(b.id[i]), b.seed+uint64(b.now/noteFresh))) < b.gloom
@@ -869,12 +866,14 @@
 	return at, true
 }
 
-// asksFirst tells whether a circuit waits for server i's report: it is old, and there is time to ask for it.
+// mayAsk tells whether server i's report is old, and not asked for in vain for this circuit already.
+func (b *Balancer) mayAsk(c *circuit, i int) bool {
+	return b.dep.MayProbe && b.dep.ReportsOnAsk && b.now-b.askedAt[i] > reportYoung && c.asks < asksMost &&
+		c.waitsOn != i
+}
+
+// asksFirst tells whether a circuit waits for server i's report: there is time to ask for it.
 func (b *Balancer) asksFirst(c *circuit, i int) bool {
-	if !b.dep.MayProbe || !b.dep.ReportsOnAsk || b.now-b.askedAt[i] <= reportYoung || c.asks >= asksMost ||
-		c.asks > 0 && c.waitsOn == i { // asked already, and it told nothing
-		return false
-	}
 	c.asks++
 	c.waitsOn, c.waits = i, b.now+c.grade.SetupGoal/waitPart
 	if c.waits+c.grade.SetupGoal < c.until {
@@ -907,7 +906,7 @@
 		}
 		return d, true
 	}
-	if asked := b.probing[i]; b.asksFirst(c, i) {
+	if asked := b.probing[i]; b.mayAsk(c, i) && b.asksFirst(c, i) {
 		b.probing[i] = true
 		return Decision{Do: Probe, Server: b.id[i]}, !asked
 	}
@@ -1024,6 +1023,7 @@
 func (b *Balancer) again(c *circuit) int {
 	again := *c
 	again.open, again.tries, again.tried, again.ranOn, again.wanted = false, 0, nil, -1, false
+	again.asks = asksMost // nobody is moved to where only a question would tell of room
 	return b.pick(&again, byAll)
 }
 
--- a/policy/types.go
+++ b/policy/types.go
@@ -55,7 +55,8 @@
 	CrossingPrice float64
 	Nines         float64 // weight of the nines in the goal, and how many are worth all of it; no decision
 	NinesWanted   float64 // goes by them yet: docs/assumptions.md tells what was tried
-	ReportsOnAsk  bool    // probes bring load reports
+	ReportsOnAsk  bool    // probes bring load reports,
+	ServersTell   bool    // and those are the servers' own words, which may be untrue, not what the host measured
 }
 
 // Moved is the new row of an old one, and the last where that is gone; rows tells the new ones, -1 for what is gone.
