--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -219,6 +219,25 @@
 	}
 }
 
+// TestTheDrawOnColdServersIsForFewBalancers guards against cold servers that stay empty: with many balancers each has a chance
+// that is cut to warmth already, and against cold ones that are filled past it by two.
+func TestTheDrawOnColdServersIsForFewBalancers(t *testing.T) {
+	for peers, want := range map[int]int{2: 33, 100: 0} { // so many of a hundred keys, at 0.4 of its warmth
+		d := deployment()
+		d.Peers = peers
+		b := started(d, starting(fleet(2), 0, 1, -d.ColdFor*5/17))
+		out := 0
+		for key := range uint64(1000) {
+			if b.passed(&circuit{key: key, grade: &d.Grades[0]}, 0, byAll, 2, 1e9) {
+				out++
+			}
+		}
+		if out /= 10; out < want-4 || out > want+4 {
+			t.Errorf("%d balancers: %d of a hundred keys are kept off", peers, out)
+		}
+	}
+}
+
 func TestThousandsOfServersAndBalancers(t *testing.T) {
 	list := fleet(4000)
 	for i := range list {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -85,24 +85,22 @@
 
 // circuit is one circuit taken, from its arrival to its end.
 type circuit struct {
-	id                CircuitID
-	key               uint64 // the client's key
-	place             uint64 // what the ranking hashes: the group where there is one, else the client's key
-	grade             *Grade
-	row, tenant       int           // of its grade, of its tenant
-	until             time.Duration // the outer limit of this client's try
-	out, open         bool          // a setup try is out; the connection stands
-	answered          bool          // the final answer is given; nothing more is sent
-	tried             []int         // servers already tried
-	server, slot      int           // of the newest try, -1 before the first; place in held[server]
-	pool              *version
-	load              float64
-	waits             time.Duration // for a report, until then at the latest
-	tries, most, asks int           // made; that its settings allowed; reports it has waited for
-	moving, wanted    bool          // planned to move; it came to a cold server
-	sentAt            time.Duration // when the newest try was sent,
-	ranAt             time.Duration // when the first that may have run
-	ranOn, waitsOn    int           // its server, -1 while none can have run; whose report it waited for, or -1
+	id                  CircuitID
+	key                 uint64 // the client's key
+	place               uint64 // what the ranking hashes: the group where there is one, else the client's key
+	grade               *Grade
+	row, tenant         int           // of its grade, of its tenant
+	until               time.Duration // the outer limit of this client's try
+	out, open, answered bool          // a setup try is out; the connection stands; the final answer is given
+	tried               []int         // servers already tried
+	server, slot        int           // of the newest try, -1 before the first; place in held[server]
+	pool                *version
+	load                float64
+	waits               time.Duration // for a report, until then at the latest
+	tries, most, asks   int           // made; that its settings allowed; reports it has waited for
+	moving, wanted      bool          // planned to move; it came to a cold server
+	sentAt, ranAt       time.Duration // when the newest try was sent, when the first that may have run
+	ranOn, waitsOn      int           // its server, -1 while none; whose report it waited for, or -1
 }
 
 // Balancer is one balancer's knowledge and decisions.
@@ -522,7 +520,9 @@
 // judge learns of a server from how a try ended there. Only a part of the ready servers is ever set aside.
 func (b *Balancer) judge(c *circuit, how Outcome) {
 	i := c.server
-	if c.out { // one that stood was shed: a jam, not a failure
+	if how == Succeeded {
+		b.fails[i] *= 0.5
+	} else if c.out { // one that stood was shed: a jam, not a failure
 		b.fails[i] += failsBy[how]
 	} else if how == Reset {
 		b.belie(i)
@@ -575,8 +575,8 @@
 	b.shutTill = b.now + b.jitter(b.shut)
 }
 
-// throttled tells whether a circuit is to be nacked at once, as setup tries fail whatever server they go to:
-// some fail and enough are out, or by chance. Guards against retries that keep a store down.
+// throttled tells whether a circuit is nacked at once, as setup tries fail wherever they go: some fail and
+// enough are out, or by chance. Guards against retries that keep a store down.
 func (b *Balancer) throttled(c *circuit) bool {
 	bad := b.bad + b.late
 	besides := triesBesides * (b.good + 1) / (b.good + bad + 1) / float64(b.dep.Peers)
@@ -800,16 +800,17 @@
 func (b *Balancer) passed(c *circuit, i, step int, sum, even float64) bool {
 	w := b.weight(i, spill) * b.warmth(i)
 	limit := 2*float64(b.total)*w/max(sum, 1e-9) + 2
+	// Few balancers keep keys off a server that is not warm for them; of many each has its chance in mayWarm.
+	cool := b.turn == 0 && !b.heard && unit(mix(c.key, ^uint64(b.id[i]))) >= coolMore*b.warmth(i)
 	if step < byAside && (b.aside[i] || slices.Contains(c.tried, i)) || step < byCrowd && b.busy(i, crowded) ||
-		step < byLimit && (float64(len(b.held[i])) > limit ||
+		step < byLimit && (cool || float64(len(b.held[i])) > limit ||
 			b.known(i)+c.load > max(even*b.heft[i]*b.warmth(i), 2*b.shown[i])) {
 		return true
 	}
 	// A young report that tells of room lets one in: a hundred balancers each know of one connection or none.
 	// What an old one told refuses nobody: it is asked again. Guards against nacks beside empty servers.
 	told := b.dep.ServersTell && b.mayAsk(c, i) || b.tellsRoom(i, crowded.asked) && b.sentAt[i] < b.askedAt[i]
-	// Of a server where nothing is held no notes come: it is taken for jammed as often as those with some are,
-	// or dozens of balancers would each fill a jammed fleet up where they are blind.
+	// Where nothing is held no notes come: as often as others are jammed, or all would fill a jammed fleet up.
 	blind := len(b.held[i]) == 0 && unit(mix(uint64(b.id[i]), b.seed+uint64(b.now/noteFresh))) < b.gloom
 	return b.busy(i, jammed) || blind && !told || b.known(i)+c.load > b.room[i] && !told
 }
@@ -1047,9 +1048,8 @@
 	return all
 }
 
-// moveSome plans to move so much load away from a server, in connections that would now be placed elsewhere:
-// lone members of their group first, then the heaviest; the last by chance, or many balancers would empty it.
-// At the end what finds no place is ended, least utility first, or a fleet would hold all and serve none.
+// moveSome plans to move so much load off a server to where it would be placed now: lone members of a group
+// first, then the heaviest, the last by chance; at the end also what finds no place, by its utility.
 func (b *Balancer) moveSome(i int, load float64, end bool) {
 	mates := map[uint64]int{}
 	for _, c := range b.held[i] {
