The id's test waits until the loop has heard that the first circuit is gone

By the debug log the second line came while the loop still held the id: the relay ends the server's side first, the loop hears a moment later, and refuses a taken id rightly (ids are new with every connection).

--- a/cmd/sabletally/main_test.go
+++ b/cmd/sabletally/main_test.go
@@ -581,7 +581,7 @@
 
 // TestAnIDIsTakenOnce guards against serving a client that names another's open circuit.
 func TestAnIDIsTakenOnce(t *testing.T) {
-	s := begin(t, nil, "s-1")
+	s := begin(t, []string{"SABLETALLY_LOG=debug"}, "s-1")
 	a, e := s.up()
 	id := strings.Fields(e.First)[1]
 	b, again := s.client(""), s.client("")
@@ -592,6 +592,7 @@
 	a.want("M 1\r\n")
 	a.Close()
 	ends(t, e.R, false)
+	s.waitLog(`"stood"`) // the relay ends the server's side before the loop has heard
 	again.write("OPEN " + id + " 2 c=feed,d=900\r\n")
 	io.WriteString(s.session(), "UP 1\r\n")
 	again.want("UP 1\r\n")
