--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -184,38 +184,32 @@
 // TestBeliedWordsOfKinTellOfNoRoom has one server of a cell be slow, or reset what stands, while it reports that it is idle.
 // Guards against hundreds of balancers that each send to its kin, and again, on their word.
 func TestBeliedWordsOfKinTellOfNoRoom(t *testing.T) {
-	for _, reset := range []bool{false, true} {
-		for _, tell := range []bool{true, false} {
-			d := deployment()
-			d.ReportsOnAsk, d.ServersTell = true, tell
-			list := fleet(3)
-			list[2].Cell = 1
-			b := started(d, list)
-			report := func(asked float64) {
-				for _, l := range list {
-					b.Reported(l.Server, Report{Asked: asked, Piled: -1, Util: -1})
-				}
-			}
-			report(0.8) // nothing is held: no room by the own load
-			b.HandedOver(Arrival{ID: 1, Load: 1}, 100)
-			report(0.1)
-			b.room[1], b.room[2] = 0, 0
-			if reset {
-				b.TryEnded(1, 0, true, Reset)
-			} else {
-				b.DelayNoted(100, 90*ms)
-			}
-			c := &circuit{grade: &d.Grades[0], load: 1, asks: asksMost, until: never, ranOn: -1, most: 1}
-			for i, in := range []bool{false, !tell, true} {
-				if i > 0 && b.passed(c, i, byAside, 3, 100) == in {
-					t.Errorf("reset %v, own words %v: server %d lets in: %v", reset, tell, i, !in)
-				}
-			}
-			b.Clock(untrueFor + ms)
-			if report(0.1); b.passed(c, 1, byAside, 3, 100) {
-				t.Error("marked for good")
+	for n := range 4 {
+		d := deployment()
+		d.ReportsOnAsk, d.ServersTell = true, n < 2
+		list := fleet(3)
+		list[2].Cell = 1
+		b := started(d, list)
+		b.HandedOver(Arrival{ID: 1, Load: 1}, 100)
+		told := func() { // all are idle, and nothing but that tells of room
+			for i, l := range list {
+				b.Reported(l.Server, Report{Asked: 0.1, Piled: -1, Util: -1})
+				b.room[i] = 0
 			}
 		}
+		if told(); n%2 == 0 {
+			b.TryEnded(1, 0, true, Reset)
+		} else {
+			b.DelayNoted(100, 90*ms)
+		}
+		c := &circuit{grade: &d.Grades[0], load: 1, asks: asksMost}
+		if kin, other := b.passed(c, 1, byAside, 3, 100), b.passed(c, 2, byAside, 3, 100); kin != d.ServersTell || other {
+			t.Errorf("%d: kin are passed: %v, others: %v", n, kin, other)
+		}
+		b.Clock(untrueFor + ms)
+		if told(); b.passed(c, 1, byAside, 3, 100) {
+			t.Error("marked for good")
+		}
 	}
 }
 
