--- a/cmd/sabletally/main_test.go
+++ b/cmd/sabletally/main_test.go
@@ -630,7 +630,7 @@
 // TestSilentClientsAreEnded counts from the accept, whatever drips in, and sheds the silent before usual clients
 // want for descriptors.
 func TestSilentClientsAreEnded(t *testing.T) {
-	s := begin(t, []string{"SABLETALLY_FILES=1", "SABLETALLY_LOG=debug"}, "s-1") // else ten lines a second are logged
+	s := begin(t, []string{"SABLETALLY_FILES=1"}, "s-1")
 	s.allUp()
 	began := time.Now()
 	for range 100 {
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -109,9 +109,9 @@
 		MostTries: *l.MostSetupTries, FallMultiple: *g.FallMultiple, ColdFrom: *g.ColdFrom, ColdFor: us(*g.ColdUs),
 		FallFor:       us(*g.FallUs),
 		CrossingPrice: s.Prices.CrossZone,
-		ReportsOnAsk:  s.Report.How == "probe" || s.Report.How == "answers",
 		ServersTell:   s.Report.How == "probe" || s.Report.How == "answers",
 	}
+	p.ReportsOnAsk = p.ServersTell // which the program widens to its own guesses
 	d := &Deployment{
 		Policy: p, ReportFields: s.Report.Fields, ConnectWithin: us(l.ConnectTimeoutUs),
 		Grades: map[string]int{}, Tenants: map[string]int{}, Zones: map[string]int{},
