The reader of HCL files is a package of its own, for files other than experiments

Need: the fleet's file is read by the same rules as experiments: each fault by file, line and column, all at once, nothing filled in. Behaviour and assertions of the experiments' tests are unchanged.

--- a/cmd/sablelab/main.go
+++ b/cmd/sablelab/main.go
@@ -14,7 +14,7 @@
 	"github.com/alecthomas/kong"
 	"golang.org/x/sys/unix"
 
-	"sabletally/internal/lab/plan"
+	"sabletally/internal/blocks"
 )
 
 // Exit codes.
@@ -71,7 +71,7 @@
 		kong.Description("A world of stand-ins round balancers under test, on loopback or in virtual time, judged by the four rules."))
 	err = k.Run(&lab{ctx: ctx, self: self})
 	progress("")
-	var faults plan.Faults
+	var faults blocks.Faults
 	switch {
 	case err == nil:
 		os.Exit(exitKept)
--- a/cmd/sablelab/run.go
+++ b/cmd/sablelab/run.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"sabletally/internal/blocks"
 	"sabletally/internal/lab/field"
 	"sabletally/internal/lab/judge"
 	"sabletally/internal/lab/plan"
@@ -222,10 +223,10 @@
 }
 
 func (c *checkCmd) Run(*lab) error {
-	var all plan.Faults
+	var all blocks.Faults
 	for _, path := range c.Files {
 		x, err := plan.Load(path)
-		if f, is := err.(plan.Faults); is {
+		if f, is := err.(blocks.Faults); is {
 			all = append(all, f...)
 			continue
 		}
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -1,3 +1,5 @@
+// Package plan owns experiment files: their form, their units and what is wrong with one, by file, line and column.
+// It must never run an experiment.
 package plan
 
 import (
@@ -10,8 +12,8 @@
 	"time"
 
 	"github.com/hashicorp/hcl/v2"
-	"github.com/hashicorp/hcl/v2/hclparse"
 
+	"sabletally/internal/blocks"
 	"sabletally/internal/lab/baseline"
 	"sabletally/internal/lab/load"
 	"sabletally/internal/lab/model"
@@ -60,7 +62,10 @@
 	Arms  []Arm
 }
 
-// Load reads a file; the error is Faults where its content is wrong.
+// reader gathers what is wrong with one file.
+type reader struct{ *blocks.Reader }
+
+// Load reads a file; the error is blocks.Faults where its content is wrong.
 func Load(path string) (*Experiment, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -71,18 +76,16 @@
 
 // Parse reads an experiment; path is its name in messages.
 func Parse(text []byte, path string) (*Experiment, error) {
-	r := &reader{}
-	file, diags := hclparse.NewParser().ParseHCL(text, path)
-	r.diags(diags)
-	if file == nil || diags.HasErrors() {
-		return nil, r.faults
+	r := reader{&blocks.Reader{}}
+	body := r.File(text, path)
+	if body == nil {
+		return nil, r.Faults
 	}
-	start := hcl.Range{Filename: path, Start: hcl.Pos{Line: 1, Column: 1}}
-	top := r.open("the file", file.Body, start, "", hcl.BlockHeaderSchema{Type: "experiment"}, hcl.BlockHeaderSchema{Type: "world"},
+	top := r.Open("the file", body, blocks.Start(path), "", hcl.BlockHeaderSchema{Type: "experiment"}, hcl.BlockHeaderSchema{Type: "world"},
 		hcl.BlockHeaderSchema{Type: "load"}, hcl.BlockHeaderSchema{Type: "fault", LabelNames: []string{"kind"}},
 		hcl.BlockHeaderSchema{Type: "arm", LabelNames: []string{"name"}})
 	x := &Experiment{Name: strings.TrimSuffix(filepath.Base(path), filepath.Ext(path))}
-	head, world, people := top.only("experiment", true), top.only("world", true), top.only("load", true)
+	head, world, people := top.Only("experiment", true), top.Only("world", true), top.Only("load", true)
 	length := longestRun
 	if head != nil {
 		length = r.head(x, head)
@@ -93,24 +96,23 @@
 	if people != nil {
 		r.load(x, people, length)
 	}
-	for _, b := range top.in["fault"] {
+	for _, b := range top.In["fault"] {
 		r.fault(x, b, length)
 	}
 	r.arms(x, top)
-	if len(r.faults) > 0 {
-		slices.SortStableFunc(r.faults, func(a, b Fault) int { return (a.Line-b.Line)*10000 + a.Column - b.Column })
-		return nil, r.faults
+	if err := r.Err(); err != nil {
+		return nil, err
 	}
 	return x, nil
 }
 
-func (r *reader) head(x *Experiment, in *hcl.Block) time.Duration {
-	b := r.open("experiment", in.Body, in.DefRange, "title mode length seeds")
-	b.must("mode", "length")
-	x.Title = b.text("title", x.Name)
-	x.Mode = b.text("mode", Sockets, Sockets, Virtual)
-	x.Seeds = b.numbers("seeds", []uint64{1}, 100)
-	return b.span("length", 30*time.Second, time.Second, longestRun)
+func (r reader) head(x *Experiment, in *hcl.Block) time.Duration {
+	b := r.Open("experiment", in.Body, in.DefRange, "title mode length seeds")
+	b.Must("mode", "length")
+	x.Title = b.Text("title", x.Name)
+	x.Mode = b.Text("mode", Sockets, Sockets, Virtual)
+	x.Seeds = b.Numbers("seeds", []uint64{1}, 100)
+	return b.Span("length", 30*time.Second, time.Second, longestRun)
 }
 
 // bound is the one for sockets or the one for virtual time.
@@ -124,57 +126,57 @@
 var effects = map[string]policy.Effect{"idempotent": policy.Idempotent, "deduplicated": policy.Deduplicated, "unrepeatable": policy.Unrepeatable}
 var scopes = map[string]policy.Scope{"all": policy.ScopeAll, "zone": policy.ScopeZone, "cell": policy.ScopeCell}
 
-func (r *reader) world(x *Experiment, in *hcl.Block) {
-	b := r.open("world", in.Body, in.DefRange, "balancers zones cells drain_grace message_goal message_each outer_limit setup_goal "+
+func (r reader) world(x *Experiment, in *hcl.Block) {
+	b := r.Open("world", in.Body, in.DefRange, "balancers zones cells drain_grace message_goal message_each outer_limit setup_goal "+
 		"connect_within tries probes advice crossing_price group_cost sheds sends_away notice silent_notice client_way near_way cross_way",
 		hcl.BlockHeaderSchema{Type: "warmup"}, hcl.BlockHeaderSchema{Type: "store"}, hcl.BlockHeaderSchema{Type: "limits"},
 		hcl.BlockHeaderSchema{Type: "server", LabelNames: []string{"kind"}}, hcl.BlockHeaderSchema{Type: "grade", LabelNames: []string{"name"}})
 	const ms, s = time.Millisecond, time.Second
 	w := &x.World
-	w.Balancers = b.whole("balancers", 1, 1, x.bound(mostSocketBalancers, mostBalancers))
-	w.Zones = b.whole("zones", 1, 1, 64)
-	cells := b.whole("cells", 1, 1, 1000)
-	w.DrainGrace = b.span("drain_grace", 750*ms, 0, time.Minute)
-	w.MessageGoal = b.span("message_goal", 250*ms, ms, time.Minute)
-	w.MessageEach = b.span("message_each", s, 5*ms, time.Minute)
-	w.ConnectWithin = b.span("connect_within", 200*ms, ms, time.Minute)
-	w.GroupCost = b.number("group_cost", 0, 0, 100)
-	w.Sheds = b.span("sheds", 0, 0, time.Minute)
-	w.SendsAway = b.yes("sends_away", true)
-	w.Notice = b.spans("notice", [2]time.Duration{200 * ms, s}, time.Minute)
-	w.Silent = b.spans("silent_notice", [2]time.Duration{s, 3 * s}, time.Minute)
-	w.Client, w.Near, w.Cross = b.span("client_way", ms/2, 0, s), b.span("near_way", ms/5, 0, s), b.span("cross_way", ms, 0, s)
-	limit, goal := b.span("outer_limit", 1800*ms, 10*ms, time.Minute), b.span("setup_goal", 300*ms, ms, time.Minute)
+	w.Balancers = b.Whole("balancers", 1, 1, x.bound(mostSocketBalancers, mostBalancers))
+	w.Zones = b.Whole("zones", 1, 1, 64)
+	cells := b.Whole("cells", 1, 1, 1000)
+	w.DrainGrace = b.Span("drain_grace", 750*ms, 0, time.Minute)
+	w.MessageGoal = b.Span("message_goal", 250*ms, ms, time.Minute)
+	w.MessageEach = b.Span("message_each", s, 5*ms, time.Minute)
+	w.ConnectWithin = b.Span("connect_within", 200*ms, ms, time.Minute)
+	w.GroupCost = b.Number("group_cost", 0, 0, 100)
+	w.Sheds = b.Span("sheds", 0, 0, time.Minute)
+	w.SendsAway = b.Yes("sends_away", true)
+	w.Notice = b.Spans("notice", [2]time.Duration{200 * ms, s}, time.Minute)
+	w.Silent = b.Spans("silent_notice", [2]time.Duration{s, 3 * s}, time.Minute)
+	w.Client, w.Near, w.Cross = b.Span("client_way", ms/2, 0, s), b.Span("near_way", ms/5, 0, s), b.Span("cross_way", ms, 0, s)
+	limit, goal := b.Span("outer_limit", 1800*ms, 10*ms, time.Minute), b.Span("setup_goal", 300*ms, ms, time.Minute)
 	d := &w.Deployment
-	d.MostTries = b.whole("tries", 6, 1, 100)
-	probes := b.text("probes", "report", "none", "ping", "report")
+	d.MostTries = b.Whole("tries", 6, 1, 100)
+	probes := b.Text("probes", "report", "none", "ping", "report")
 	d.MayProbe, d.ReportsOnAsk = probes != "none", probes == "report"
-	d.LongestAdvice = b.span("advice", s, 0, time.Minute)
+	d.LongestAdvice = b.Span("advice", s, 0, time.Minute)
 	d.MayAdvise = d.LongestAdvice > 0
-	d.CrossingPrice = b.number("crossing_price", 0.02, 0, 1)
-	if in := b.only("warmup", false); in != nil {
-		u := r.open("warmup", in.Body, in.DefRange, "from for multiple within")
-		w.Warmup = model.Warmup{From: u.share("from", 0.2), For: u.span("for", 20*s, ms, time.Hour),
-			Multiple: u.number("multiple", 3, 1, 1000), Within: u.span("within", 1500*ms, ms, time.Minute)}
+	d.CrossingPrice = b.Number("crossing_price", 0.02, 0, 1)
+	if in := b.Only("warmup", false); in != nil {
+		u := r.Open("warmup", in.Body, in.DefRange, "from for multiple within")
+		w.Warmup = model.Warmup{From: u.Share("from", 0.2), For: u.Span("for", 20*s, ms, time.Hour),
+			Multiple: u.Number("multiple", 3, 1, 1000), Within: u.Span("within", 1500*ms, ms, time.Minute)}
 	} else {
 		w.Warmup = model.Warmup{From: 0.2, For: 20 * s, Multiple: 3, Within: 1500 * ms}
 	}
 	d.ColdFrom, d.ColdFor, d.FallMultiple, d.FallFor = w.Warmup.From, w.Warmup.For, w.Warmup.Multiple, w.Warmup.Within
-	if in := b.only("store", false); in != nil {
-		u := r.open("store", in.Body, in.DefRange, "rate time wait")
-		u.must("rate")
-		w.Store = model.Store{Rate: u.number("rate", 100, 0.001, 1e9), Time: u.span("time", 5*ms, 0, time.Minute),
-			Wait: u.span("wait", s, 0, time.Minute)}
+	if in := b.Only("store", false); in != nil {
+		u := r.Open("store", in.Body, in.DefRange, "rate time wait")
+		u.Must("rate")
+		w.Store = model.Store{Rate: u.Number("rate", 100, 0.001, 1e9), Time: u.Span("time", 5*ms, 0, time.Minute),
+			Wait: u.Span("wait", s, 0, time.Minute)}
 	}
 	w.Limits = r.limits(b, scene.Limits{Cores: 1, MemoryMB: 192, Sockets: 1024})
 	r.grades(x, b, limit, goal)
-	for _, in := range b.in["server"] {
-		u := r.open("server", in.Body, in.DefRange, "count cores speed fills most setup message")
-		u.must("count")
-		k := model.Kind{Name: in.Labels[0], Cores: u.whole("cores", 2, 1, 1024), Speed: u.number("speed", 1, 0.01, 100),
-			Fills: u.whole("fills", 30, 1, 1000000), Setup: u.span("setup", 8*ms, 0, s), Message: u.span("message", 10*ms, 0, s)}
-		k.Most = u.whole("most", 4*k.Cores*k.Fills, 1, 100000000)
-		for range u.whole("count", 1, 1, x.bound(mostSocketServers, mostServers)) {
+	for _, in := range b.In["server"] {
+		u := r.Open("server", in.Body, in.DefRange, "count cores speed fills most setup message")
+		u.Must("count")
+		k := model.Kind{Name: in.Labels[0], Cores: u.Whole("cores", 2, 1, 1024), Speed: u.Number("speed", 1, 0.01, 100),
+			Fills: u.Whole("fills", 30, 1, 1000000), Setup: u.Span("setup", 8*ms, 0, s), Message: u.Span("message", 10*ms, 0, s)}
+		k.Most = u.Whole("most", 4*k.Cores*k.Fills, 1, 100000000)
+		for range u.Whole("count", 1, 1, x.bound(mostSocketServers, mostServers)) {
 			i := len(w.Machines)
 			if i > x.bound(mostSocketServers, mostServers) {
 				break // one too many is said once, below
@@ -183,39 +185,39 @@
 		}
 	}
 	if most := x.bound(mostSocketServers, mostServers); len(w.Machines) == 0 || len(w.Machines) > most {
-		r.at(in.DefRange, "world: wants 1 to %d servers (blocks \"server\"), has %d", most, len(w.Machines))
+		r.At(in.DefRange, "world: wants 1 to %d servers (blocks \"server\"), has %d", most, len(w.Machines))
 	}
 }
 
 // limits reads a block of limits, where there is one; what it does not tell stays as it is.
-func (r *reader) limits(b *block, l scene.Limits) scene.Limits {
-	in := b.only("limits", false)
+func (r reader) limits(b *blocks.Block, l scene.Limits) scene.Limits {
+	in := b.Only("limits", false)
 	if in == nil {
 		return l
 	}
-	u := r.open("limits", in.Body, in.DefRange, "cores memory_mb sockets")
-	return scene.Limits{Cores: u.number("cores", l.Cores, 0.01, 64), MemoryMB: u.whole("memory_mb", l.MemoryMB, 16, 1<<20),
-		Sockets: u.whole("sockets", l.Sockets, 64, 1<<20)}
+	u := r.Open("limits", in.Body, in.DefRange, "cores memory_mb sockets")
+	return scene.Limits{Cores: u.Number("cores", l.Cores, 0.01, 64), MemoryMB: u.Whole("memory_mb", l.MemoryMB, 16, 1<<20),
+		Sockets: u.Whole("sockets", l.Sockets, 64, 1<<20)}
 }
 
-func (r *reader) grades(x *Experiment, b *block, limit, goal time.Duration) {
+func (r reader) grades(x *Experiment, b *blocks.Block, limit, goal time.Duration) {
 	const ms = time.Millisecond
 	w := &x.World
-	for _, in := range b.in["grade"] {
-		u := r.open("grade", in.Body, in.DefRange, "effect scope window outer_limit setup_goal utility")
+	for _, in := range b.In["grade"] {
+		u := r.Open("grade", in.Body, in.DefRange, "effect scope window outer_limit setup_goal utility")
 		if slices.Contains(w.GradeNames, in.Labels[0]) {
-			r.at(in.DefRange, "grade %q stands twice", in.Labels[0])
+			r.At(in.DefRange, "grade %q stands twice", in.Labels[0])
 		}
 		g := policy.Grade{
-			Effect:    effects[u.text("effect", "idempotent", slices.Sorted(maps.Keys(effects))...)],
-			Scope:     scopes[u.text("scope", "all", slices.Sorted(maps.Keys(scopes))...)],
-			Window:    u.span("window", 5*time.Second, 0, time.Hour),
-			SetupGoal: u.span("setup_goal", goal, ms, time.Minute), MessageGoal: w.MessageGoal,
-			Utility: u.number("utility", 1, 0, 1e6),
+			Effect:    effects[u.Text("effect", "idempotent", slices.Sorted(maps.Keys(effects))...)],
+			Scope:     scopes[u.Text("scope", "all", slices.Sorted(maps.Keys(scopes))...)],
+			Window:    u.Span("window", 5*time.Second, 0, time.Hour),
+			SetupGoal: u.Span("setup_goal", goal, ms, time.Minute), MessageGoal: w.MessageGoal,
+			Utility: u.Number("utility", 1, 0, 1e6),
 		}
-		outer := u.span("outer_limit", limit, 10*ms, time.Minute)
+		outer := u.Span("outer_limit", limit, 10*ms, time.Minute)
 		if outer < g.SetupGoal {
-			r.at(in.DefRange, "grade %q: the outer limit %v is shorter than the set-up goal %v", in.Labels[0], outer, g.SetupGoal)
+			r.At(in.DefRange, "grade %q: the outer limit %v is shorter than the set-up goal %v", in.Labels[0], outer, g.SetupGoal)
 		}
 		w.GradeNames, w.OuterLimits = append(w.GradeNames, in.Labels[0]), append(w.OuterLimits, outer)
 		w.Deployment.Grades = append(w.Deployment.Grades, g)
@@ -224,47 +226,47 @@
 		return
 	}
 	if limit < goal {
-		r.at(b.where, "world: the outer limit %v is shorter than the set-up goal %v", limit, goal)
+		r.At(b.Where, "world: the outer limit %v is shorter than the set-up goal %v", limit, goal)
 	}
 	w.GradeNames, w.OuterLimits = []string{"feed"}, []time.Duration{limit}
 	w.Deployment.Grades = []policy.Grade{{SetupGoal: goal, MessageGoal: w.MessageGoal, Utility: 1}}
 }
 
-func (r *reader) load(x *Experiment, in *hcl.Block, length time.Duration) {
-	b := r.open("load", in.Body, in.DefRange, "shape rate standing fill life groups spread wait wait_most move break",
+func (r reader) load(x *Experiment, in *hcl.Block, length time.Duration) {
+	b := r.Open("load", in.Body, in.DefRange, "shape rate standing fill life groups spread wait wait_most move break",
 		hcl.BlockHeaderSchema{Type: "burst"})
-	b.must("life")
+	b.Must("life")
 	const ms, s = time.Millisecond, time.Second
 	most := x.bound(mostSocketClients, mostClients)
 	p := &x.World.Load
 	*p = load.Plan{
-		Shape: load.Shape(b.text("shape", string(load.Poisson), string(load.Poisson), string(load.Constant))),
-		Rate:  b.number("rate", 0, 0, 1e6), Standing: b.whole("standing", 0, 0, most), Fill: b.span("fill", 0, 0, longestRun),
-		Life: b.span("life", 20*s, ms, 24*time.Hour), Groups: b.whole("groups", 0, 0, 10000000), Loads: b.number("spread", 0, 0, 3),
+		Shape: load.Shape(b.Text("shape", string(load.Poisson), string(load.Poisson), string(load.Constant))),
+		Rate:  b.Number("rate", 0, 0, 1e6), Standing: b.Whole("standing", 0, 0, most), Fill: b.Span("fill", 0, 0, longestRun),
+		Life: b.Span("life", 20*s, ms, 24*time.Hour), Groups: b.Whole("groups", 0, 0, 10000000), Loads: b.Number("spread", 0, 0, 3),
 		Grades: len(x.World.GradeNames), Length: length,
 	}
-	for _, in := range b.in["burst"] {
-		u := r.open("burst", in.Body, in.DefRange, "at for times")
-		u.must("at", "for", "times")
-		p.Bursts = append(p.Bursts, load.Burst{At: u.span("at", 0, 0, length), For: u.span("for", s, ms, length), Times: u.number("times", 2, 0, 1000)})
+	for _, in := range b.In["burst"] {
+		u := r.Open("burst", in.Body, in.DefRange, "at for times")
+		u.Must("at", "for", "times")
+		p.Bursts = append(p.Bursts, load.Burst{At: u.Span("at", 0, 0, length), For: u.Span("for", s, ms, length), Times: u.Number("times", 2, 0, 1000)})
 	}
 	if p.Fill >= length {
-		r.at(in.DefRange, "load: nothing is left to measure: fill %v of a length of %v", p.Fill, length)
+		r.At(in.DefRange, "load: nothing is left to measure: fill %v of a length of %v", p.Fill, length)
 	}
 	if p.Standing > 0 && p.Fill == 0 {
-		r.at(in.DefRange, "load: standing clients want a time to come in: fill")
+		r.At(in.DefRange, "load: standing clients want a time to come in: fill")
 	}
 	if p.Standing == 0 && p.Rate == 0 {
-		r.at(in.DefRange, "load: nobody comes: neither standing nor rate")
+		r.At(in.DefRange, "load: nobody comes: neither standing nor rate")
 	}
 	if all := p.Rate * (length - p.Fill).Seconds(); all > float64(most) {
-		r.at(in.DefRange, "load: %.0f clients are more than the %d that can be run", all, most)
+		r.At(in.DefRange, "load: %.0f clients are more than the %d that can be run", all, most)
 	}
-	x.World.Return = load.Return{Wait: b.span("wait", 100*ms, 0, time.Minute), Most: b.span("wait_most", 2*s, 0, time.Hour),
-		Move: b.span("move", 100*ms, 0, time.Minute), Break: b.span("break", 300*ms, 0, time.Minute)}
+	x.World.Return = load.Return{Wait: b.Span("wait", 100*ms, 0, time.Minute), Most: b.Span("wait_most", 2*s, 0, time.Hour),
+		Move: b.Span("move", 100*ms, 0, time.Minute), Break: b.Span("break", 300*ms, 0, time.Minute)}
 }
 
-func (r *reader) fault(x *Experiment, in *hcl.Block, length time.Duration) {
+func (r reader) fault(x *Experiment, in *hcl.Block, length time.Duration) {
 	names := make([]string, 0, len(timetable.Kinds))
 	for k := range timetable.Kinds {
 		names = append(names, string(k))
@@ -273,28 +275,28 @@
 	kind := timetable.Kind(in.Labels[0])
 	wants, known := timetable.Kinds[kind]
 	if !known {
-		r.at(in.LabelRanges[0], "fault %q is none of %s%s", kind, strings.Join(names, ", "), nearest(string(kind), names))
+		r.At(in.LabelRanges[0], "fault %q is none of %s%s", kind, strings.Join(names, ", "), blocks.Nearest(string(kind), names))
 		return
 	}
 	if x.Mode == Virtual && timetable.SocketsOnly(kind) {
-		r.at(in.LabelRanges[0], "fault %q has no meaning in virtual time", kind)
+		r.At(in.LabelRanges[0], "fault %q has no meaning in virtual time", kind)
 	}
-	b := r.open(fmt.Sprintf("fault %q", kind), in.Body, in.DefRange, "at for part batch drain times rate late")
-	b.must(append([]string{"at"}, wants...)...)
-	f := timetable.Fault{Kind: kind, At: b.span("at", 0, 0, length), For: b.span("for", 0, 0, longestRun), Part: b.share("part", 0),
-		Batch: b.share("batch", 0.2), Drain: b.span("drain", 4*time.Second, 0, time.Minute), Times: b.number("times", 1, 1, 10000),
-		Rate: b.number("rate", 0, 0, 10000), Late: b.span("late", 0, 0, time.Minute)}
+	b := r.Open(fmt.Sprintf("fault %q", kind), in.Body, in.DefRange, "at for part batch drain times rate late")
+	b.Must(append([]string{"at"}, wants...)...)
+	f := timetable.Fault{Kind: kind, At: b.Span("at", 0, 0, length), For: b.Span("for", 0, 0, longestRun), Part: b.Share("part", 0),
+		Batch: b.Share("batch", 0.2), Drain: b.Span("drain", 4*time.Second, 0, time.Minute), Times: b.Number("times", 1, 1, 10000),
+		Rate: b.Number("rate", 0, 0, 10000), Late: b.Span("late", 0, 0, time.Minute)}
 	if kind == timetable.Errors && f.Rate > 1 {
-		r.at(in.DefRange, "fault %q: rate is a share of the set-ups, 1 at most", kind)
+		r.At(in.DefRange, "fault %q: rate is a share of the set-ups, 1 at most", kind)
 	}
 	x.World.Faults = append(x.World.Faults, f)
 }
 
-func (r *reader) arms(x *Experiment, top *block) {
-	for _, in := range top.in["arm"] {
-		b := r.open("arm", in.Body, in.DefRange, "policy binary broken env", hcl.BlockHeaderSchema{Type: "limits"})
-		a := Arm{Name: in.Labels[0], Policy: b.text("policy", "", baseline.Names...), Binary: b.text("binary", ""), Broken: b.text("broken", "", Breaks...)}
-		if env := b.text("env", ""); env != "" {
+func (r reader) arms(x *Experiment, top *blocks.Block) {
+	for _, in := range top.In["arm"] {
+		b := r.Open("arm", in.Body, in.DefRange, "policy binary broken env", hcl.BlockHeaderSchema{Type: "limits"})
+		a := Arm{Name: in.Labels[0], Policy: b.Text("policy", "", baseline.Names...), Binary: b.Text("binary", ""), Broken: b.Text("broken", "", Breaks...)}
+		if env := b.Text("env", ""); env != "" {
 			a.Env = strings.Fields(env)
 		}
 		a.Limits = r.limits(b, x.World.Limits)
@@ -305,16 +307,16 @@
 			}
 		}
 		if told > 1 {
-			r.at(in.DefRange, "arm %q: policy, binary and broken rule each other out", a.Name)
+			r.At(in.DefRange, "arm %q: policy, binary and broken rule each other out", a.Name)
 		}
 		if x.Mode == Virtual && (a.Binary != "" || a.Broken != "" || len(a.Env) > 0) {
-			r.at(in.DefRange, "arm %q: in virtual time there are only policies", a.Name)
+			r.At(in.DefRange, "arm %q: in virtual time there are only policies", a.Name)
 		}
 		if x.Mode == Virtual && a.Policy == "" {
 			a.Policy = baseline.Ours
 		}
 		if slices.ContainsFunc(x.Arms, func(o Arm) bool { return o.Name == a.Name }) {
-			r.at(in.DefRange, "arm %q stands twice", a.Name)
+			r.At(in.DefRange, "arm %q stands twice", a.Name)
 		}
 		x.Arms = append(x.Arms, a)
 	}
