Members of a fleet: file, directory, failure detector and a pure table of who is here

Need: what a balancer holds for others must lie on further members, so members have to find, miss and find each other again; a process that was stopped must know that it was.

On only where SABLETALLY_FLEET names a file. memberlist is the failure detector; whom to call, what standing follows and what is told is decided in a pure table. /control/fleet shows it, sabletally fleet check and status are the first commands.

--- /dev/null
+++ b/cmd/sabletally/commands.go
@@ -0,0 +1,133 @@
+// This file owns the program's commands: what an operator asks of files and of running balancers. Without arguments the program
+// is the balancer. A command must never change anything.
+
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"sabletally/internal/blocks"
+	"sabletally/internal/fleet"
+	"sabletally/internal/fleet/config"
+)
+
+const askWithin = 5 * time.Second // a balancer's operators' address answers within one
+
+type commands struct {
+	Fleet struct {
+		Check  checkCmd  `cmd:"" help:"Reads the fleet's file and names each fault by file, line and column."`
+		Status statusCmd `cmd:"" help:"Shows how a balancer sees the fleet."`
+	} `cmd:"" help:"The other balancers, and what is held for them."`
+}
+
+// command runs one and answers the program's exit code: 0, 1 where it failed, 2 where it was called wrongly or a file is.
+func command(args []string) int {
+	parser, err := kong.New(&commands{}, kong.Name("sabletally"), kong.UsageOnError(),
+		kong.Description("Without arguments, the balancer: it is told by its environment what it is (see the README)."))
+	if err != nil {
+		panic(err) // the struct above
+	}
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "sabletally:", err)
+		return 2
+	}
+	if err := ctx.Run(); err != nil {
+		eachFault(err, func(err error) { fmt.Fprintln(os.Stderr, err) })
+		if _, is := errors.AsType[blocks.Faults](err); is {
+			return 2
+		}
+		return 1
+	}
+	return 0
+}
+
+// eachFault hands out what is wrong one by one.
+func eachFault(err error, each func(error)) {
+	all, is := errors.AsType[blocks.Faults](err)
+	if !is {
+		each(err)
+	}
+	for _, f := range all {
+		each(f)
+	}
+}
+
+type checkCmd struct {
+	File string `arg:"" help:"The fleet's file."`
+}
+
+// Run checks a file.
+func (c checkCmd) Run() error {
+	f, err := config.Read(c.File)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: fleet %q, %d copies; this member: machine %s, zone %s, site %s, reached at %v\n", c.File, f.Fleet, f.Copies, f.Machine, f.Zone,
+		f.Site, f.Advertise)
+	return nil
+}
+
+type statusCmd struct {
+	Address string `arg:"" help:"The operators' address of a balancer, such as 127.0.0.1:15000."`
+	JSON    bool   `help:"As the balancer says it."`
+}
+
+// Run asks one balancer.
+func (c statusCmd) Run() error {
+	r, err := (&http.Client{Timeout: askWithin}).Get("http://" + c.Address + "/control/fleet")
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	text, err := io.ReadAll(r.Body)
+	switch {
+	case err != nil:
+		return err
+	case r.StatusCode == http.StatusNotFound:
+		return fmt.Errorf("%s: the balancer is in no fleet: %s was not set when it started", c.Address, fleetFile)
+	case r.StatusCode != http.StatusOK:
+		return fmt.Errorf("%s: %s: %s", c.Address, r.Status, text)
+	case c.JSON:
+		_, err := os.Stdout.Write(text)
+		return err
+	}
+	var s fleet.Report
+	if err := json.Unmarshal(text, &s); err != nil {
+		return fmt.Errorf("%s: %w", c.Address, err)
+	}
+	show(os.Stdout, s)
+	return nil
+}
+
+// show puts a report in a table.
+func show(out io.Writer, s fleet.Report) {
+	if !s.Member {
+		fmt.Fprintf(out, "fleet %s: this process is no member: %s\n", s.Fleet, s.Why)
+		return
+	}
+	fmt.Fprintf(out, "fleet %s: %s, %d of %d members here, on %d machines for %d copies; health %d, stopped %d times\n", s.Fleet, s.Standing, s.Here,
+		len(s.Others)+1, s.Machines, s.Copies, s.Health, s.Stalls)
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "member\tmachine\tzone\tsite\taddress\tlife\tstate\tsince\tid")
+	for _, m := range append([]fleet.One{*s.Self}, s.Others...) {
+		state, since := m.State, time.Duration(m.Seconds*float64(time.Second)).Round(time.Second).String()
+		if m.ID == s.Self.ID {
+			state, since = "this one", "-"
+		}
+		if m.By != "" {
+			state += ", replaced"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%.8s\n", m.Name, m.Machine, m.Zone, m.Site, m.Addr, m.Life, state, since, m.ID)
+	}
+	t.Flush()
+}
--- a/cmd/sabletally/main.go
+++ b/cmd/sabletally/main.go
@@ -20,6 +20,8 @@
 
 	"sabletally/internal/balancer"
 	"sabletally/internal/deployment"
+	"sabletally/internal/fleet"
+	"sabletally/internal/fleet/config"
 	"sabletally/internal/mgmt"
 )
 
@@ -29,9 +31,15 @@
 	comeOn     = 400 * time.Millisecond // so long clients still come to a balancer that leaves
 	logMost    = 10                     // lines a second of one kind in the log
 	stayOn     = 5 * time.Second        // after that the program exits by itself
+	fleetFile  = "SABLETALLY_FLEET"     // names the fleet's file
 )
 
-func main() { os.Exit(run()) }
+func main() {
+	if len(os.Args) > 1 {
+		os.Exit(command(os.Args[1:]))
+	}
+	os.Exit(run())
+}
 
 func run() int {
 	log := logger(os.Getenv("SABLETALLY_LOG"))
@@ -44,6 +52,13 @@
 		return 2
 	}
 	log = log.With(zap.String("name", s.Name))
+	var file *config.File // of the fleet; where none is named nothing of it is read, opened, allocated or started
+	if path := os.Getenv(fleetFile); path != "" {
+		if file, err = config.Read(path); err != nil {
+			eachFault(err, func(err error) { log.Error("can't start", zap.NamedError("fleet", err)) })
+			return 2
+		}
+	}
 	cores := int(math.Ceil(s.Cores))
 	// Beside the cores one for netpoll's poller and one for each relay: they sleep in the kernel with a processor in hand,
 	// which the runtime takes away only after up to ten milliseconds. Guards against a loop that waits for it on one core.
@@ -80,8 +95,18 @@
 		log.Error("can't start", zap.Error(err))
 		return 2
 	}
+	pages := mgmt.Pages{}
+	var member *fleet.Fleet
+	if file != nil {
+		if member, err = fleet.Open(file, s.Name, s.Seed, gate.Shared(), log); err != nil {
+			log.Error("can't start", zap.NamedError("fleet", err))
+			return 2
+		}
+		defer member.Leave()
+		pages["/control/fleet"] = func() any { return member.Report() }
+	}
 	if s.Mgmt != "" { // last: who is answered there finds a loop that runs
-		m, err := mgmt.Open(s.Mgmt, mgmt.Conns(s.Sockets), l, aside{log, "mgmt"})
+		m, err := mgmt.Open(s.Mgmt, mgmt.Conns(s.Sockets), l, pages, aside{log, "mgmt"})
 		if err != nil {
 			log.Error("can't start", zap.NamedError("mgmt", err))
 			return 2
@@ -110,6 +135,9 @@
 				for _, limit := range s.Deployment.OuterLimits {
 					longest = max(longest, limit)
 				}
+				if member != nil && l.HasHeir() { // which goes on as this member
+					member.Close()
+				}
 				within := min(longest, leaveMost) + leaveExtra
 				l.Leave(comeOn, within, func() { close(emptied) })
 				exit = time.After(within + stayOn)
--- a/internal/balancer/heir.go
+++ b/internal/balancer/heir.go
@@ -110,6 +110,9 @@
 	}
 }
 
+// HasHeir tells whether a new process of this balancer is beside this one.
+func (l *Loop) HasHeir() bool { return l.heired.Load() }
+
 // mostFds is how many descriptors connections may hold here, beside what the other process of an upgrade holds.
 func (l *Loop) mostFds() int64 { return l.most - l.beside.Load() }
 
@@ -126,6 +129,7 @@
 		was.Close()
 	}
 	s.heir, s.heirReady = link, false
+	l.heired.Store(true)
 	l.log.Info("a new process is beside this one")
 	l.share(true)
 	known := &upgrade.Known{Out: l.isOut()}
@@ -164,6 +168,7 @@
 	if s := l.succession; link == s.heir {
 		l.log.Info("the new process has gone", zap.NamedError("why", why))
 		s.heir, s.heirReady = nil, false
+		l.heired.Store(false)
 		l.beside.Store(0)
 		l.share(false)
 	}
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -77,6 +77,7 @@
 	service service // under it
 
 	succession *succession // nil where this process can have no heir
+	heired     atomic.Bool // it has one now
 }
 
 // server is what the sockets need to know of one server.
--- /dev/null
+++ b/internal/fleet/config/config.go
@@ -0,0 +1,118 @@
+// Package config owns the fleet's file: what an operator tells one member of the others, and what is wrong with the file, by
+// file, line and column. It must never open what the file names, and never guess what is missing: a member that takes itself
+// for another's neighbour, or for on a machine of its own, would promise what it can't keep.
+package config
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+
+	"sabletally/internal/blocks"
+)
+
+// Bounds of what a file may tell.
+const (
+	MostMembers = 1024 // of one fleet
+	mostSeeds   = 64
+	mostCopies  = 7
+	longestName = 64 // bytes; names go with every word about a member
+)
+
+// File is what one member is told.
+type File struct {
+	Fleet     string         // whose words are heard; those of any other fleet are a stranger's
+	Listen    netip.AddrPort // TCP and UDP, members only
+	Advertise netip.AddrPort // where the others reach it; Listen where the file tells none
+	Seeds     []netip.AddrPort
+	Data      string // a directory of this member's own, absolute
+	Copies    int    // holders of each record
+	Machine   string // what is lost together with this process,
+	Zone      string // then what is lost together with the machine,
+	Site      string // and with the zone
+	Gone      time.Duration
+}
+
+// Read reads a file; the error is blocks.Faults where its content is wrong.
+func Read(path string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(text, path)
+}
+
+// Parse reads a file's text; path is its name in messages.
+func Parse(text []byte, path string) (*File, error) {
+	r := &blocks.Reader{}
+	body := r.File(text, path)
+	if body == nil {
+		return nil, r.Faults
+	}
+	top := r.Open("the file", body, blocks.Start(path), "", hcl.BlockHeaderSchema{Type: "fleet", LabelNames: []string{"name"}})
+	f := &File{}
+	if in := top.Only("fleet", true); in != nil {
+		f.read(r, in)
+	}
+	if err := r.Err(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *File) read(r *blocks.Reader, in *hcl.Block) {
+	b := r.Open("fleet", in.Body, in.DefRange, "listen advertise seeds data copies machine zone site gone_after")
+	b.Must("listen", "seeds", "data", "machine", "zone", "site")
+	name := func(what, text string, at hcl.Range) string {
+		if at.Empty() {
+			return text
+		}
+		if text == "" || len(text) > longestName || strings.ContainsFunc(text, func(c rune) bool { return c <= ' ' || c == 0x7f }) {
+			r.At(at, "%s: %q is no name: wants 1 to %d bytes without spaces", what, text, longestName)
+		}
+		return text
+	}
+	told := func(what string) string {
+		if !b.Has(what) {
+			return ""
+		}
+		return name(what, b.Text(what, "-"), b.At(what))
+	}
+	f.Fleet = name("fleet", in.Labels[0], in.LabelRanges[0])
+	f.Machine, f.Zone, f.Site = told("machine"), told("zone"), told("site")
+	f.Listen = address(r, "listen", b.Text("listen", ""), b.At("listen"), b.Has("listen"))
+	f.Advertise = f.Listen
+	if b.Has("advertise") {
+		f.Advertise = address(r, "advertise", b.Text("advertise", ""), b.At("advertise"), true)
+	}
+	if f.Advertise.IsValid() && f.Advertise.Addr().IsUnspecified() {
+		r.At(b.At("listen"), `listen: %v is every address: "advertise" has to tell where the others reach this member`, f.Listen)
+	}
+	seeds, places := b.Texts("seeds", mostSeeds)
+	for i, text := range seeds {
+		f.Seeds = append(f.Seeds, address(r, "seeds", text, places[i], true))
+	}
+	f.Data = b.Text("data", "")
+	if b.Has("data") && !filepath.IsAbs(f.Data) {
+		r.At(b.At("data"), "data: %q is no absolute path; a relative one is another directory wherever the program is started", f.Data)
+	}
+	f.Copies = b.Whole("copies", 3, 1, mostCopies)
+	f.Gone = b.Span("gone_after", 24*time.Hour, time.Minute, 30*24*time.Hour)
+}
+
+// address reads an IP address with a port. Names are refused: a look-up that hangs would hang the start with it.
+func address(r *blocks.Reader, what, text string, at hcl.Range, told bool) netip.AddrPort {
+	if !told {
+		return netip.AddrPort{}
+	}
+	a, err := netip.ParseAddrPort(text)
+	if err != nil || a.Port() == 0 {
+		r.At(at, `%s: %q is no address; wants an IP address and a port, such as "127.0.0.1:7001"`, what, text)
+		return netip.AddrPort{}
+	}
+	return a
+}
--- /dev/null
+++ b/internal/fleet/config/config_test.go
@@ -0,0 +1,55 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"sabletally/internal/blocks"
+)
+
+const whole = `fleet "istanbul" {
+  listen  = "127.0.0.1:7001"
+  seeds   = ["127.0.0.1:7001", "127.0.0.1:7002"]
+  data    = "/var/lib/sabletally"
+  copies  = 3
+  machine = "m1"
+  zone    = "a"
+  site    = "istanbul"
+}
+`
+
+func TestAWholeFile(t *testing.T) {
+	f, err := Parse([]byte(whole), "f.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.Fleet != "istanbul" || f.Advertise != f.Listen || len(f.Seeds) != 2 || f.Copies != 3 || f.Machine != "m1" || f.Gone != 24*time.Hour {
+		t.Errorf("%+v", f)
+	}
+}
+
+// TestFaultsAreNamedWhereTheyStand changes one thing at a time.
+func TestFaultsAreNamedWhereTheyStand(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`"127.0.0.1:7001"` + "\n", `"m1:7001"` + "\n", `f.hcl:2:13: listen: "m1:7001" is no address`},
+		{`"127.0.0.1:7001"` + "\n", `"0.0.0.0:7001"` + "\n", `f.hcl:2:13: listen: 0.0.0.0:7001 is every address`},
+		{`"127.0.0.1:7002"`, `"127.0.0.1:7001"`, `f.hcl:3:32: seeds: "127.0.0.1:7001" stands twice`},
+		{`"127.0.0.1:7002"`, `"127.0.0.1:0"`, `f.hcl:3:32: seeds: "127.0.0.1:0" is no address`},
+		{`["127.0.0.1:7001", "127.0.0.1:7002"]`, `[]`, `f.hcl:3:13: seeds: wants a list of 1 to 64 texts`},
+		{`"/var/lib/sabletally"`, `"data"`, `f.hcl:4:13: data: "data" is no absolute path`},
+		{`copies  = 3`, `copies  = 0`, `f.hcl:5:13: copies: 0 lies outside 1 to 7`},
+		{`"m1"`, `"m 1"`, `f.hcl:6:13: machine: "m 1" is no name`},
+		{`  zone    = "a"` + "\n", ``, `f.hcl:1:1: fleet wants "zone"`},
+		{`fleet "istanbul"`, `fleet ""`, `f.hcl:1:7: fleet: "" is no name`},
+		{`fleet "istanbul"`, `flet "istanbul"`, `f.hcl:1:1: the file wants a block "fleet"`},
+		{`site    =`, `sight   =`, `f.hcl:8:3: Unsupported argument`},
+		{"}\n", "}\nfleet \"b\" {}\n", `f.hcl:10:1: a second block "fleet"; the first is in line 1`},
+		{`copies  = 3`, `copies  =`, `f.hcl:5:12: Invalid expression`},
+	} {
+		_, err := Parse([]byte(strings.Replace(whole, c.old, c.new, 1)), "f.hcl")
+		if _, is := err.(blocks.Faults); !is || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q: got %v, wanted %q", c.new, err, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/memnet/memnet.go
@@ -0,0 +1,262 @@
+// Package memnet is a network in memory between members of a fleet, with faults on each ordered pair of them: for worlds in
+// virtual time, where the very code that ships runs on it. It owns what passes and what is lost. It must never open a socket.
+package memnet
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+const (
+	packetsMost = 512 // datagrams that wait at a member
+	resendEach  = 200 * time.Millisecond
+	resendMost  = 8
+)
+
+// Way is how one ordered pair is: what goes from the one to the other.
+type Way struct {
+	Loss  float64 // share of datagrams that are lost; a stream's are sent again, which takes time
+	Late  time.Duration
+	Twice float64 // share of datagrams that come twice, the second one late by up to Late and 50 ms
+	Cut   bool
+}
+
+// Net is one network.
+type Net struct {
+	mu    sync.Mutex
+	rng   *rand.Rand
+	at    map[netip.AddrPort]*Port
+	way   func(from, to int) Way
+	usual time.Duration
+
+	Bytes, Packets int64 // sent, datagrams alone
+	Streams        int64
+}
+
+// New makes a network in which everything takes so long and nothing is lost.
+func New(seed uint64, usual time.Duration) *Net {
+	return &Net{rng: rand.New(rand.NewPCG(seed, 0x6e37)), at: map[netip.AddrPort]*Port{}, usual: usual,
+		way: func(int, int) Way { return Way{} }}
+}
+
+// Set says from now on how each ordered pair is.
+func (n *Net) Set(way func(from, to int) Way) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.way = way
+}
+
+// Sum answers what was sent so far.
+func (n *Net) Sum() (bytes, packets, streams int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.Bytes, n.Packets, n.Streams
+}
+
+// Port is one member's place in it.
+type Port struct {
+	net     *Net
+	num     int
+	addr    netip.AddrPort
+	packets chan *memberlist.Packet
+	streams chan net.Conn
+	stopped bool
+	held    []func() // what came while it was stopped
+	shut    bool
+}
+
+// Addr is the address of a number.
+func Addr(num int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(num >> 8), byte(num)}), 7000)
+}
+
+// Port makes a member's place, in place of an earlier one of that number.
+func (n *Net) Port(num int) *Port {
+	p := &Port{net: n, num: num, addr: Addr(num), packets: make(chan *memberlist.Packet, packetsMost), streams: make(chan net.Conn, 64)}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.at[p.addr] = p
+	return p
+}
+
+// Stop holds all that comes to a member, as at a process that is stopped, and loses what it sends; Go hands over what a
+// kernel's buffers would have held.
+func (p *Port) Stop() {
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	p.stopped = true
+}
+
+// Go ends a Stop.
+func (p *Port) Go() {
+	p.net.mu.Lock()
+	held := p.held
+	p.stopped, p.held = false, nil
+	p.net.mu.Unlock()
+	for _, do := range held {
+		do()
+	}
+}
+
+// pass runs what arrives at a member, later where it is stopped.
+func (p *Port) pass(do func()) {
+	p.net.mu.Lock()
+	if p.stopped {
+		if len(p.held) < packetsMost {
+			p.held = append(p.held, do)
+		}
+		p.net.mu.Unlock()
+		return
+	}
+	p.net.mu.Unlock()
+	do()
+}
+
+// FinalAdvertiseAddr is this member's address.
+func (p *Port) FinalAdvertiseAddr(string, int) (net.IP, int, error) {
+	return p.addr.Addr().AsSlice(), int(p.addr.Port()), nil
+}
+
+// WriteTo sends a datagram.
+func (p *Port) WriteTo(b []byte, to string) (time.Time, error) {
+	addr, err := netip.ParseAddrPort(to)
+	if err != nil {
+		return time.Time{}, err
+	}
+	n := p.net
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	far := n.at[addr]
+	if p.shut || p.stopped {
+		return now, nil
+	}
+	n.Bytes += int64(len(b))
+	n.Packets++
+	if far == nil || far.shut {
+		return now, nil
+	}
+	w := n.way(p.num, far.num)
+	if w.Cut || n.rng.Float64() < w.Loss {
+		return now, nil
+	}
+	text := append([]byte(nil), b...)
+	arrive := func(late time.Duration) {
+		time.AfterFunc(late, func() {
+			far.pass(func() {
+				select {
+				case far.packets <- &memberlist.Packet{Buf: append([]byte(nil), text...), From: net.UDPAddrFromAddrPort(p.addr), Timestamp: time.Now()}:
+				default:
+				}
+			})
+		})
+	}
+	arrive(n.usual + w.Late)
+	if n.rng.Float64() < w.Twice {
+		arrive(n.usual + w.Late + time.Duration(n.rng.Float64()*float64(w.Late+50*time.Millisecond)))
+	}
+	return now, nil
+}
+
+// after is what one write, or the opening, of a stream takes between two members; false where nothing passes.
+func (n *Net) after(from, to *Port) (time.Duration, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	w := n.way(from.num, to.num)
+	if w.Cut || from.shut || to.shut || from.stopped || to.stopped {
+		return 0, false
+	}
+	took := n.usual + w.Late
+	for wait, i := resendEach, 0; n.rng.Float64() < w.Loss; i++ {
+		if i == resendMost {
+			return 0, false
+		}
+		took += wait
+		wait *= 2
+	}
+	return took, true
+}
+
+// DialTimeout opens a stream.
+func (p *Port) DialTimeout(to string, timeout time.Duration) (net.Conn, error) {
+	addr, err := netip.ParseAddrPort(to)
+	if err != nil {
+		return nil, err
+	}
+	n := p.net
+	n.mu.Lock()
+	far := n.at[addr]
+	n.Streams++
+	n.mu.Unlock()
+	if far == nil || far.shut {
+		return nil, errors.New("refused")
+	}
+	there, is := n.after(p, far)
+	back, was := n.after(far, p)
+	if !is || !was || there+back > timeout {
+		time.Sleep(timeout)
+		return nil, os.ErrDeadlineExceeded
+	}
+	time.Sleep(there + back)
+	a, b := net.Pipe()
+	select {
+	case far.streams <- &stream{Conn: b, from: far, to: p}:
+	default:
+		return nil, errors.New("refused: too many wait")
+	}
+	return &stream{Conn: a, from: p, to: far}, nil
+}
+
+// stream is one end of a connection.
+type stream struct {
+	net.Conn
+	from, to *Port
+
+	mu  sync.Mutex
+	end time.Time
+}
+
+func (s *stream) SetDeadline(t time.Time) error {
+	s.mu.Lock()
+	s.end = t
+	s.mu.Unlock()
+	return s.Conn.SetDeadline(t)
+}
+
+func (s *stream) LocalAddr() net.Addr  { return net.TCPAddrFromAddrPort(s.from.addr) }
+func (s *stream) RemoteAddr() net.Addr { return net.TCPAddrFromAddrPort(s.to.addr) }
+
+func (s *stream) Write(b []byte) (int, error) {
+	took, passes := s.from.net.after(s.from, s.to)
+	if !passes {
+		s.mu.Lock()
+		end := s.end
+		s.mu.Unlock()
+		if end.IsZero() {
+			s.Conn.Close()
+		}
+		time.Sleep(time.Until(end))
+		return 0, os.ErrDeadlineExceeded
+	}
+	time.Sleep(took)
+	return s.Conn.Write(b)
+}
+
+// PacketCh and StreamCh are where what comes is taken from.
+func (p *Port) PacketCh() <-chan *memberlist.Packet { return p.packets }
+func (p *Port) StreamCh() <-chan net.Conn           { return p.streams }
+
+// Shutdown takes the member off the network.
+func (p *Port) Shutdown() error {
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	p.shut = true
+	return nil
+}
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -6,6 +6,7 @@
 import (
 	"container/list"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log"
@@ -32,6 +33,9 @@
 	InService() error
 }
 
+// Pages are more paths, each with what it shows as JSON at a GET. They must not wait either.
+type Pages map[string]func() any
+
 // Conns answers how many connections the address may hold where a balancer may hold so many descriptors.
 func Conns(sockets int) int { return min(max(sockets/connsPart, connsLeast), connsMost) }
 
@@ -42,14 +46,14 @@
 }
 
 // Open listens at an address; most is how many connections it may hold (at least 1). What net/http says goes to out.
-func Open(address string, most int, b Balancer, out io.Writer) (*Server, error) {
+func Open(address string, most int, b Balancer, pages Pages, out io.Writer) (*Server, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	s := &Server{ln: &bounded{Listener: ln, most: most, all: list.New()}}
 	s.http = &http.Server{
-		Handler:     calls(b),
+		Handler:     calls(b, pages),
 		ReadTimeout: callWithin, WriteTimeout: callWithin, MaxHeaderBytes: headMost,
 		ErrorLog: log.New(out, "", 0),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
@@ -70,16 +74,24 @@
 func (s *Server) Close() { s.http.Close() }
 
 // calls answers calls by path and method. No call needs a body, and none is read.
-func calls(b Balancer) http.Handler {
+func calls(b Balancer, pages Pages) http.Handler {
 	paths := map[string]map[string]func() error{
 		"/control/ready":          {http.MethodGet: b.Ready, http.MethodHead: b.Ready},
 		"/control/out-of-service": {http.MethodPut: b.OutOfService},
 		"/control/in-service":     {http.MethodPut: b.InService},
 	}
+	for path := range pages {
+		paths[path] = map[string]func() error{http.MethodGet: nil}
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, is := r.Context().Value(held{}).(*conn); is {
 			c.called()
 		}
+		if show := pages[r.URL.Path]; show != nil && r.Method == http.MethodGet {
+			w.Header().Set("Content-Type", "application/json")
+			json.NewEncoder(w).Encode(show())
+			return
+		}
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		methods := paths[r.URL.Path]
 		do := methods[r.Method]
--- a/internal/mgmt/mgmt_test.go
+++ b/internal/mgmt/mgmt_test.go
@@ -24,7 +24,7 @@
 func (f *fake) InService() error    { f.wanted += "in "; return f.in }
 
 func serve(t *testing.T, most int, b Balancer) *Server {
-	s, err := Open("127.0.0.1:0", most, b, io.Discard)
+	s, err := Open("127.0.0.1:0", most, b, nil, io.Discard)
 	if err != nil {
 		t.Fatal(err)
 	}
