Ties between members and four tests of several processes: stalls, cuts, lost disks, upgrades

Need: what members make of each other has to be shown by processes of the program with faults between them. Change: the lab's ties stand before each member's address and know who sends by the address sent from, so that each ordered pair has a way of its own for datagrams and connections, without a seam in the program. Off: no goroutine and no descriptor of the fleet's; both counts are shown not to be empty with it on.

--- /dev/null
+++ b/cmd/sabletally/fleet_test.go
@@ -0,0 +1,308 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"sabletally/internal/fleet"
+	"sabletally/internal/lab/field"
+	"sabletally/internal/lab/standin"
+)
+
+// These tests start several processes of the program as members of a fleet and put faults between them.
+
+// members is a fleet of the program.
+type members struct {
+	*field.Band
+	t     *testing.T
+	procs []*field.Process
+	all   []int
+}
+
+func enlist(t *testing.T, many int, shared bool) *members {
+	t.Parallel()
+	dir := t.TempDir()
+	b, err := field.NewBand(many, dir, 11)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	m := &members{Band: b, t: t}
+	a := agent(t)
+	for i := range many {
+		p, err := field.NewProcess(fmt.Sprintf("n%d", i), []string{os.Args[0]}, []string{"SABLETALLY_CHILD=1", "EDGE_DISCOVERY=" + a.Addr()}, dir, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if shared {
+			if err := p.Share(); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(p.Unshare)
+		}
+		if err := b.Enlist(i, 3, 2, p); err != nil {
+			t.Fatal(err)
+		}
+		if err := p.Write(station(p.Name, p, a, 77+i)); err != nil {
+			t.Fatal(err)
+		}
+		if err := p.Launch(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(p.Kill)
+		m.procs, m.all = append(m.procs, p), append(m.all, i)
+	}
+	t.Cleanup(func() {
+		for i := range m.procs {
+			if t.Failed() {
+				t.Logf("n%d: %s", i, m.procs[i].Tail())
+			}
+		}
+	})
+	m.together()
+	return m
+}
+
+// single starts a balancer beside them that is no member.
+func (m *members) single() *field.Process {
+	m.t.Helper()
+	dir, a := m.t.TempDir(), agent(m.t)
+	p, err := field.NewProcess("single", []string{os.Args[0]}, []string{"SABLETALLY_CHILD=1", "EDGE_DISCOVERY=" + a.Addr()}, dir, nil)
+	if err == nil {
+		err = p.Operate()
+	}
+	if err == nil {
+		err = p.Write(station("single", p, a, 7))
+	}
+	if err == nil {
+		err = p.Start()
+	}
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.t.Cleanup(p.Kill)
+	return p
+}
+
+// station is a balancer's configuration.
+func station(name string, p *field.Process, a *standin.Agent, seed int) []byte {
+	return fmt.Appendf(nil, `{"name":%q,"listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":192,"sockets":512},
+		"known":%s,"settings":%s}`, name, p.Addr, a.Addr(), seed, a.Known(), settings)
+}
+
+// want waits until members say of themselves what is wanted.
+func (m *members) want(what string, who []int, is func(fleet.Report) bool) {
+	m.t.Helper()
+	began := time.Now()
+	if err := m.Until(what, 2*bound, who, is); err != nil {
+		m.t.Fatal(err)
+	}
+	m.t.Logf("%s: %v", what, time.Since(began).Round(10*time.Millisecond))
+}
+
+func (m *members) together() {
+	m.t.Helper()
+	m.want("all see all", m.all, field.Together(len(m.all)))
+}
+
+func (m *members) without(i int) []int {
+	return slices.DeleteFunc(slices.Clone(m.all), func(j int) bool { return j == i })
+}
+
+func (m *members) report(i int) fleet.Report {
+	m.t.Helper()
+	r, err := m.procs[i].Fleet()
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	return r
+}
+
+// TestAFleetThroughFaults stops, kills and cuts off members of five, loses a machine with its disk and starts the whole fleet
+// anew. Guards against members that stay apart, that take a lost disk's member for the old one, and a stopped one that goes on
+// as if nothing had been.
+func TestAFleetThroughFaults(t *testing.T) {
+	m := enlist(t, 5, false)
+	gone := func(i int) func(fleet.Report) bool {
+		return func(r fleet.Report) bool {
+			return field.Sees(r, fmt.Sprintf("n%d", i)) == "gone" && r.Standing == "together"
+		}
+	}
+
+	m.Ties.Set(func(_, _ int, tie *standin.Tie) {
+		*tie = standin.Tie{Loss: 0.3, Mixed: 0.3, Late: 20 * time.Millisecond}
+	})
+	m.procs[4].Signal(syscall.SIGSTOP)
+	m.want("the stopped one is missed, over bad ways", m.without(4), gone(4))
+	m.procs[4].Signal(syscall.SIGCONT)
+	m.Ties.Set(func(_, _ int, tie *standin.Tie) { *tie = standin.Tie{} })
+	m.together()
+	if r := m.report(4); r.Stalls == 0 || r.Self.Life != 1 {
+		t.Errorf("the one that was stopped knows of no stall: %+v", r)
+	}
+
+	was := m.report(3).Self.ID
+	if err := m.Lose(3); err != nil {
+		t.Fatal(err)
+	}
+	m.want("the lost one is missed", m.without(3), gone(3))
+	if err := m.procs[3].Launch(); err != nil {
+		t.Fatal(err)
+	}
+	m.together()
+	if is := m.report(3).Self; is.ID == was || is.Life != 1 {
+		t.Errorf("a member that lost its disk came back as itself: %+v", is)
+	}
+	m.want("the old one is known for lost for good", m.without(3), func(r fleet.Report) bool {
+		return slices.ContainsFunc(r.Others, func(o fleet.One) bool { return o.ID == was && o.State == "gone" && o.By != "" })
+	})
+
+	m.Ties.Set(func(from, to int, tie *standin.Tie) { tie.Cut = from < 2 != (to < 2) })
+	m.want("two stand apart", []int{0, 1}, func(r fleet.Report) bool { return r.Standing == "apart" && r.Here == 2 })
+	m.want("three go on", []int{2, 3, 4}, field.Together(3))
+	m.Ties.Set(func(_, _ int, tie *standin.Tie) { *tie = standin.Tie{} })
+	m.together()
+
+	m.Ties.Set(func(from, to int, tie *standin.Tie) { tie.Cut = from == 1 }) // what it says is lost, what it is told is not
+	m.want("one that nobody hears is missed", m.without(1), gone(1))
+	m.want("and knows that it is apart", []int{1}, func(r fleet.Report) bool { return r.Standing == "apart" })
+	m.Ties.Set(func(_, _ int, tie *standin.Tie) { *tie = standin.Tie{} })
+	m.together()
+
+	for _, p := range m.procs {
+		p.Signal(syscall.SIGKILL)
+	}
+	for _, p := range m.procs {
+		p.Kill()
+		if err := p.Launch(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	m.together()
+	if is := m.report(0).Self; is.Life != 2 {
+		t.Errorf("%+v", is)
+	}
+	m.procs[2].Signal(syscall.SIGTERM)
+	m.want("one that leaves says so", m.without(2), func(r fleet.Report) bool { return field.Sees(r, "n2") == "left" && r.Standing == "together" })
+	<-m.procs[2].Exited()
+}
+
+// TestAnUpgradeIsOneMember starts a new process beside a member's. Guards against two members of one balancer, and a member
+// that is gone while its balancer is upgraded.
+func TestAnUpgradeIsOneMember(t *testing.T) {
+	m := enlist(t, 3, true)
+	was := m.report(1).Self
+	young, err := m.procs[1].Beside()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(young.Kill)
+	if err := young.Launch(); err != nil {
+		t.Fatal(err)
+	}
+	if err := young.Yes(); err != nil {
+		t.Fatal(err)
+	}
+	if r, err := young.Fleet(); err != nil || r.Member || r.Why == "" {
+		t.Fatalf("two processes are the member: %+v, %v", r, err)
+	}
+	m.procs[1].Signal(syscall.SIGTERM)
+	<-m.procs[1].Exited()
+	m.procs[1] = young
+	for end := time.Now().Add(bound); ; time.Sleep(10 * time.Millisecond) {
+		if r, err := young.Fleet(); err == nil && field.Together(3)(r) {
+			if r.Self.ID != was.ID || r.Self.Life != was.Life+1 {
+				t.Fatalf("%+v after %+v", r.Self, was)
+			}
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal(young.Tail())
+		}
+	}
+	m.want("the others know the new process", []int{0, 2}, func(r fleet.Report) bool {
+		return slices.ContainsFunc(r.Others, func(o fleet.One) bool { return o.ID == was.ID && o.Life == was.Life+1 })
+	})
+	for _, i := range []int{0, 2} {
+		if tail := m.procs[i].Tail(); strings.Contains(tail, "fleet: member is gone") || strings.Contains(tail, "fleet: member has left") {
+			t.Errorf("it was missed meanwhile: %s", tail)
+		}
+	}
+}
+
+// TestWithoutAFileThereIsNoFleet counts a process's descriptors and goroutines with the fleet's file and without.
+func TestWithoutAFileThereIsNoFleet(t *testing.T) {
+	m := enlist(t, 2, false)
+	off := m.single()
+	count := func(p *field.Process) (fds, fleet int) {
+		dir := fmt.Sprintf("/proc/%d/fd", p.Pid())
+		all, err := os.ReadDir(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range all { // what lives for a moment only: connections of a call or to discovery
+			if to, _ := os.Readlink(filepath.Join(dir, e.Name())); strings.Contains(to, "data-") {
+				fleet++
+			}
+		}
+		return len(all), fleet
+	}
+	_, on := count(m.procs[0])
+	_, none := count(off)
+	if on != 1 || none != 0 {
+		t.Errorf("descriptors of a fleet's directory: %d with a file, %d without", on, none)
+	}
+	for _, c := range []struct {
+		p    *field.Process
+		want bool
+	}{{m.procs[0], true}, {off, false}} {
+		c.p.Signal(syscall.SIGQUIT) // which writes where each goroutine is, and ends it
+		<-c.p.Exited()
+		text := c.p.Tail()
+		if !strings.Contains(text, "internal/balancer.(*Loop).Run") {
+			t.Fatalf("no goroutines are told: %s", text)
+		}
+		if has := strings.Contains(text, "sabletally/internal/fleet") || strings.Contains(text, "hashicorp/memberlist"); has != c.want {
+			t.Errorf("goroutines of a fleet: %v, wanted %v", has, c.want)
+		}
+	}
+}
+
+// TestABadFleetFileNamesItsPlace starts the program with files that are wrong, and with a directory that another process has.
+func TestABadFleetFileNamesItsPlace(t *testing.T) {
+	m := enlist(t, 2, false)
+	dir := t.TempDir()
+	text, err := os.ReadFile(filepath.Join(filepath.Dir(m.Data(0)), "fleet-0.hcl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(dir, "f.hcl")
+	for _, c := range []struct{ old, new, want string }{
+		{"copies    = 3", "copies    = 30", "f.hcl:6:15: copies: 30 lies outside 1 to 7"},
+		{"machine   = \"m0\"", "machine   = \"m8\"", "machine \\\"m0\\\"'s directory"},
+		{"", "", "another process has it"},
+	} {
+		if err := os.WriteFile(file, []byte(strings.Replace(string(text), c.old, c.new, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if c.old != "" { // the lock is looked at first
+			m.procs[0].Kill()
+		} else if err := m.procs[0].Start(); err != nil {
+			t.Fatal(err)
+		}
+		cmd := exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), "SABLETALLY_CHILD=1", "SABLETALLY_FLEET="+file, "EDGE_CONFIG="+filepath.Join(filepath.Dir(m.Data(0)), "n0.json"),
+			"EDGE_LISTEN=127.0.0.1:0")
+		out, _ := cmd.CombinedOutput()
+		if code := cmd.ProcessState.ExitCode(); code != 2 || !strings.Contains(string(out), c.want) {
+			t.Errorf("exit %d, %s; wanted %q", code, out, c.want)
+		}
+	}
+}
--- a/internal/lab/field/proc.go
+++ b/internal/lab/field/proc.go
@@ -278,6 +278,13 @@
 	return nil
 }
 
+// Pid is the running life's number.
+func (p *Process) Pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
 // Exited is closed once the newest life is over.
 func (p *Process) Exited() <-chan struct{} {
 	p.mu.Lock()
--- a/internal/lab/standin/link.go
+++ b/internal/lab/standin/link.go
@@ -13,16 +13,21 @@
 const (
 	linkChunk = 4096
 	linkHolds = 64 // chunks on their way, each direction of a connection
+
+	resendAfter = 200 * time.Millisecond
 )
 
 // Condition is how a link is now.
 type Condition struct {
-	Late   time.Duration // everything takes so much longer
-	Jitter time.Duration // and up to so much more; what was sent first still arrives first
-	Rate   float64       // bytes a second, each connection and direction; 0: no limit
-	Stall  bool          // nothing passes, nothing is lost
-	CutOut bool          // nothing passes towards the listener's side (from who listens to who dialed)
-	CutIn  bool          // nothing passes the other way
+	Late    time.Duration // everything takes so much longer
+	Jitter  time.Duration // and up to so much more; what was sent first still arrives first
+	Rate    float64       // bytes a second, each connection and direction; 0: no limit
+	LateIn  time.Duration // towards the listener's side so much longer still,
+	LateOut time.Duration // and the other way
+	Resent  float64       // share of the pieces that are lost once and sent again, which takes resendAfter
+	Stall   bool          // nothing passes, nothing is lost
+	CutOut  bool          // nothing passes towards the listener's side (from who listens to who dialed)
+	CutIn   bool          // nothing passes the other way
 }
 
 // Link relays connections to an address.
@@ -43,11 +48,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("link: %w", err)
 	}
-	l := &Link{to: to, ln: ln, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	l := newWay(to)
+	l.ln = ln
 	go l.accept()
 	return l, nil
 }
 
+// newWay makes a link that listens nowhere: connections are handed to it.
+func newWay(to string) *Link {
+	return &Link{to: to, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+}
+
 // Addr is where it listens.
 func (l *Link) Addr() string { return l.ln.Addr().String() }
 
@@ -78,7 +89,9 @@
 	l.mu.Lock()
 	l.closed = true
 	l.mu.Unlock()
-	l.ln.Close()
+	if l.ln != nil {
+		l.ln.Close()
+	}
 	l.Reset()
 	l.Set(func(*Condition) {})
 }
@@ -105,28 +118,31 @@
 		if err != nil {
 			return
 		}
-		go func() {
-			// Before the dial: the far side may have accepted, and a Reset come, before the dial is back.
-			l.keep(near, true)
-			defer l.keep(near, false)
-			far, err := net.Dial("tcp", l.to)
-			if err != nil {
-				reset(near)
-				return
-			}
-			l.keep(far, true)
-			var both sync.WaitGroup
-			both.Add(2)
-			go func() { defer both.Done(); l.pass(near, far, true) }()
-			go func() { defer both.Done(); l.pass(far, near, false) }()
-			both.Wait()
-			near.Close()
-			far.Close()
-			l.keep(far, false)
-		}()
+		go l.carry(near)
 	}
 }
 
+// carry takes a connection to its far side and passes what comes, until both have ended.
+func (l *Link) carry(near net.Conn) {
+	// Before the dial: the far side may have accepted, and a Reset come, before the dial is back.
+	l.keep(near, true)
+	defer l.keep(near, false)
+	far, err := net.Dial("tcp", l.to)
+	if err != nil {
+		reset(near)
+		return
+	}
+	l.keep(far, true)
+	var both sync.WaitGroup
+	both.Add(2)
+	go func() { defer both.Done(); l.pass(near, far, true) }()
+	go func() { defer both.Done(); l.pass(far, near, false) }()
+	both.Wait()
+	near.Close()
+	far.Close()
+	l.keep(far, false)
+}
+
 // chunk is a piece on its way; err is how the sender ended.
 type chunk struct {
 	text []byte
@@ -145,6 +161,14 @@
 			n, err := from.Read(text)
 			cond, _, _ := l.now()
 			due := time.Now().Add(cond.Late)
+			if in {
+				due = due.Add(cond.LateIn)
+			} else {
+				due = due.Add(cond.LateOut)
+			}
+			for rand.Float64() < cond.Resent {
+				due = due.Add(resendAfter)
+			}
 			if cond.Jitter > 0 {
 				due = due.Add(time.Duration(rand.Float64() * float64(cond.Jitter)))
 			}
--- /dev/null
+++ b/internal/lab/standin/ties.go
@@ -0,0 +1,209 @@
+// This file owns ties: the ways between the members of a fleet, one for each ordered pair, for datagrams and connections alike.
+
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+const (
+	disorder   = 80 * time.Millisecond // datagrams that are out of order come up to so much later
+	mostResent = 0.9                   // a connection over a way that loses all would hang for ever
+)
+
+// Tie is how the way from one member to another is.
+type Tie struct {
+	Cut   bool          // nothing passes
+	Loss  float64       // share of datagrams that are lost; what is lost of a connection is sent again
+	Late  time.Duration // everything takes so much longer
+	Mixed float64       // share of datagrams that come twice, each at any moment of a short time
+}
+
+// Ties are the ways between so many members. Each member listens at one address and is reached at another, where its front
+// stands; who sends is told by the address that it sends from, which is its own.
+type Ties struct {
+	fronts []*front
+	real   []netip.AddrPort
+
+	mu    sync.Mutex
+	ties  [][]Tie // from, to
+	links [][]*Link
+	rng   *rand.Rand
+}
+
+// front is what stands before one member.
+type front struct {
+	tcp  *net.TCPListener
+	udp  *net.UDPConn
+	addr netip.AddrPort
+}
+
+// NewTies picks addresses for so many members and stands before them. Close ends all.
+func NewTies(many int, seed uint64) (*Ties, error) {
+	t := &Ties{rng: rand.New(rand.NewPCG(seed, 0x7135))}
+	for range many {
+		// An address for both kinds that nobody else is given: listeners that are closed again before the member has it.
+		own, err := listenBoth()
+		for err == nil && t.sender(own.addr.Addr()) >= 0 { // its IP has to tell it from the others
+			own.close()
+			own, err = listenBoth()
+		}
+		if err != nil {
+			t.Close()
+			return nil, err
+		}
+		own.close()
+		f, err := listenBoth()
+		if err != nil {
+			t.Close()
+			return nil, err
+		}
+		t.real, t.fronts = append(t.real, own.addr), append(t.fronts, f)
+	}
+	for from := range many {
+		t.ties = append(t.ties, make([]Tie, many))
+		t.links = append(t.links, nil)
+		for to := range many {
+			t.links[from] = append(t.links[from], newWay(t.real[to].String()))
+		}
+	}
+	for to, f := range t.fronts {
+		go t.accept(to, f)
+		go t.read(to, f)
+	}
+	return t, nil
+}
+
+// listenBoth takes one address for datagrams and connections.
+func listenBoth() (*front, error) {
+	var last error
+	for range 20 { // a port that is free for the one may be taken for the other
+		ln, err := net.Listen("tcp", Loopback())
+		if err != nil {
+			return nil, err
+		}
+		f := &front{tcp: ln.(*net.TCPListener), addr: ln.Addr().(*net.TCPAddr).AddrPort()}
+		if f.udp, last = net.ListenUDP("udp", net.UDPAddrFromAddrPort(f.addr)); last == nil {
+			return f, nil
+		}
+		ln.Close()
+	}
+	return nil, fmt.Errorf("ties: %w", last)
+}
+
+func (f *front) close() {
+	f.tcp.Close()
+	f.udp.Close()
+}
+
+// Listen is where a member listens, Reached where the others reach it.
+func (t *Ties) Listen(member int) netip.AddrPort  { return t.real[member] }
+func (t *Ties) Reached(member int) netip.AddrPort { return t.fronts[member].addr }
+
+// Set changes every tie as it is told.
+func (t *Ties) Set(change func(from, to int, tie *Tie)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for from := range t.ties {
+		for to := range t.ties[from] {
+			change(from, to, &t.ties[from][to])
+		}
+	}
+	for from := range t.ties {
+		for to := range t.ties[from] {
+			there, back := t.ties[from][to], t.ties[to][from]
+			t.links[from][to].Set(func(c *Condition) {
+				*c = Condition{CutIn: there.Cut, CutOut: back.Cut, LateIn: there.Late, LateOut: back.Late,
+					Resent: min(max(there.Loss, back.Loss), mostResent)}
+			})
+		}
+	}
+}
+
+// Close ends all.
+func (t *Ties) Close() {
+	for _, f := range t.fronts {
+		f.close()
+	}
+	for _, row := range t.links {
+		for _, l := range row {
+			l.Close()
+		}
+	}
+}
+
+// sender is the member that sends from an address, -1 for a stranger.
+func (t *Ties) sender(ip netip.Addr) int {
+	for i, a := range t.real {
+		if a.Addr() == ip.Unmap() {
+			return i
+		}
+	}
+	return -1
+}
+
+func (t *Ties) accept(to int, f *front) {
+	for {
+		c, err := f.tcp.AcceptTCP()
+		if err != nil {
+			return
+		}
+		from := t.sender(c.RemoteAddr().(*net.TCPAddr).AddrPort().Addr())
+		if from < 0 {
+			reset(c)
+			continue
+		}
+		t.mu.Lock()
+		cut := t.ties[from][to].Cut || t.ties[to][from].Cut
+		t.mu.Unlock()
+		if cut { // neither side's first packet would have come through; who dials waits for its own time-out
+			time.AfterFunc(10*time.Second, func() { reset(c) })
+			continue
+		}
+		go t.links[from][to].carry(c)
+	}
+}
+
+func (t *Ties) read(to int, f *front) {
+	buffer := make([]byte, 65536)
+	for {
+		n, sent, err := f.udp.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue
+		}
+		from := t.sender(sent.Addr())
+		if from < 0 {
+			continue
+		}
+		text := append([]byte(nil), buffer[:n]...)
+		t.mu.Lock()
+		tie := t.ties[from][to]
+		lost, mixed := t.rng.Float64() < tie.Loss, t.rng.Float64() < tie.Mixed
+		one, two := time.Duration(t.rng.Float64()*float64(disorder)), time.Duration(t.rng.Float64()*float64(disorder))
+		t.mu.Unlock()
+		pass := func(late time.Duration) {
+			if late == 0 {
+				f.udp.WriteToUDPAddrPort(text, t.real[to])
+				return
+			}
+			time.AfterFunc(late, func() { f.udp.WriteToUDPAddrPort(text, t.real[to]) })
+		}
+		switch {
+		case tie.Cut || lost:
+		case mixed:
+			pass(tie.Late + one)
+			pass(tie.Late + two)
+		default:
+			pass(tie.Late)
+		}
+	}
+}
