Lab: faults between the members of a fleet, stalls and machines lost with their disk

Change: members-lossy, members-slow, members-cut (in, out or both), members-reorder, stall and machine-lost; a world with a block fleet has its balancers as members, and at its end they have to see each other.

--- a/internal/fleet/contact/contact_test.go
+++ b/internal/fleet/contact/contact_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/memberlist"
 	"go.uber.org/zap"
 
 	"sabletally/internal/fleet/members"
@@ -22,14 +23,17 @@
 	all   []*Contact
 	began time.Time
 	lives map[string]uint64
+	tune  func(*memberlist.Config)
 }
 
 func (w *world) now() time.Duration { return time.Since(w.began) }
 
 func id(num int) string { return fmt.Sprintf("%032x", num+1) }
 
-func fleet(t *testing.T, many int) *world {
-	w := &world{t: t, net: memnet.New(7, 200*time.Microsecond), began: time.Now(), lives: map[string]uint64{}}
+func fleet(t *testing.T, many int) *world { return fleetOf(t, many, nil) }
+
+func fleetOf(t *testing.T, many int, tune func(*memberlist.Config)) *world {
+	w := &world{t: t, tune: tune, net: memnet.New(7, 200*time.Microsecond), began: time.Now(), lives: map[string]uint64{}}
 	for i := range many {
 		w.ports = append(w.ports, nil)
 		w.all = append(w.all, nil)
@@ -44,7 +48,7 @@
 	w.lives[id]++
 	self := members.Member{ID: id, Name: fmt.Sprintf("n%d", i), Addr: memnet.Addr(i), Machine: fmt.Sprintf("m%d", i), Zone: "a", Site: "s",
 		Life: w.lives[id], Speaks: Form, Oldest: Oldest}
-	opt := Options{Fleet: "f", Self: self, Copies: 3, Forget: 24 * time.Hour, Most: 1024, Seed: uint64(i), Wire: w.ports[i], Log: zap.NewNop(), Now: w.now}
+	opt := Options{Fleet: "f", Self: self, Copies: 3, Forget: 24 * time.Hour, Most: 1024, Seed: uint64(i), Wire: w.ports[i], Log: zap.NewNop(), Now: w.now, Tune: w.tune}
 	for s := range min(3, len(w.all)) {
 		opt.Seeds = append(opt.Seeds, memnet.Addr(s))
 	}
--- a/internal/lab/field/band.go
+++ b/internal/lab/field/band.go
@@ -10,14 +10,17 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 
 	"sabletally/internal/fleet"
 	"sabletally/internal/lab/standin"
+	"sabletally/internal/lab/timetable"
 )
 
 const (
 	lookEach = 20 * time.Millisecond
+	meetIn   = 30 * time.Second
 	seedsOf  = 3 // members that are everybody's seeds
 )
 
@@ -78,6 +81,32 @@
 	return os.RemoveAll(b.Data(i))
 }
 
+// set has the ways between some members and the others be as a step says.
+func (b *Band) set(band uint64, as timetable.Tie) {
+	b.Ties.Set(func(from, to int, tie *standin.Tie) {
+		out, in := band>>from&1 == 1, band>>to&1 == 1
+		if out != in && (out && as.Out || in && as.In) {
+			*tie = standin.Tie{Cut: as.Cut, Loss: as.Loss, Late: as.Late, Mixed: as.Mixed}
+		}
+	})
+}
+
+// meet waits until all members that run see each other, once nothing is between them any more: a fleet that stays apart
+// is a fault of the program's, whatever clients saw of it.
+func (f *Field) meet() error {
+	f.band.Ties.Set(func(_, _ int, tie *standin.Tie) { *tie = standin.Tie{} })
+	var run []int
+	for i, p := range f.Procs {
+		select {
+		case <-p.Exited():
+		default:
+			p.Signal(syscall.SIGCONT)
+			run = append(run, i)
+		}
+	}
+	return f.band.Until("all members that run see each other", meetIn, run, Together(len(run)))
+}
+
 // Fleet asks a member how it sees the others.
 func (p *Process) Fleet() (r fleet.Report, err error) {
 	code, text, err := p.Call(http.MethodGet, "/control/fleet")
--- a/internal/lab/field/field.go
+++ b/internal/lab/field/field.go
@@ -64,6 +64,7 @@
 	seed    uint64
 	dir     string
 	linked  bool
+	band    *Band // where the balancers are members of a fleet
 	places  []judge.Place
 	closers []io.Closer
 
@@ -87,6 +88,7 @@
 	operated := slices.ContainsFunc(w.Faults, func(x timetable.Fault) bool {
 		return x.Kind == timetable.Upgrade || x.Kind == timetable.BalancerDrain
 	})
+
 	dir, err := os.MkdirTemp("", "sablelab")
 	if err != nil {
 		return nil, err
@@ -106,6 +108,11 @@
 			return fail(err)
 		}
 	}
+	if w.Copies > 0 {
+		if f.band, err = NewBand(w.Balancers, dir, seed); err != nil {
+			return fail(err)
+		}
+	}
 	for b := range w.Balancers {
 		var out io.Writer
 		if arm.Logs != "" {
@@ -129,6 +136,11 @@
 				return fail(err)
 			}
 		}
+		if f.band != nil {
+			if err := f.band.Enlist(b, w.Copies, w.Zones, p); err != nil {
+				return fail(err)
+			}
+		}
 		if err := f.begin(b); err != nil {
 			return fail(err)
 		}
@@ -268,6 +280,9 @@
 	case <-time.After(time.Until(f.Clock.At(w.Load.Length))):
 	}
 	end := f.Clock.Now()
+	if f.band != nil {
+		f.fail(f.meet())
+	}
 	groups := map[uint64]int{}
 	f.mu.Lock()
 	servers := f.Servers[:len(f.Servers):len(f.Servers)]
@@ -450,6 +465,14 @@
 		beside(func() { standin.Mob(ctx, st.Figure, st.For, f.Door, f.seed) })
 	case timetable.SetPieces:
 		crowd.Pieces.Store(on)
+	case timetable.SetTies:
+		f.band.set(st.Band, st.Tie)
+	case timetable.StallBalancer:
+		beside(func() { f.stall(ctx, st.Who, st.For) })
+	case timetable.LoseBalancer:
+		f.Log.Add(record.Event{At: f.Clock.Now(), What: record.Killed, Balancer: int32(st.Who), Server: -1, Text: "outright"})
+		f.fail(f.band.Lose(st.Who))
+		f.out(st.Who)
 	case timetable.SetBad:
 		if f.stopBd != nil {
 			f.stopBd()
@@ -462,6 +485,27 @@
 	}
 }
 
+// stall stops a balancer's process for a while. What it had taken is answered late, or by its client's leaving.
+func (f *Field) stall(ctx context.Context, b int, span time.Duration) {
+	p := f.proc(b)
+	f.Log.Add(record.Event{At: f.Clock.Now(), What: record.Killed, Balancer: int32(b), Server: -1, Text: "stalled"})
+	f.fail(p.Signal(syscall.SIGSTOP))
+	wait := func(d time.Duration) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(d):
+		}
+	}
+	wait(min(span, deadSeen))
+	f.out(b)
+	wait(span - deadSeen)
+	f.fail(p.Signal(syscall.SIGCONT))
+	f.Log.Add(record.Event{At: f.Clock.Now(), What: record.Begun, Balancer: int32(b), Server: -1})
+	f.mu.Lock()
+	f.in[b] = true
+	f.mu.Unlock()
+}
+
 // reload has all balancers take a world's settings in.
 func (f *Field) reload(w *scene.World) {
 	for b := range f.agents {
@@ -491,6 +535,9 @@
 		return err
 	}
 	f.mu.Lock()
+	if f.band != nil {
+		f.band.all[b] = young
+	}
 	f.Procs[b], f.olds = young, append(f.olds, old)
 	f.mu.Unlock()
 	if err := young.Yes(); err != nil {
@@ -606,6 +653,9 @@
 	for _, l := range f.links {
 		l.Close()
 	}
+	if f.band != nil {
+		f.band.Close()
+	}
 	for _, a := range f.agents {
 		a.Close()
 	}
@@ -625,6 +675,7 @@
 	timetable.LeaveBalancer: "restarts as planned", timetable.ReloadAll: "all balancers reload", timetable.SetBad: "bad clients a second",
 	timetable.UpgradeBalancer: "gets a new process beside it", timetable.DrainBalancer: "is emptied", timetable.SetTune: "all balancers are retuned",
 	timetable.SetCrowd: "clients that never finish, a second", timetable.SetPieces: "clients write in pieces",
+	timetable.SetTies: "ways between members", timetable.StallBalancer: "is stopped", timetable.LoseBalancer: "is lost with its directory",
 	timetable.SetLinkLate: "its link is later", timetable.SetLinkCut: "its link is cut",
 }
 
@@ -634,7 +685,9 @@
 	switch {
 	case st.OnServer():
 		text = uid(st.Who) + " " + text
-	case st.Act == timetable.KillBalancer || st.Act == timetable.StartBalancer || st.Act == timetable.LeaveBalancer:
+	case st.Act == timetable.SetTies:
+		text = fmt.Sprintf("%s %b: %+v", text, st.Band, st.Tie)
+	case st.Act == timetable.StallBalancer || st.Act == timetable.LoseBalancer || st.Act == timetable.KillBalancer || st.Act == timetable.StartBalancer || st.Act == timetable.LeaveBalancer:
 		text = fmt.Sprintf("balancer n%d %s", st.Who, text)
 	}
 	if st.Figure != 0 {
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -129,7 +129,7 @@
 func (r reader) world(x *Experiment, in *hcl.Block) {
 	b := r.Open("world", in.Body, in.DefRange, "balancers zones cells drain_grace message_goal message_each outer_limit setup_goal "+
 		"connect_within tries probes advice crossing_price group_cost sheds sends_away notice silent_notice client_way near_way cross_way",
-		hcl.BlockHeaderSchema{Type: "warmup"}, hcl.BlockHeaderSchema{Type: "store"}, hcl.BlockHeaderSchema{Type: "limits"},
+		hcl.BlockHeaderSchema{Type: "warmup"}, hcl.BlockHeaderSchema{Type: "store"}, hcl.BlockHeaderSchema{Type: "fleet"}, hcl.BlockHeaderSchema{Type: "limits"},
 		hcl.BlockHeaderSchema{Type: "server", LabelNames: []string{"kind"}}, hcl.BlockHeaderSchema{Type: "grade", LabelNames: []string{"name"}})
 	const ms, s = time.Millisecond, time.Second
 	w := &x.World
@@ -168,6 +168,13 @@
 		w.Store = model.Store{Rate: u.Number("rate", 100, 0.001, 1e9), Time: u.Span("time", 5*ms, 0, time.Minute),
 			Wait: u.Span("wait", s, 0, time.Minute)}
 	}
+	if in := b.Only("fleet", false); in != nil {
+		u := r.Open("fleet", in.Body, in.DefRange, "copies")
+		w.Copies = u.Whole("copies", 3, 1, 7)
+		if x.Mode == Virtual {
+			r.At(in.DefRange, "world: a fleet has no meaning in virtual time")
+		}
+	}
 	w.Limits = r.limits(b, scene.Limits{Cores: 1, MemoryMB: 192, Sockets: 1024})
 	r.grades(x, b, limit, goal)
 	for _, in := range b.In["server"] {
@@ -281,11 +288,18 @@
 	if x.Mode == Virtual && timetable.SocketsOnly(kind) {
 		r.At(in.LabelRanges[0], "fault %q has no meaning in virtual time", kind)
 	}
-	b := r.Open(fmt.Sprintf("fault %q", kind), in.Body, in.DefRange, "at for part batch drain times rate late")
+	if timetable.BetweenMembers(kind) && x.World.Copies == 0 {
+		r.At(in.LabelRanges[0], "fault %q wants a fleet: a block \"fleet\" in the world", kind)
+	}
+	b := r.Open(fmt.Sprintf("fault %q", kind), in.Body, in.DefRange, "at for part batch drain times rate late ways")
 	b.Must(append([]string{"at"}, wants...)...)
 	f := timetable.Fault{Kind: kind, At: b.Span("at", 0, 0, length), For: b.Span("for", 0, 0, longestRun), Part: b.Share("part", 0),
 		Batch: b.Share("batch", 0.2), Drain: b.Span("drain", 4*time.Second, 0, time.Minute), Times: b.Number("times", 1, 1, 10000),
-		Rate: b.Number("rate", 0, 0, 10000), Late: b.Span("late", 0, 0, time.Minute)}
+		Rate: b.Number("rate", 0, 0, 10000), Late: b.Span("late", 0, 0, time.Minute),
+		Ways: b.Text("ways", "both", "both", "in", "out")}
+	if slices.Contains([]timetable.Kind{timetable.MembersLossy, timetable.MembersReorder}, kind) && f.Rate > 1 {
+		r.At(in.DefRange, "fault %q: rate is a share of what passes, 1 at most", kind)
+	}
 	if kind == timetable.Errors && f.Rate > 1 {
 		r.At(in.DefRange, "fault %q: rate is a share of the set-ups, 1 at most", kind)
 	}
--- a/internal/lab/scene/scene.go
+++ b/internal/lab/scene/scene.go
@@ -40,6 +40,7 @@
 	Return              load.Return
 	Faults              []timetable.Fault
 	Limits              Limits
+	Copies              int // of each record, where the balancers are members of a fleet; 0: they are not
 }
 
 // Limits are those of one balancer's process.
--- a/internal/lab/timetable/timetable.go
+++ b/internal/lab/timetable/timetable.go
@@ -43,6 +43,14 @@
 	Pieces          Kind = "pieces"           // clients write their first lines in pieces for For; sockets only
 	LinkSlow        Kind = "link-slow"        // the way to Part of the servers takes Late longer; sockets only
 	LinkCut         Kind = "link-cut"         // it carries nothing back from them for For; sockets only
+
+	// Between the members of a fleet; sockets only.
+	MembersLossy   Kind = "members-lossy"   // the ways between Part of the members and all others lose Rate of what passes for For
+	MembersSlow    Kind = "members-slow"    // they take Late longer for For; Ways "out": only what Part says, as replies that are slow
+	MembersCut     Kind = "members-cut"     // Part is cut off from the rest for For; Ways "in" or "out": in that way alone
+	MembersReorder Kind = "members-reorder" // Rate of their datagrams come twice and out of order for For
+	Stall          Kind = "stall"           // the processes of Part of the balancers are stopped for For, and go on
+	MachineLost    Kind = "machine-lost"    // Part are killed and their directories deleted; they come back empty after For, or never
 )
 
 // Kinds lists all that a file may name, and what each needs.
@@ -53,12 +61,19 @@
 	ListMisses: {"part", "for"}, Reconnect: {"part", "for"}, BalancerCrash: {"part", "for"}, BalancerRestart: {"part", "for"},
 	Upgrade: {"part", "for"}, BalancerDrain: {"part", "for"}, Retune: {"for"}, Crowd: {"for", "rate"}, Pieces: {"for"},
 	Reload: {}, BadClients: {"for", "rate"}, LinkSlow: {"part", "for", "late"}, LinkCut: {"part", "for"},
+	MembersLossy: {"part", "for", "rate"}, MembersSlow: {"part", "for", "late"}, MembersCut: {"part", "for"},
+	MembersReorder: {"part", "for", "rate"}, Stall: {"part", "for"}, MachineLost: {"part"},
+}
+
+// BetweenMembers tells whether a fault wants a world whose balancers are members of a fleet.
+func BetweenMembers(k Kind) bool {
+	return slices.Contains([]Kind{MembersLossy, MembersSlow, MembersCut, MembersReorder, MachineLost}, k)
 }
 
 // SocketsOnly tells whether a fault has no meaning in virtual time.
 func SocketsOnly(k Kind) bool {
 	return slices.Contains([]Kind{Drip, TornLines, HalfOpen, DiscoveryFaulty, Reload, BadClients, LinkSlow, LinkCut,
-		Upgrade, BalancerDrain, Retune, Crowd, Pieces}, k)
+		Upgrade, BalancerDrain, Retune, Crowd, Pieces, Stall}, k) || BetweenMembers(k)
 }
 
 // Fault is one line of the timetable.
@@ -71,6 +86,7 @@
 	Times   float64
 	Rate    float64
 	Late    time.Duration
+	Ways    string // of faults between members: "both", "in" or "out", as those of Part see it
 }
 
 // Act is what one step does.
@@ -109,8 +125,19 @@
 	SetPieces     // Figure: 1 or 0
 	SetLinkLate   // For: how much later all passes
 	SetLinkCut    // Figure: 1 or 0
+	SetTies       // the ways between Band and the other members are as Tie says
+	StallBalancer // it is stopped; For: until it goes on
+	LoseBalancer  // killed, and its directory deleted
 )
 
+// Tie is how ways between members are.
+type Tie struct {
+	In, Out     bool // which ways: towards those of the band, from them
+	Loss, Mixed float64
+	Late        time.Duration
+	Cut         bool
+}
+
 // Step is one act. Who is a server, or a balancer for the acts on balancers.
 type Step struct {
 	At     time.Duration
@@ -119,12 +146,14 @@
 	Of     int // the machine whose place a started one takes
 	Figure float64
 	For    time.Duration
+	Band   uint64 // the members that SetTies is about, a bit each; on sockets there are few
+	Tie    Tie
 }
 
 func onServer(a Act) bool {
 	switch a {
 	case SetStore, SetDiscovery, SetLate, SetFaulty, DropClients, KillBalancer, StartBalancer, LeaveBalancer, ReloadAll, SetBad,
-		UpgradeBalancer, DrainBalancer, SetTune, SetCrowd, SetPieces:
+		UpgradeBalancer, DrainBalancer, SetTune, SetCrowd, SetPieces, SetTies, StallBalancer, LoseBalancer:
 		return false
 	}
 	return true
@@ -258,6 +287,35 @@
 		case Pieces:
 			step(f.At, SetPieces, 0, 1, 0)
 			step(f.At+f.For, SetPieces, 0, 0, 0)
+		case MembersLossy, MembersSlow, MembersCut, MembersReorder:
+			tie := Tie{In: f.Ways != "out", Out: f.Ways != "in"}
+			switch f.Kind {
+			case MembersLossy:
+				tie.Loss = f.Rate
+			case MembersSlow:
+				tie.Late = f.Late
+			case MembersReorder:
+				tie.Mixed = f.Rate
+			default:
+				tie.Cut = true
+			}
+			band := uint64(0)
+			for _, b := range some(min(balancers, 64)) {
+				band |= 1 << b
+			}
+			all = append(all, Step{At: f.At, Act: SetTies, Band: band, Tie: tie},
+				Step{At: f.At + f.For, Act: SetTies, Band: band, Tie: Tie{In: tie.In, Out: tie.Out}})
+		case Stall:
+			for _, b := range some(balancers) {
+				step(f.At, StallBalancer, b, 0, f.For)
+			}
+		case MachineLost:
+			for _, b := range some(balancers) {
+				step(f.At, LoseBalancer, b, 0, 0)
+				if f.For > 0 {
+					step(f.At+f.For, StartBalancer, b, 0, 0)
+				}
+			}
 		case Reload:
 			step(f.At, ReloadAll, 0, 0, 0)
 		case BadClients:
