--- a/internal/lab/timetable/timetable_test.go
+++ b/internal/lab/timetable/timetable_test.go
@@ -35,6 +35,10 @@
 				}
 			case Die, Silence, Hide, KillBalancer:
 				on[[2]int{int(s.Act), s.Who}]++
+			case LoseBalancer:
+				on[[2]int{int(KillBalancer), s.Who}]++
+			case SetTies:
+				on[[2]int{int(s.Act), int(s.Band)}] += map[bool]int{true: -1, false: 1}[s.Tie == Tie{In: s.Tie.In, Out: s.Tie.Out}]
 			case Revive, Speak, Show, StartBalancer:
 				on[[2]int{int(s.Act) - 1, s.Who}]--
 			case SetSlow, SetStore:
