--- /dev/null
+++ b/internal/fleet/agree/agree.go
@@ -0,0 +1,383 @@
+// Package agree is one member's part in the log on which the views are agreed: the Raft of go.etcd.io/raft, stepped, with this
+// package's clock and chance, so that the same seed gives the same run. It owns who votes and what was applied. It must never send
+// before what it hands out is on disk, and never let a member vote that has lost what it voted before: such a one has another ID.
+package agree
+
+import (
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"sabletally/internal/fleet/views"
+)
+
+const (
+	tickEach    = 100 * time.Millisecond
+	heartbeat   = 2 // ticks
+	election    = 10
+	electFrom   = time.Second // a voter that hears of no leader for so long, and up to as much again, asks for votes
+	keepEntries = 512         // in the log, before it is cut behind a snapshot
+	tailEntries = 64          // kept behind one for voters that are a little late
+	bytesMost   = 1 << 20     // of entries in one message, and of those not agreed yet
+)
+
+// Saved is what is on disk; empty at a member that has never been a voter.
+type Saved struct {
+	Hard     []byte
+	Snapshot []byte
+	Entries  [][]byte // those behind the snapshot, in order
+}
+
+// Write is what has to be on disk before the messages that come with it go out.
+type Write struct {
+	Hard     []byte   // empty: unchanged
+	Snapshot []byte   // empty: unchanged. Entries up to its index may go then
+	Upto     uint64   // that index
+	Entries  [][]byte // from the index First on; what lay there or behind it is void
+	First    uint64
+}
+
+// Ready is what is to be done: Write first.
+type Ready struct {
+	Write   Write
+	Msgs    []Msg
+	Changed bool // the state is another
+}
+
+// Msg is a message to a voter, by its number.
+type Msg struct {
+	To   uint64
+	Text []byte
+}
+
+// Node is one member's. It is one goroutine's.
+type Node struct {
+	id    uint64
+	rn    *raft.RawNode
+	store *raft.MemoryStorage
+	rng   *rand.Rand
+	conf  *pb.ConfState
+	now   time.Duration
+	tick  time.Duration
+	elect time.Duration
+
+	applied, cut uint64
+	state        *views.State
+	write        Write
+	changed      bool
+	voted        bool // who votes has changed: a snapshot has to say so, or who begins to vote can't be sent one
+}
+
+// Number is a member's in the log: the first half of its ID.
+func Number(member string) uint64 {
+	b, err := hex.DecodeString(member)
+	if err != nil || len(b) < 8 {
+		return 0
+	}
+	n := uint64(0)
+	for _, one := range b[:8] {
+		n = n<<8 | uint64(one)
+	}
+	return max(n, 1)
+}
+
+// New makes a member's part of what is on disk.
+func New(member string, saved Saved, seed uint64, now time.Duration) (*Node, error) {
+	n := &Node{id: Number(member), store: raft.NewMemoryStorage(), rng: rand.New(rand.NewPCG(seed, 0xa92e)), conf: &pb.ConfState{},
+		now: now, tick: now, state: views.New()}
+	if n.id == 0 {
+		return nil, fmt.Errorf("agree: %q is no member's ID", member)
+	}
+	if len(saved.Snapshot) > 0 {
+		snap := &pb.Snapshot{}
+		if err := proto.Unmarshal(saved.Snapshot, snap); err != nil {
+			return nil, fmt.Errorf("agree: the snapshot: %w", err)
+		}
+		if err := n.restore(snap); err != nil {
+			return nil, err
+		}
+		if err := n.store.ApplySnapshot(snap); err != nil {
+			return nil, fmt.Errorf("agree: the snapshot: %w", err)
+		}
+	}
+	if len(saved.Hard) > 0 {
+		hard := &pb.HardState{}
+		if err := proto.Unmarshal(saved.Hard, hard); err != nil {
+			return nil, fmt.Errorf("agree: the vote: %w", err)
+		}
+		n.store.SetHardState(hard)
+	}
+	for i, text := range saved.Entries {
+		e := &pb.Entry{}
+		if err := proto.Unmarshal(text, e); err != nil {
+			return nil, fmt.Errorf("agree: entry %d: %w", i, err)
+		}
+		if err := n.store.Append([]*pb.Entry{e}); err != nil {
+			return nil, fmt.Errorf("agree: entry %d: %w", i, err)
+		}
+	}
+	return n, n.start()
+}
+
+func (n *Node) start() (err error) {
+	n.rn, err = raft.NewRawNode(&raft.Config{ID: n.id, ElectionTick: election, HeartbeatTick: heartbeat, Storage: n.store, Applied: n.applied,
+		MaxSizePerMsg: bytesMost, MaxUncommittedEntriesSize: bytesMost, MaxInflightMsgs: 64, PreVote: true, Logger: silent{}})
+	n.later()
+	return err
+}
+
+// Found begins the log with this member as its only voter, and the fleet under an ID. It may be called before anything else was.
+func (n *Node) Found(fleet string) error {
+	state := views.New()
+	state.Fleet, state.Version = fleet, 1
+	one := uint64(1)
+	snap := &pb.Snapshot{Data: state.Snapshot(), Metadata: &pb.SnapshotMetadata{Index: &one, Term: &one, ConfState: &pb.ConfState{Voters: []uint64{n.id}}}}
+	if err := n.store.ApplySnapshot(snap); err != nil {
+		return err
+	}
+	n.store.SetHardState(&pb.HardState{Term: &one, Commit: &one})
+	if err := n.restore(snap); err != nil {
+		return err
+	}
+	n.write.Hard, _ = proto.Marshal(&pb.HardState{Term: &one, Commit: &one})
+	n.write.Snapshot, n.write.Upto = marshal(snap), 1
+	n.changed = true
+	return n.start()
+}
+
+// State is what is agreed, as far as this member has heard. It is not to be changed.
+func (n *Node) State() *views.State { return n.state }
+
+// Leads tells whether this member leads the log; whatever it decides is agreed only once it is in the state.
+func (n *Node) Leads() bool { return n.rn.BasicStatus().RaftState == raft.StateLeader }
+
+// Leader is who leads as far as is known, 0 for nobody.
+func (n *Node) Leader() uint64 { return n.rn.BasicStatus().Lead }
+
+// Term is the number of the leadership that is known.
+func (n *Node) Term() uint64 { return n.rn.BasicStatus().GetTerm() }
+
+// Voters are the numbers of those that vote.
+func (n *Node) Voters() []uint64 { return n.conf.GetVoters() }
+
+// Clock tells of the time. The library's own clock runs at leaders alone, as the chance within it can't be handed in.
+func (n *Node) Clock(now time.Duration) {
+	n.now = now
+	if now-n.tick >= tickEach {
+		n.tick = now
+		if n.Leads() {
+			n.rn.Tick()
+		}
+	}
+	if now >= n.elect {
+		n.later()
+		if !n.Leads() && slices.Contains(n.Voters(), n.id) {
+			n.rn.Campaign()
+		}
+	}
+}
+
+func (n *Node) later() {
+	n.elect = n.now + electFrom + time.Duration(n.rng.Float64()*float64(electFrom))
+}
+
+// Step takes a message of another voter's.
+func (n *Node) Step(text []byte) error {
+	m := &pb.Message{}
+	if err := proto.Unmarshal(text, m); err != nil {
+		return err
+	}
+	if m.GetTo() != n.id || raft.IsLocalMsg(m.GetType()) {
+		return fmt.Errorf("agree: a message of type %v to %x", m.GetType(), m.GetTo())
+	}
+	if err := n.rn.Step(m); err != nil {
+		return err
+	}
+	switch m.GetType() {
+	case pb.MsgApp, pb.MsgHeartbeat, pb.MsgSnap:
+		if m.GetFrom() == n.Leader() {
+			n.later()
+		}
+	case pb.MsgVote:
+		n.later()
+	}
+	return nil
+}
+
+// Propose has the leader put an entry before the others; lost if this member leads no more.
+func (n *Node) Propose(e views.Entry) error { return n.rn.Propose(e.Encode()) }
+
+// Vote has a member begin to vote and another one stop, either by number and 0 for none, in one step: in no state between are there
+// fewer that may be lost. One such change is under way at a time; another is refused.
+func (n *Node) Vote(begins, stops uint64) error {
+	cc := &pb.ConfChangeV2{}
+	change := func(kind pb.ConfChangeType, id uint64) {
+		if id != 0 {
+			cc.Changes = append(cc.Changes, &pb.ConfChangeSingle{Type: &kind, NodeId: &id})
+		}
+	}
+	change(pb.ConfChangeAddNode, begins)
+	change(pb.ConfChangeRemoveNode, stops)
+	return n.rn.ProposeConfChange(cc)
+}
+
+// Unreachable tells that a message to a voter may not have come.
+func (n *Node) Unreachable(id uint64) { n.rn.ReportUnreachable(id) }
+
+// Ready hands out what is to be done, once.
+func (n *Node) Ready() (r Ready, err error) {
+	var msgs []*pb.Message
+	for n.rn.HasReady() {
+		rd := n.rn.Ready()
+		if !raft.IsEmptySnap(rd.Snapshot) {
+			if err := n.store.ApplySnapshot(rd.Snapshot); err != nil {
+				return r, fmt.Errorf("agree: %w", err)
+			}
+			if err := n.restore(rd.Snapshot); err != nil {
+				return r, err
+			}
+			n.write.Snapshot, n.write.Upto = marshal(rd.Snapshot), rd.Snapshot.GetMetadata().GetIndex()
+			n.write.Entries, n.write.First = nil, 0
+			n.changed = true
+		}
+		if len(rd.Entries) > 0 {
+			if err := n.store.Append(rd.Entries); err != nil {
+				return r, fmt.Errorf("agree: %w", err)
+			}
+			n.append(rd.Entries)
+		}
+		if rd.HardState != nil && !raft.IsEmptyHardState(rd.HardState) {
+			n.store.SetHardState(rd.HardState)
+			n.write.Hard = marshal(rd.HardState)
+		}
+		msgs = append(msgs, rd.Messages...)
+		for _, e := range rd.CommittedEntries {
+			if err := n.apply(e); err != nil {
+				return r, err
+			}
+		}
+		n.rn.Advance(rd)
+	}
+	if err := n.compact(); err != nil {
+		return r, err
+	}
+	for _, m := range msgs {
+		r.Msgs = append(r.Msgs, Msg{To: m.GetTo(), Text: marshal(m)})
+		if m.GetType() == pb.MsgSnap { // how it went shows by what the voter answers next
+			n.rn.ReportSnapshot(m.GetTo(), raft.SnapshotFinish)
+		}
+	}
+	r.Write, r.Changed = n.write, n.changed
+	n.write, n.changed = Write{}, false
+	return r, nil
+}
+
+// append gathers entries for the disk; those that replace others void what was behind them.
+func (n *Node) append(entries []*pb.Entry) {
+	first := entries[0].GetIndex()
+	if len(n.write.Entries) == 0 {
+		n.write.First = first
+	} else if keep := int(first) - int(n.write.First); keep >= 0 && keep < len(n.write.Entries) {
+		n.write.Entries = n.write.Entries[:keep]
+	} else if keep < 0 {
+		n.write.Entries, n.write.First = nil, first
+	}
+	for _, e := range entries {
+		n.write.Entries = append(n.write.Entries, marshal(e))
+	}
+}
+
+func (n *Node) apply(e *pb.Entry) error {
+	n.applied = e.GetIndex()
+	switch e.GetType() {
+	case pb.EntryConfChangeV2, pb.EntryConfChange:
+		var change pb.ConfChangeI
+		if cc := (&pb.ConfChangeV2{}); e.GetType() == pb.EntryConfChangeV2 {
+			if err := proto.Unmarshal(e.GetData(), cc); err != nil {
+				return fmt.Errorf("agree: entry %d: %w", e.GetIndex(), err)
+			}
+			change = cc
+		} else { // a change of one voter is written in the older form
+			cc := &pb.ConfChange{}
+			if err := proto.Unmarshal(e.GetData(), cc); err != nil {
+				return fmt.Errorf("agree: entry %d: %w", e.GetIndex(), err)
+			}
+			change = cc
+		}
+		n.conf = n.rn.ApplyConfChange(change)
+		n.changed, n.voted = true, true
+	case pb.EntryNormal:
+		if len(e.GetData()) == 0 {
+			return nil // a leader's first
+		}
+		entry, err := views.Decode(e.GetData())
+		if err != nil {
+			return fmt.Errorf("agree: entry %d: %w", e.GetIndex(), err)
+		}
+		if slots, epoch := n.state.Apply(entry); len(slots) > 0 || epoch {
+			n.changed = true
+		}
+	}
+	return nil
+}
+
+func (n *Node) restore(snap *pb.Snapshot) error {
+	state, err := views.Restore(snap.GetData())
+	if err != nil {
+		return fmt.Errorf("agree: the snapshot: %w", err)
+	}
+	n.state, n.conf = state, snap.GetMetadata().GetConfState()
+	n.applied = snap.GetMetadata().GetIndex()
+	n.cut = n.applied
+	return nil
+}
+
+// compact cuts the log behind a snapshot once it has grown.
+func (n *Node) compact() error {
+	if n.applied-n.cut < keepEntries && !n.voted {
+		return nil
+	}
+	n.voted = false
+	snap, err := n.store.CreateSnapshot(n.applied, n.conf, n.state.Snapshot())
+	if first, e := n.store.FirstIndex(); err == nil && e == nil && n.applied > first+tailEntries {
+		err = n.store.Compact(n.applied - tailEntries)
+	}
+	if err != nil {
+		return fmt.Errorf("agree: %w", err)
+	}
+	n.cut = n.applied
+	n.write.Snapshot, n.write.Upto = marshal(snap), n.applied
+	return nil
+}
+
+func marshal(m proto.Message) []byte {
+	text, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		panic(err) // the library's own
+	}
+	return text
+}
+
+// silent takes the library's log: what operators are told is said by who decides.
+type silent struct{}
+
+func (silent) Debug(...any)            {}
+func (silent) Debugf(string, ...any)   {}
+func (silent) Error(...any)            {}
+func (silent) Errorf(string, ...any)   {}
+func (silent) Info(...any)             {}
+func (silent) Infof(string, ...any)    {}
+func (silent) Warning(...any)          {}
+func (silent) Warningf(string, ...any) {}
+func (silent) Fatal(v ...any)          { panic(fmt.Sprint(v...)) }
+func (silent) Fatalf(f string, v ...any) {
+	panic(fmt.Sprintf(f, v...))
+}
+func (silent) Panic(v ...any)            { panic(fmt.Sprint(v...)) }
+func (silent) Panicf(f string, v ...any) { panic(fmt.Sprintf(f, v...)) }
--- /dev/null
+++ b/internal/fleet/copies/copies.go
@@ -0,0 +1,722 @@
+// Package copies keeps records on several members: each slot of the key space has a view, agreed elsewhere, whose primary orders
+// writes and whose holders all have a write on disk before it is promised. It is the protocol alone, pure: messages, operations,
+// views and a time in; writes, messages and results out. It must never promise what fewer than the least number of holders have,
+// never take a write of an older ballot, and never agree on a view: two who decided that by themselves would both promise.
+package copies
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sabletally/internal/fleet/views"
+)
+
+const (
+	resendEach = 200 * time.Millisecond
+	blameAfter = 800 * time.Millisecond  // a holder that answers nothing for so long is complained about,
+	missAfter  = 1500 * time.Millisecond // and a primary that nothing is heard of
+	beatEach   = 250 * time.Millisecond
+	recentMost = 128 // writes that a holder may lack and still be sent one by one
+	pastMost   = 4
+	askAgain   = 150 * time.Millisecond // an operation that was refused for a moment is asked for again
+)
+
+// Config is what a node begins with.
+type Config struct {
+	ID        string
+	Life      uint64
+	Least     int // holders that a write needs, this one among them; a write goes to all there are
+	MostKeys  int // records held here
+	MostBytes int // of keys and values together
+	MostOps   int // operations that wait here
+}
+
+// Node is one member's part in the copies. It is one goroutine's.
+type Node struct {
+	cfg   Config
+	now   time.Duration
+	slots []slot
+	ops   map[string]*pending // asked for here
+	order []string            // in the order in which they came
+	keys  int
+	bytes int
+	heard map[string]time.Duration
+	beat  time.Duration
+	bad   bool // the disk fails
+	out   Ready
+
+	Refusals [Disk + 1]int
+}
+
+// slot is one slot as this member knows it.
+type slot struct {
+	ballot  Ballot
+	full    []string
+	joining []string
+	records map[string]Record
+	digest  uint64
+
+	// Of the primary.
+	leads   bool
+	seq     uint64
+	peers   map[string]*peer
+	flight  []*flight           // writes that not all holders have, in order
+	recent  []*flight           // the newest writes of this ballot, in order, and before them the state that it began with
+	queue   map[string][]queued // operations behind one on the same key
+	waiting int
+
+	// Of the others.
+	taken bool // the ballot was taken over: what comes next follows it
+	got   uint64
+	since time.Duration // of this ballot
+}
+
+// peer is another holder as the primary knows it.
+type peer struct {
+	adopted bool
+	joining bool
+	acked   uint64
+	life    uint64        // of its process, once it is known
+	sent    time.Duration // the newest Adopt or Install, or what it lacked
+	owes    time.Duration // since when it owes an answer; negative: it owes none
+	told    bool          // it was said to have caught up, in this ballot,
+	said    time.Duration // the last time then
+}
+
+// needed tells whether a write is promised only with this one's word. One that joins is needed from the moment on at which it is said
+// to have caught up: it may be counted among the full ones at any time then, and whoever leads after that may begin with it.
+func (p *peer) needed() bool { return !p.joining || p.told }
+
+// flight is a write on its way.
+type flight struct {
+	seq    uint64
+	digest uint64 // of the slot, with it
+	record Record // nothing where none is written
+	op     Op
+	from   string
+	result Result // once all holders have it
+}
+
+type queued struct {
+	op   Op
+	from string
+}
+
+// pending is an operation that was asked for here.
+type pending struct {
+	op    Op
+	until time.Duration
+	next  time.Duration // it is sent again then
+	to    string
+	sent  bool // it may have been done
+	tries int
+}
+
+// New makes a node that holds nothing.
+func New(cfg Config, now time.Duration) *Node {
+	n := &Node{cfg: cfg, now: now, slots: make([]slot, views.Slots), ops: map[string]*pending{}, heard: map[string]time.Duration{}, beat: now}
+	for i := range n.slots {
+		n.slots[i].records = map[string]Record{}
+	}
+	return n
+}
+
+// Load takes what is on disk of a slot, before anything else.
+func (n *Node) Load(num int, b Ballot, records []Record) {
+	s := &n.slots[num]
+	s.ballot = b
+	for _, r := range records {
+		n.set(s, r)
+	}
+}
+
+// ---- What comes in.
+
+// Clock tells of the time.
+func (n *Node) Clock(now time.Duration) {
+	n.now = now
+	for _, id := range slices.Clone(n.order) {
+		p := n.ops[id]
+		if p == nil {
+			continue
+		}
+		if now >= p.until {
+			n.finish(Result{Op: id, Outcome: map[bool]Outcome{true: Unknown, false: Refused}[p.sent], Why: Settling})
+		} else if now >= p.next {
+			n.ask(p)
+		}
+	}
+	if now-n.beat >= beatEach {
+		n.beat = now
+		n.beats()
+	}
+	for i := range n.slots {
+		n.look(i)
+	}
+}
+
+// View tells of a slot's newest view. Older ones than the one that is known change nothing.
+func (n *Node) View(num int, v views.View) {
+	s := &n.slots[num]
+	if v.Num < s.ballot.View || v.Num == s.ballot.View && s.full != nil {
+		return
+	}
+	if v.Primary() == n.cfg.ID {
+		n.lead(num, v)
+		return
+	}
+	if v.Num > s.ballot.View { // its primary says which life it is
+		n.follow(num, Ballot{View: v.Num}, v.Full, v.Joining)
+	} else {
+		s.full, s.joining, s.since = v.Full, v.Joining, n.now
+	}
+	if slices.Contains(v.Full, n.cfg.ID) || slices.Contains(v.Joining, n.cfg.ID) {
+		n.write(num, s, nil, false)
+	} else {
+		n.drop(num)
+	}
+}
+
+// Ask has an operation done within a span, here or wherever its slot's primary is. Its result comes with a Ready.
+func (n *Node) Ask(op Op, within time.Duration) {
+	if len(n.ops) >= n.cfg.MostOps {
+		n.out.Results = append(n.out.Results, Result{Op: op.ID, Outcome: Refused, Why: Busy})
+		n.Refusals[Busy]++
+		return
+	}
+	p := &pending{op: op, until: n.now + within}
+	n.ops[op.ID] = p
+	n.order = append(n.order, op.ID)
+	n.ask(p)
+}
+
+// Step takes a message. What makes no sense here is passed over: a member may be wrong about who holds what, and late.
+func (n *Node) Step(m Msg) {
+	if m.To != n.cfg.ID || m.Slot < 0 || m.Slot >= len(n.slots) || n.bad {
+		return
+	}
+	n.heard[m.From] = n.now
+	s := &n.slots[m.Slot]
+	switch m.Kind {
+	case MsgOp:
+		n.serve(m.Slot, m.Op, m.From)
+	case MsgResult:
+		n.answered(m)
+	case MsgAdopt, MsgInstall, MsgWrite:
+		n.told(m.Slot, s, m)
+	case MsgWritten, MsgAdopted, MsgWant:
+		if s.leads && m.Ballot == s.ballot {
+			n.heardOf(m.Slot, s, m)
+		}
+	case MsgStale: // somebody else leads, or this one does in a later life: the views will say
+		if s.leads && s.ballot.Less(m.Ballot) {
+			n.resign(m.Slot, s)
+		}
+	}
+}
+
+// Broken tells that the disk can't be written: nothing is promised or acknowledged any more.
+func (n *Node) Broken() { n.bad = true }
+
+// Ready hands out what is to be done, once.
+func (n *Node) Ready() Ready {
+	r := n.out
+	n.out = Ready{}
+	if n.bad {
+		r.Writes, r.Msgs, r.Complaints = nil, nil, nil
+	}
+	return r
+}
+
+// ---- Who asked here.
+
+// ask sends an operation to whoever leads its slot.
+func (n *Node) ask(p *pending) {
+	num := views.SlotOf(p.op.Key)
+	s := &n.slots[num]
+	p.next = n.now + askAgain
+	if len(s.full) == 0 {
+		return
+	}
+	p.to = s.full[0]
+	if p.to == n.cfg.ID {
+		n.serve(num, p.op, n.cfg.ID)
+		return
+	}
+	p.sent = true
+	p.tries++
+	p.next = n.now + resendEach
+	n.send(Msg{Kind: MsgOp, To: p.to, Slot: num, Op: p.op})
+}
+
+// answered takes a result from a primary. Only who was asked last may refuse: an older one's refusal says nothing of what the
+// newer one has done.
+func (n *Node) answered(m Msg) {
+	p := n.ops[m.Result.Op]
+	if p == nil {
+		return
+	}
+	if m.Result.Outcome == Refused && passes(m.Result.Why) {
+		return // asked again when it is time
+	}
+	// Done by an earlier try, and written over so often since that the record does not tell any more.
+	if m.Result.Outcome == Conflict && !p.op.Read && p.tries > 1 && len(m.Result.Record.Past) >= pastMost {
+		m.Result.Outcome = Unknown
+	}
+	n.finish(m.Result)
+}
+
+// passes tells whether a refusal may be over in a moment.
+func passes(w Why) bool { return w == NotPrimary || w == Settling || w == Short }
+
+func (n *Node) finish(r Result) {
+	if n.ops[r.Op] == nil {
+		return
+	}
+	delete(n.ops, r.Op)
+	n.order = slices.DeleteFunc(n.order, func(id string) bool { return id == r.Op })
+	if r.Outcome == Refused {
+		n.Refusals[r.Why]++
+	}
+	n.out.Results = append(n.out.Results, r)
+}
+
+// reply answers whoever asked.
+func (n *Node) reply(num int, from string, r Result) {
+	if from != n.cfg.ID {
+		n.send(Msg{Kind: MsgResult, To: from, Slot: num, Result: r})
+		return
+	}
+	if p := n.ops[r.Op]; p != nil && !(r.Outcome == Refused && passes(r.Why)) {
+		n.finish(r)
+	}
+}
+
+// ---- The primary.
+
+// lead begins a view as its primary: what this member has is what there is, as all that was promised is on each of the
+// old view's holders. It serves once all holders have taken the same over.
+func (n *Node) lead(num int, v views.View) {
+	s := &n.slots[num]
+	n.resign(num, s)
+	s.ballot = Ballot{View: v.Num, Life: n.cfg.Life}
+	s.full, s.joining = v.Full, v.Joining
+	s.leads, s.taken, s.seq, s.since = true, true, 0, n.now
+	s.peers, s.queue, s.recent = map[string]*peer{}, map[string][]queued{}, []*flight{{digest: s.digest}}
+	n.write(num, s, nil, false)
+	for _, id := range s.others() {
+		s.peers[id] = &peer{joining: slices.Contains(s.joining, id), owes: n.now}
+		n.adopt(num, s, id)
+	}
+}
+
+// resign ends what this member did as primary. What was on its way is neither done nor undone: who asked is told nothing, and
+// asks the next primary.
+func (n *Node) resign(_ int, s *slot) {
+	s.leads, s.flight, s.recent, s.queue, s.peers, s.waiting = false, nil, nil, nil, nil, 0
+}
+
+// others are all holders of a slot but this member.
+func (s *slot) others() []string {
+	var all []string
+	for i, id := range slices.Concat(s.full, s.joining) {
+		if i > 0 {
+			all = append(all, id)
+		}
+	}
+	return all
+}
+
+func (n *Node) adopt(num int, s *slot, id string) {
+	s.peers[id].sent = n.now
+	n.send(Msg{Kind: MsgAdopt, To: id, Slot: num, Ballot: s.ballot, Seq: s.seq, Digest: s.digest, Full: s.full, Joining: s.joining})
+}
+
+// active tells whether all holders have taken the ballot over.
+func (s *slot) active() bool {
+	for _, p := range s.peers {
+		if !p.joining && !p.adopted {
+			return false
+		}
+	}
+	return true
+}
+
+// serve has an operation done, or says why not.
+func (n *Node) serve(num int, op Op, from string) {
+	s := &n.slots[num]
+	refuse := func(w Why) { n.reply(num, from, Result{Op: op.ID, Outcome: Refused, Why: w}) }
+	switch {
+	case n.bad:
+		refuse(Disk)
+	case !s.leads:
+		refuse(NotPrimary)
+	case !s.active():
+		refuse(Settling)
+	case len(s.full) < n.cfg.Least:
+		refuse(Short)
+	default:
+		if slices.ContainsFunc(s.flight, func(f *flight) bool { return f.op.ID == op.ID }) ||
+			slices.ContainsFunc(s.queue[op.Key], func(q queued) bool { return q.op.ID == op.ID }) {
+			return // asked again while it is on its way
+		}
+		if slices.ContainsFunc(s.flight, func(f *flight) bool { return f.record.Key == op.Key }) {
+			if s.waiting >= n.cfg.MostOps {
+				refuse(Busy)
+				return
+			}
+			n.mayBeDone(op.ID, from)
+			s.waiting++
+			s.queue[op.Key] = append(s.queue[op.Key], queued{op, from})
+			return
+		}
+		n.do(num, s, op, from)
+	}
+}
+
+// mayBeDone notes of an operation that was asked for here that there is no saying any more that it was not done.
+func (n *Node) mayBeDone(id, from string) {
+	if p := n.ops[id]; p != nil && from == n.cfg.ID {
+		p.sent = true
+	}
+}
+
+// do decides on one operation; nothing on its key is on its way.
+func (n *Node) do(num int, s *slot, op Op, from string) {
+	r := s.records[op.Key]
+	there := r.Version > 0 && !r.Gone
+	f := &flight{op: op, from: from, result: Result{Op: op.ID, Outcome: Done, Record: r}}
+	switch {
+	case !op.Read && (r.Op == op.ID || slices.Contains(r.Past, op.ID)):
+	case op.Read, there && op.If != r.Version, !there && op.If != 0:
+		f.result.Outcome = Conflict
+	case !op.Drop && !there && (n.keys >= n.cfg.MostKeys || n.bytes+len(op.Key)+len(op.Value) > n.cfg.MostBytes):
+		n.reply(num, from, Result{Op: op.ID, Outcome: Refused, Why: Full})
+		return
+	default:
+		next := Record{Key: op.Key, Version: r.Version + 1, Value: op.Value, Op: op.ID, Born: op.Born, Gone: op.Drop}
+		if r.Op != "" {
+			next.Past = append(next.Past, r.Op)
+			next.Past = append(next.Past, r.Past[:min(len(r.Past), pastMost-1)]...)
+		}
+		n.mayBeDone(op.ID, from)
+		n.set(s, next)
+		n.write(num, s, []Record{next}, false)
+		f.record, f.result.Record = next, next
+	}
+	// What is only told goes the same way: an overtaken primary, which does not know of its end yet, would tell what is over.
+	s.seq++
+	f.seq, f.digest = s.seq, s.digest
+	s.flight = append(s.flight, f)
+	if s.recent = append(s.recent, f); len(s.recent) > recentMost {
+		s.recent = s.recent[1:]
+	}
+	for _, id := range s.others() {
+		if s.peers[id].adopted {
+			n.pass(num, s, id, f)
+		}
+	}
+	n.settle(num, s)
+}
+
+func (n *Node) pass(num int, s *slot, id string, f *flight) {
+	if p := s.peers[id]; p.owes < 0 {
+		p.owes = n.now
+	}
+	m := Msg{Kind: MsgWrite, To: id, Slot: num, Ballot: s.ballot, Seq: f.seq}
+	if f.record.Version > 0 {
+		m.Records = []Record{f.record}
+	}
+	n.send(m)
+}
+
+// heardOf is what a holder says to its primary.
+func (n *Node) heardOf(num int, s *slot, m Msg) {
+	p := s.peers[m.From]
+	if p == nil {
+		return
+	}
+	p.life = m.Life
+	switch m.Kind {
+	case MsgWant:
+		all := make([]Record, 0, len(s.records))
+		for _, r := range s.records {
+			all = append(all, r)
+		}
+		slices.SortFunc(all, func(a, b Record) int { return cmp.Compare(a.Key, b.Key) })
+		p.adopted, p.sent = false, n.now
+		n.send(Msg{Kind: MsgInstall, To: m.From, For: p.life, Slot: num, Ballot: s.ballot, Seq: s.seq, Digest: s.digest, Records: all})
+	case MsgAdopted, MsgWritten:
+		if m.Kind == MsgAdopted && !p.adopted {
+			if at := s.at(m.Seq); at == nil || at.digest != m.Digest { // what it has is none of what this ballot had
+				n.adopt(num, s, m.From)
+				return
+			}
+			p.adopted = true
+			p.acked = max(p.acked, m.Seq)
+			n.push(num, s, m.From)
+		}
+		p.acked = max(p.acked, m.Seq)
+		if p.owes = -1; p.acked < s.seq {
+			p.owes = n.now
+		}
+		if p.joining && p.adopted && !p.told && p.acked == s.seq {
+			p.told = true
+			n.caught(num, s, m.From)
+		}
+	}
+	n.settle(num, s)
+}
+
+// at is a write of this ballot, nil where it is too long ago.
+func (s *slot) at(seq uint64) *flight {
+	if i := int(seq) - int(s.recent[0].seq); i >= 0 && i < len(s.recent) {
+		return s.recent[i]
+	}
+	return nil
+}
+
+// push sends a holder what it lacks: one by one, or all there is where that is too long ago.
+func (n *Node) push(num int, s *slot, id string) {
+	p := s.peers[id]
+	p.sent = n.now
+	if s.at(p.acked) == nil {
+		p.adopted = false
+		n.adopt(num, s, id)
+		return
+	}
+	for seq := p.acked + 1; seq <= s.seq; seq++ {
+		n.pass(num, s, id, s.at(seq))
+	}
+}
+
+// settle answers for the writes that all holders have, in their order, and goes on with what waited behind them.
+func (n *Node) settle(num int, s *slot) {
+	for s.leads && len(s.flight) > 0 {
+		f := s.flight[0]
+		for _, p := range s.peers {
+			if p.needed() && p.acked < f.seq {
+				return
+			}
+		}
+		s.flight = s.flight[1:]
+		n.reply(num, f.from, f.result)
+		if q := s.queue[f.record.Key]; f.record.Version > 0 && len(q) > 0 && !slices.ContainsFunc(s.flight, func(o *flight) bool { return o.record.Key == f.record.Key }) {
+			delete(s.queue, f.record.Key)
+			s.waiting -= len(q)
+			for _, one := range q {
+				n.serve(num, one.op, one.from)
+			}
+		}
+	}
+}
+
+// ---- The other holders.
+
+// follow takes a ballot over in which somebody else leads.
+func (n *Node) follow(num int, b Ballot, full, joining []string) {
+	s := &n.slots[num]
+	n.resign(num, s)
+	s.ballot, s.full, s.joining, s.taken, s.got, s.since = b, full, joining, false, 0, n.now
+}
+
+// told is what a primary says. Whoever was overtaken is refused, here at the place where its write would take hold.
+func (n *Node) told(num int, s *slot, m Msg) {
+	answer := func(kind MsgKind) {
+		n.send(Msg{Kind: kind, To: m.From, Slot: num, Ballot: s.ballot, Seq: s.got, Digest: s.digest})
+	}
+	if m.Ballot.Less(s.ballot) {
+		answer(MsgStale)
+		return
+	}
+	switch m.Kind {
+	case MsgAdopt:
+		if len(m.Full) == 0 || m.Full[0] != m.From {
+			return
+		}
+		if s.ballot.Less(m.Ballot) || s.full == nil {
+			n.follow(num, m.Ballot, m.Full, m.Joining)
+			n.write(num, s, nil, false)
+		}
+		switch {
+		case s.taken: // it came twice: what this one has may be ahead of it by now
+			answer(MsgAdopted)
+		case m.Digest == s.digest:
+			s.taken, s.got = true, m.Seq
+			answer(MsgAdopted)
+		default:
+			answer(MsgWant)
+		}
+	case MsgInstall:
+		switch {
+		case m.Ballot != s.ballot || m.For != n.cfg.Life: // one of another life says nothing of what was written since
+		case s.taken && m.Seq <= s.got: // it came late: what was acknowledged since would be lost with it
+			answer(MsgAdopted)
+		default:
+			n.clear(s)
+			for _, r := range m.Records {
+				n.set(s, r)
+			}
+			n.write(num, s, m.Records, true)
+			s.taken, s.got = true, m.Seq
+			answer(MsgAdopted)
+		}
+	case MsgWrite:
+		switch {
+		case m.Ballot != s.ballot: // an Adopt is on its way, or is sent again
+		case !s.taken:
+			answer(MsgWant)
+		default:
+			if m.Seq == s.got+1 {
+				s.got++
+				for _, r := range m.Records {
+					n.set(s, r)
+				}
+				if len(m.Records) > 0 {
+					n.write(num, s, m.Records, false)
+				}
+			}
+			answer(MsgWritten) // of what it has, also where one before was lost
+		}
+	}
+}
+
+// drop forgets a slot that is held elsewhere now.
+func (n *Node) drop(num int) {
+	s := &n.slots[num]
+	if len(s.records) > 0 {
+		n.clear(s)
+		n.write(num, s, nil, true)
+	}
+}
+
+// ---- Time.
+
+// look sends again what was not answered, and complains about whoever owes an answer for too long.
+func (n *Node) look(num int) {
+	s := &n.slots[num]
+	if !s.leads {
+		if len(s.full) > 0 && slices.Contains(s.full, n.cfg.ID) {
+			last := max(s.since, n.heard[s.full[0]])
+			if n.now-last > missAfter {
+				s.since = n.now
+				n.complain(num, s, s.full[0])
+			}
+		}
+		return
+	}
+	for _, id := range s.others() {
+		p := s.peers[id]
+		if n.now-p.sent >= resendEach {
+			if !p.adopted {
+				n.adopt(num, s, id)
+			} else if p.acked < s.seq {
+				n.push(num, s, id)
+			}
+		}
+		if p.joining && p.told && n.now-p.said > blameAfter {
+			n.caught(num, s, id)
+		}
+		if p.owes >= 0 && n.now-p.owes > blameAfter && p.needed() {
+			p.owes = n.now
+			n.complain(num, s, id)
+		}
+	}
+}
+
+// caught says that one that joins has all there is; again and again, as the word may be lost, or whoever steers be another.
+func (n *Node) caught(num int, s *slot, id string) {
+	s.peers[id].said = n.now
+	n.out.Complaints = append(n.out.Complaints, Complaint{Slot: num, View: s.ballot.View, From: n.cfg.ID, About: id, Caught: true})
+}
+
+func (n *Node) complain(num int, s *slot, about string) {
+	n.out.Complaints = append(n.out.Complaints, Complaint{Slot: num, View: s.ballot.View, From: n.cfg.ID, About: about})
+}
+
+// beats tells the others of the slots that this member leads that it lives.
+func (n *Node) beats() {
+	to := map[string]bool{}
+	for i := range n.slots {
+		if s := &n.slots[i]; s.leads {
+			for _, id := range s.others() {
+				to[id] = true
+			}
+		}
+	}
+	ids := make([]string, 0, len(to))
+	for id := range to {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		n.send(Msg{Kind: MsgBeat, To: id})
+	}
+}
+
+// ---- What is held here.
+
+func (n *Node) send(m Msg) {
+	m.From, m.Life = n.cfg.ID, n.cfg.Life
+	n.out.Msgs = append(n.out.Msgs, m)
+}
+
+func (n *Node) write(num int, s *slot, records []Record, replace bool) {
+	n.out.Writes = append(n.out.Writes, Write{Slot: num, Ballot: s.ballot, Replace: replace, Records: records})
+}
+
+func (n *Node) set(s *slot, r Record) {
+	if old, there := s.records[r.Key]; there {
+		s.digest ^= sum(old)
+		n.keys--
+		n.bytes -= len(old.Key) + len(old.Value)
+	}
+	s.records[r.Key] = r
+	s.digest ^= sum(r)
+	n.keys++
+	n.bytes += len(r.Key) + len(r.Value)
+}
+
+func (n *Node) clear(s *slot) {
+	for _, r := range s.records {
+		n.keys--
+		n.bytes -= len(r.Key) + len(r.Value)
+	}
+	clear(s.records)
+	s.digest = 0
+}
+
+// sum is a record's part in its slot's digest.
+func sum(r Record) uint64 {
+	d := xxhash.New()
+	d.WriteString(r.Key)
+	d.Write([]byte{0, byte(r.Version), byte(r.Version >> 8), byte(r.Version >> 16), byte(r.Version >> 24), map[bool]byte{true: 1}[r.Gone]})
+	d.Write(r.Value)
+	d.WriteString(r.Op)
+	for _, op := range r.Past {
+		d.WriteString(op)
+	}
+	return d.Sum64()
+}
+
+// Record is what this member has of a key: what it was told last, promised or not.
+func (n *Node) Record(key string) Record { return n.slots[views.SlotOf(key)].records[key] }
+
+// Held is how many records and bytes lie here.
+func (n *Node) Held() (keys, bytes int) { return n.keys, n.bytes }
+
+// Keys are all keys of one prefix that lie here, sorted.
+func (n *Node) Keys(prefix string) (all []string) {
+	for i := range n.slots {
+		for k, r := range n.slots[i].records {
+			if !r.Gone && len(k) >= len(prefix) && k[:len(prefix)] == prefix {
+				all = append(all, k)
+			}
+		}
+	}
+	slices.Sort(all)
+	return all
+}
--- /dev/null
+++ b/internal/fleet/core/core.go
@@ -0,0 +1,463 @@
+// Package core is what a member of a fleet does but for sockets, disk and clock: it puts the agreed log (agree), the decision on
+// views (steer) and the copies together, and passes what is agreed to members that do not vote. Virtual time runs this very code. It
+// must never let anything out before what it leans on is on disk, and never take words of another fleet's.
+package core
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sabletally/internal/fleet/agree"
+	"sabletally/internal/fleet/copies"
+	"sabletally/internal/fleet/steer"
+	"sabletally/internal/fleet/views"
+)
+
+const (
+	pollEach  = 250 * time.Millisecond
+	foundEach = 500 * time.Millisecond
+	voteEach  = time.Second     // changes of who votes
+	soundFor  = 3 * time.Second // a member that is to vote has been here so long
+	freshFor  = 2 * time.Second // an answer that a seed knows of no fleet counts so long
+)
+
+// Config is what a member begins with.
+type Config struct {
+	Self   views.Member
+	Life   uint64
+	First  bool     // this member is at the first of the seeds' addresses: it is who founds a fleet
+	Seeds  []string // addresses
+	Voters int      // that the log has, once there are so many machines
+	Copies int
+	Evict  time.Duration
+	Seed   uint64
+	Keys   int // records that are held here at most,
+	Bytes  int // and their bytes
+	Ops    int // operations that wait
+}
+
+// Saved is what is on disk.
+type Saved struct {
+	Fleet string
+	Agree agree.Saved
+	Slots map[int]Slot
+}
+
+// Slot is a slot's part of it.
+type Slot struct {
+	Ballot  copies.Ballot
+	Records []copies.Record
+}
+
+// Packet is what goes from one member to another.
+type Packet struct {
+	From, To  string // IDs; To may be empty where only an address is known
+	Addr      string
+	Fleet     string
+	Raft      []byte
+	Copies    []copies.Msg
+	Complaint *copies.Complaint
+	Poll      *Poll
+	Told      *Told
+}
+
+// Poll asks what is agreed since a version.
+type Poll struct{ Version uint64 }
+
+// Told answers a poll: all that has changed since.
+type Told struct {
+	Fleet   string
+	Version uint64
+	Epoch   uint64
+	Members []views.Member // nothing where they have not changed
+	Slots   map[int]views.View
+	Leader  string // who leads the log, as far as is known
+	Addr    string // of who answers
+}
+
+// Ready is what is to be done: Fleet, Agree and Slots are to be on disk before the packets go out and the results are told.
+type Ready struct {
+	Fleet   string // to be written once it is known
+	Agree   agree.Write
+	Slots   []copies.Write
+	Packets []Packet
+	Results []copies.Result
+	Lines   []Line
+}
+
+// Line is one thing for operators.
+type Line struct {
+	What  string
+	Epoch uint64
+	Text  string
+}
+
+// Core is one member's. It is one goroutine's.
+type Core struct {
+	cfg   Config
+	now   time.Duration
+	rng   *rand.Rand
+	log   *agree.Node
+	held  *copies.Node
+	steer *steer.Steerer
+	term  uint64 // of the leadership that steer belongs to
+
+	known   *views.State // the newest that is known, from the log or from others
+	changed []uint64     // by slot: the version with which this member heard of its view
+	members uint64       // and of the list of members
+	leader  string
+
+	seen  []steer.Seen
+	poll  time.Duration
+	found time.Duration
+	vote  time.Duration
+	fresh map[string]time.Duration // seeds, by address, that know of no fleet
+
+	said string // the fleet's ID, as it was written
+	out  Ready
+}
+
+// New makes a member of what is on disk.
+func New(cfg Config, saved Saved, now time.Duration) (*Core, error) {
+	log, err := agree.New(cfg.Self.ID, saved.Agree, cfg.Seed, now)
+	if err != nil {
+		return nil, err
+	}
+	c := &Core{cfg: cfg, now: now, rng: rand.New(rand.NewPCG(cfg.Seed, 0xc02e)), log: log, known: views.New(), changed: make([]uint64, views.Slots),
+		fresh: map[string]time.Duration{}, poll: now, found: now, vote: now, said: saved.Fleet}
+	c.known.Fleet = saved.Fleet
+	c.held = copies.New(copies.Config{ID: cfg.Self.ID, Life: cfg.Life, Least: min(2, cfg.Copies), MostKeys: cfg.Keys, MostBytes: cfg.Bytes,
+		MostOps: cfg.Ops}, now)
+	for _, num := range sortedSlots(saved.Slots) {
+		c.held.Load(num, saved.Slots[num].Ballot, saved.Slots[num].Records)
+	}
+	return c, nil
+}
+
+func sortedSlots(m map[int]Slot) []int {
+	all := make([]int, 0, len(m))
+	for n := range m {
+		all = append(all, n)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// State is the newest that is agreed, as far as is known here. It is not to be changed.
+func (c *Core) State() *views.State { return c.known }
+
+// Held are the copies that lie here.
+func (c *Core) Held() *copies.Node { return c.held }
+
+// Leads tells whether this member leads the log; Voters are the numbers of those that vote.
+func (c *Core) Leads() bool      { return c.log.Leads() }
+func (c *Core) Voters() []uint64 { return c.log.Voters() }
+
+// ---- What comes in.
+
+// Clock tells of the time, and how the other members are seen now.
+func (c *Core) Clock(now time.Duration, seen []steer.Seen) {
+	c.now, c.seen = now, seen
+	c.log.Clock(now)
+	c.held.Clock(now)
+	c.begin()
+	c.lead()
+	if now >= c.poll {
+		c.poll = now + pollEach/2 + time.Duration(c.rng.Float64()*float64(pollEach))
+		c.ask()
+	}
+}
+
+// Ask has an operation done within a span; its result comes with a Ready.
+func (c *Core) Ask(op copies.Op, within time.Duration) { c.held.Ask(op, within) }
+
+// Broken tells that the disk can't be written: this member promises nothing any more, neither in the copies nor in the log.
+func (c *Core) Broken() { c.held.Broken() }
+
+// Step takes a packet. One of another fleet's is an error, and so is one that can't be read.
+func (c *Core) Step(p Packet) error {
+	if p.Fleet != "" && c.known.Fleet != "" && p.Fleet != c.known.Fleet {
+		return fmt.Errorf("a word of fleet %s; this one is %s", p.Fleet, c.known.Fleet)
+	}
+	if p.To != "" && p.To != c.cfg.Self.ID {
+		return fmt.Errorf("a word for member %s", p.To)
+	}
+	switch {
+	case p.Raft != nil:
+		return c.log.Step(p.Raft)
+	case p.Complaint != nil:
+		if c.steer != nil && c.log.Leads() && p.Complaint.Slot >= 0 && p.Complaint.Slot < views.Slots {
+			c.steer.Complain(c.now, c.log.State(), *p.Complaint)
+		}
+	case p.Poll != nil:
+		c.tell(p)
+	case p.Told != nil:
+		c.told(p)
+	default:
+		for _, m := range p.Copies {
+			c.held.Step(m)
+		}
+	}
+	return nil
+}
+
+// ---- What is agreed goes round.
+
+// ask polls one member: the log's leader, or by chance one that is here, or a seed while nobody is known.
+func (c *Core) ask() {
+	var ids []string
+	for _, m := range c.seen {
+		if m.Here && m.ID != c.cfg.Self.ID {
+			ids = append(ids, m.ID)
+		}
+	}
+	slices.Sort(ids)
+	if len(ids) == 0 {
+		return
+	}
+	to := ids[c.rng.IntN(len(ids))]
+	if slices.Contains(ids, c.leader) && c.rng.IntN(2) == 0 {
+		to = c.leader
+	}
+	c.send(Packet{To: to, Poll: &Poll{Version: c.known.Version}})
+}
+
+// tell answers a poll.
+func (c *Core) tell(p Packet) {
+	t := &Told{Fleet: c.known.Fleet, Version: c.known.Version, Epoch: c.known.Epoch, Slots: map[int]views.View{}, Leader: c.leader, Addr: c.cfg.Self.Addr}
+	if since := p.Poll.Version; since < c.known.Version {
+		if c.members > since {
+			t.Members = c.known.Members
+		}
+		for num, v := range c.known.Views {
+			if c.changed[num] > since {
+				t.Slots[num] = v
+			}
+		}
+	}
+	c.send(Packet{To: p.From, Told: t})
+}
+
+// told takes an answer. What is agreed is the same wherever it is heard; only what is newer counts.
+func (c *Core) told(p Packet) {
+	t := p.Told
+	if t.Fleet == "" {
+		c.fresh[t.Addr] = c.now
+		return
+	}
+	if t.Leader != "" {
+		c.leader = t.Leader
+	}
+	if t.Version <= c.known.Version {
+		return
+	}
+	if c.known.Fleet == "" {
+		c.known.Fleet = t.Fleet
+	}
+	epoch := t.Epoch > c.known.Epoch
+	if epoch && len(t.Members) > 0 {
+		c.known.Epoch, c.known.Members, c.members = t.Epoch, t.Members, t.Version
+	}
+	c.known.Version = t.Version
+	for _, num := range sortedViews(t.Slots) {
+		if v := t.Slots[num]; num >= 0 && num < views.Slots && v.Num > c.known.Views[num].Num {
+			c.view(num, v, t.Version)
+		}
+	}
+	c.wrote(epoch)
+}
+
+func sortedViews(m map[int]views.View) []int {
+	all := make([]int, 0, len(m))
+	for n := range m {
+		all = append(all, n)
+	}
+	slices.Sort(all)
+	return all
+}
+
+func (c *Core) view(num int, v views.View, version uint64) {
+	c.known.Views[num], c.changed[num] = v, version
+	c.held.View(num, v)
+}
+
+// heard takes over what the log has come to.
+func (c *Core) heard() {
+	st := c.log.State()
+	if st.Version <= c.known.Version {
+		return
+	}
+	epoch := st.Epoch > c.known.Epoch || c.known.Fleet == ""
+	c.known.Fleet, c.known.Version = st.Fleet, st.Version
+	if st.Epoch > c.known.Epoch {
+		c.known.Epoch, c.known.Members, c.members = st.Epoch, st.Members, st.Version
+	}
+	for num, v := range st.Views {
+		if v.Num > c.known.Views[num].Num {
+			c.view(num, v, st.Version)
+		}
+	}
+	c.wrote(epoch)
+}
+
+// wrote notes the fleet's ID for the disk, and tells of an epoch.
+func (c *Core) wrote(epoch bool) {
+	if c.known.Fleet != c.said {
+		c.said = c.known.Fleet
+		c.out.Fleet = c.known.Fleet
+	}
+	if epoch {
+		c.out.Lines = append(c.out.Lines, Line{What: "epoch", Epoch: c.known.Epoch, Text: fmt.Sprintf("%d members", len(c.known.Members))})
+	}
+}
+
+// ---- The log's leader, and who founds.
+
+// begin founds a fleet: at the first seed alone, and only when every seed is there and knows of none. Guards against a second
+// fleet beside the first, whose members' records nobody would find: a first seed that lost its disk finds the others here.
+func (c *Core) begin() {
+	if !c.cfg.First || c.known.Fleet != "" || c.now < c.found {
+		return
+	}
+	c.found = c.now + foundEach
+	all := true
+	for _, addr := range c.cfg.Seeds {
+		if addr == c.cfg.Self.Addr {
+			continue
+		}
+		at, said := c.fresh[addr]
+		if !said || c.now-at > freshFor {
+			all = false
+		}
+		for _, m := range c.seen {
+			if m.Here && m.Addr == addr {
+				c.send(Packet{To: m.ID, Poll: &Poll{}})
+			}
+		}
+	}
+	if !all {
+		return
+	}
+	if err := c.log.Found(fmt.Sprintf("%016x", c.rng.Uint64())); err != nil {
+		c.out.Lines = append(c.out.Lines, Line{What: "not founded", Text: err.Error()})
+		return
+	}
+	c.heard()
+	c.out.Lines = append(c.out.Lines, Line{What: "founded", Text: c.known.Fleet})
+}
+
+// lead does what the log's leader does: views, and who votes.
+func (c *Core) lead() {
+	if !c.log.Leads() {
+		c.steer = nil
+		return
+	}
+	c.leader = c.cfg.Self.ID
+	if c.steer == nil || c.term != c.log.Term() {
+		c.term = c.log.Term()
+		c.steer = steer.New(steer.Config{Copies: c.cfg.Copies, Least: min(2, c.cfg.Copies), Evict: c.cfg.Evict, Joining: 8}, c.now)
+	}
+	seen := append(slices.Clone(c.seen), steer.Seen{Member: c.cfg.Self, Here: true, For: time.Hour})
+	if e, is := c.steer.Decide(c.now, c.log.State(), seen); is {
+		c.log.Propose(e)
+	}
+	if c.now >= c.vote {
+		c.vote = c.now + voteEach
+		c.voters(seen)
+	}
+}
+
+// voters has one on a further machine begin to vote where there are too few, or in place of one that is no member any more. None
+// stops without another in its place: of two voters neither can be lost.
+func (c *Core) voters(seen []steer.Seen) {
+	st, voters := c.log.State(), c.log.Voters()
+	member := map[uint64]views.Member{}
+	for _, m := range st.Members {
+		member[agree.Number(m.ID)] = m
+	}
+	stops := uint64(0)
+	machines := map[string]bool{}
+	for _, id := range voters {
+		if m, is := member[id]; is {
+			machines[m.Machine] = true
+		} else if stops == 0 {
+			stops = id
+		}
+	}
+	if len(voters) < c.cfg.Voters {
+		stops = 0
+	} else if stops == 0 {
+		return
+	}
+	slices.SortFunc(seen, func(a, b steer.Seen) int { return cmp.Compare(a.ID, b.ID) })
+	for _, m := range seen {
+		if id := agree.Number(m.ID); m.Here && m.For >= soundFor && member[id].ID == m.ID && !slices.Contains(voters, id) && !machines[m.Machine] {
+			c.log.Vote(id, stops)
+			return
+		}
+	}
+}
+
+// ---- What goes out.
+
+func (c *Core) send(p Packet) {
+	p.From, p.Fleet = c.cfg.Self.ID, c.known.Fleet
+	c.out.Packets = append(c.out.Packets, p)
+}
+
+// Ready hands out what is to be done, once. An error is one of the log's: this member can't go on.
+func (c *Core) Ready() (Ready, error) {
+	log, err := c.log.Ready()
+	if err != nil {
+		return Ready{}, err
+	}
+	c.heard()
+	c.out.Agree = log.Write
+	for _, m := range log.Msgs {
+		if to := c.numbered(m.To); to != "" {
+			c.send(Packet{To: to, Raft: m.Text})
+		} else {
+			c.log.Unreachable(m.To)
+		}
+	}
+	held := c.held.Ready()
+	c.out.Slots, c.out.Results = held.Writes, held.Results
+	byTo := map[string]int{}
+	for _, m := range held.Msgs {
+		i, is := byTo[m.To]
+		if !is {
+			i = len(c.out.Packets)
+			byTo[m.To] = i
+			c.send(Packet{To: m.To})
+		}
+		c.out.Packets[i].Copies = append(c.out.Packets[i].Copies, m)
+	}
+	for _, one := range held.Complaints {
+		if c.log.Leads() && c.steer != nil {
+			c.steer.Complain(c.now, c.log.State(), one)
+		} else if c.leader != "" && c.leader != c.cfg.Self.ID {
+			c.send(Packet{To: c.leader, Complaint: &one})
+		}
+	}
+	r := c.out
+	c.out = Ready{}
+	return r, nil
+}
+
+// numbered is the member with a number, empty where it is not known.
+func (c *Core) numbered(id uint64) string {
+	for _, m := range c.seen {
+		if agree.Number(m.ID) == id {
+			return m.ID
+		}
+	}
+	for _, m := range c.known.Members {
+		if agree.Number(m.ID) == id {
+			return m.ID
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/lab/fleetworld/judge.go
@@ -0,0 +1,125 @@
+package fleetworld
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"sabletally/internal/fleet/copies"
+)
+
+// The judge's names for what is broken.
+const (
+	PromiseLost  = "a promise lost"
+	TwoOwners    = "two owners of one version"
+	NotInOrder   = "no order explains what clients saw"
+	Unsettled    = "the fleet does not settle"
+	judgeWithin  = 10 * time.Second // for one key's order
+	finalReads   = 20 * time.Second
+	finalReadTry = 2 * time.Second
+)
+
+// judge reads every key once the fleet has settled, and holds it against what was promised.
+func (w *World) judge() error {
+	broken := func(name, format string, args ...any) error {
+		return fmt.Errorf("seed %d: %s: %s", w.plan.Seed, name, fmt.Sprintf(format, args...))
+	}
+	newest, _ := w.newest()
+	if newest == nil || newest.Fleet == "" {
+		return broken(Unsettled, "it was never founded")
+	}
+	w.Views = int(newest.Version)
+	if w.plan.Break != NoRepair {
+		for num, v := range newest.Views {
+			if len(v.Full) < min(w.plan.Copies, len(w.nodes)) {
+				return broken(Unsettled, "slot %d has %d holders, view %d: %v, joining %v", num, len(v.Full), v.Num, v.Full, v.Joining)
+			}
+		}
+	}
+	final := map[string]copies.Record{}
+	for i := range w.plan.Keys {
+		key := fmt.Sprintf("k%d", i)
+		for try := 0; ; try++ {
+			w.opN++
+			op := copies.Op{ID: fmt.Sprintf("o%d", w.opN), Key: key, Read: true}
+			w.ask(w.nodes[w.rng.IntN(len(w.nodes))], op)
+			a := w.byOp[op.ID]
+			for end := w.now + finalReadTry; !a.Answered && w.now < end; {
+				w.until(w.now + turnEach)
+			}
+			if a.Answered && a.Result.Outcome == copies.Conflict {
+				final[key] = a.Result.Record
+				break
+			}
+			if time.Duration(try)*finalReadTry > finalReads {
+				return broken(Unsettled, "key %s can't be read: %v %v", key, a.Result.Outcome, a.Result.Why)
+			}
+		}
+	}
+	if w.err != nil {
+		return w.err
+	}
+	byKey := map[string][]porcupine.Operation{}
+	wrote := map[string]string{}
+	for _, a := range w.Acts {
+		r := a.Result.Record
+		if a.Answered && a.Result.Outcome == copies.Done && r.Op == a.Op.ID {
+			at := fmt.Sprintf("%s version %d", a.Op.Key, r.Version)
+			if o := wrote[at]; o != "" {
+				return broken(TwoOwners, "%s: %s and %s", at, o, a.Op.ID)
+			}
+			wrote[at] = a.Op.ID
+			if f := final[a.Op.Key]; f.Version < r.Version || f.Version == r.Version && f.Op != a.Op.ID {
+				return broken(PromiseLost, "%s was promised to %s at %v, now there is version %d by %s", at, a.Op.ID, a.To, f.Version, f.Op)
+			}
+		}
+		if a.Answered && (a.Result.Outcome == copies.Refused || a.Op.Read && a.Result.Outcome != copies.Conflict) {
+			continue // not done
+		}
+		if !a.Answered && a.Op.Read {
+			continue
+		}
+		o := porcupine.Operation{ClientId: 0, Input: a.Op, Output: a.Result, Call: int64(a.From), Return: int64(a.To)}
+		if !a.Answered || a.Result.Outcome == copies.Unknown { // it may be done at any time from then on, or never
+			o.Output, o.Return = copies.Result{Outcome: copies.Unknown}, math.MaxInt64
+		}
+		o.ClientId = len(byKey[a.Op.Key])
+		byKey[a.Op.Key] = append(byKey[a.Op.Key], o)
+	}
+	for i := range w.plan.Keys {
+		key := fmt.Sprintf("k%d", i)
+		if got, _ := porcupine.CheckOperationsVerbose(register, byKey[key], judgeWithin); got == porcupine.Illegal {
+			return broken(NotInOrder, "key %s, %d operations", key, len(byKey[key]))
+		}
+	}
+	return nil
+}
+
+// held is one key in the model: its version, and who wrote it.
+type held struct {
+	version uint64
+	op      string
+}
+
+// register is what one key is to its clients: written if the version is the one that was told.
+var register = porcupine.Model{
+	Init: func() any { return held{} },
+	Step: func(state, input, output any) (bool, any) {
+		s, op, r := state.(held), input.(copies.Op), output.(copies.Result)
+		next := held{s.version + 1, op.ID}
+		switch {
+		case op.Read:
+			return r.Record.Version == s.version && (s.version == 0 || r.Record.Op == s.op), s
+		case r.Outcome == copies.Done:
+			return op.If == s.version && (r.Record.Op != op.ID || r.Record.Version == next.version), next
+		case r.Outcome == copies.Conflict:
+			return op.If != s.version && r.Record.Version == s.version, s
+		case op.If == s.version: // unknown: done, or not; not at all is at the end of time
+			return true, next
+		}
+		return true, s
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
--- /dev/null
+++ b/internal/lab/fleetworld/play.go
@@ -0,0 +1,203 @@
+package fleetworld
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+	"time"
+
+	"sabletally/internal/fleet/agree"
+	"sabletally/internal/fleet/copies"
+	"sabletally/internal/fleet/views"
+)
+
+const (
+	begins  = 12 * time.Second // until then the fleet is founded, and nothing goes wrong
+	settles = 90 * time.Second // at the end, without faults
+)
+
+// Play runs a history to its end and answers what was broken, nil where nothing was.
+func (w *World) Play() error {
+	end := begins + w.plan.Length
+	w.after(begins, w.fault)
+	w.after(begins, w.client)
+	w.after(end, func() {
+		w.calm, w.loss = true, 0
+		w.cut = func(int, int) bool { return false }
+	})
+	w.until(end + settles)
+	if w.err != nil {
+		return w.err
+	}
+	return w.judge()
+}
+
+func (w *World) until(end time.Duration) {
+	for w.err == nil && len(w.queue) > 0 && w.queue[0].at <= end {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = end
+}
+
+// ---- Clients.
+
+func (w *World) client() {
+	if w.calm {
+		return
+	}
+	w.after(time.Duration(w.rng.ExpFloat64()/w.plan.Rate*float64(time.Second)), w.client)
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	if !n.up {
+		return
+	}
+	w.opN++
+	key := fmt.Sprintf("k%d", w.rng.IntN(w.plan.Keys))
+	op := copies.Op{ID: fmt.Sprintf("o%d", w.opN), Key: key, Value: fmt.Appendf(nil, "v%d", w.opN)}
+	switch w.rng.IntN(4) {
+	case 0:
+		op.Read, op.Value = true, nil
+	case 1:
+		op.If = w.last(key) // the version that was heard of last
+	}
+	w.ask(n, op)
+}
+
+func (w *World) ask(n *node, op copies.Op) {
+	a := &Act{Op: op, Client: n.num, From: w.now}
+	w.Acts = append(w.Acts, a)
+	w.byOp[op.ID] = a
+	w.run(n, n.born, func() { n.core.Ask(op, askWithin) })
+}
+
+// last is the version of a key that any client heard of last.
+func (w *World) last(key string) uint64 {
+	for _, a := range slices.Backward(w.Acts) {
+		if a.Answered && a.Op.Key == key && a.Result.Record.Version > 0 && !a.Result.Record.Gone {
+			return a.Result.Record.Version
+		}
+	}
+	return 0
+}
+
+func (w *World) answer(r copies.Result) {
+	if a := w.byOp[r.Op]; a != nil && !a.Answered {
+		a.Answered, a.Result, a.To = true, r, w.now
+	}
+}
+
+// ---- Faults.
+
+func (w *World) fault() {
+	if w.calm {
+		return
+	}
+	w.after(time.Duration(w.rng.ExpFloat64()/w.plan.Faults*float64(time.Second)), w.fault)
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	span := time.Duration(w.rng.Int64N(int64(10 * time.Second)))
+	switch w.rng.IntN(7) {
+	case 0:
+		w.kill(n)
+	case 1:
+		if n.up {
+			w.Waits++
+			n.stopped = w.now + span
+		}
+	case 2: // a group is cut off, both ways or one way
+		w.Cuts++
+		in := w.rng.Uint64()
+		way := w.rng.IntN(3)
+		w.cut = func(from, to int) bool {
+			a, b := in>>(from%64)&1 == 1, in>>(to%64)&1 == 1
+			return a != b && (way == 0 || way == 1 && a || way == 2 && b)
+		}
+		w.after(span, func() { w.cut = func(int, int) bool { return false } })
+	case 3: // one alone
+		w.Cuts++
+		in, way := n.num, w.rng.IntN(3)
+		w.cut = func(from, to int) bool {
+			return from != to && (from == in && way != 1 || to == in && way != 2)
+		}
+		w.after(span, func() { w.cut = func(int, int) bool { return false } })
+	case 4:
+		w.loss = w.plan.Loss
+		w.after(span, func() { w.loss = 0 })
+	case 5: // the whole fleet at once
+		if w.rng.IntN(6) == 0 {
+			for _, n := range w.nodes {
+				w.kill(n)
+			}
+		}
+	case 6:
+		if w.plan.Machines && w.stood(n) {
+			w.lose(n)
+		}
+	}
+}
+
+// lose takes a machine with its disk; it comes back empty.
+func (w *World) lose(n *node) {
+	w.Lost++
+	n.up, n.gone = false, true
+	n.born++
+	delete(w.byID, n.id)
+	w.after(time.Second+time.Duration(w.rng.Int64N(int64(6*time.Second))), func() {
+		w.fresh(n)
+		w.start(n)
+	})
+}
+
+// stood tells whether the table says that a machine can be lost now: each slot has another full holder, and the log keeps most of
+// its voters. Machines that are down keep their disks, and count.
+func (w *World) stood(n *node) bool {
+	newest, _ := w.newest()
+	if newest == nil {
+		return false
+	}
+	for _, v := range newest.Views {
+		if !slices.ContainsFunc(v.Full, func(id string) bool { return id != n.id && w.byID[id] != nil }) {
+			return false
+		}
+	}
+	for _, o := range w.nodes { // whichever of the lists of voters is in force
+		if o.core == nil || o.gone || len(o.core.Voters()) == 0 {
+			continue
+		}
+		left := 0
+		for _, other := range w.nodes {
+			if other != n && !other.gone && slices.Contains(o.core.Voters(), agree.Number(other.id)) {
+				left++
+			}
+		}
+		if 2*left <= len(o.core.Voters()) {
+			return false
+		}
+	}
+	return true
+}
+
+// newest is the newest state that any member has, and the voters as who leads knows them.
+func (w *World) newest() (st *views.State, voters []uint64) {
+	for _, n := range w.nodes {
+		if n.core == nil || n.gone {
+			continue
+		}
+		if s := n.core.State(); st == nil || s.Version > st.Version {
+			st = s
+		}
+		if n.up && n.core.Leads() {
+			voters = n.core.Voters()
+		}
+	}
+	return st, voters
+}
+
+// Counts are how operations ended; those that nobody answered count as unknown.
+func (w *World) Counts() map[copies.Outcome]int {
+	n := map[copies.Outcome]int{}
+	for _, a := range w.Acts {
+		n[a.Result.Outcome]++
+	}
+	return n
+}
--- /dev/null
+++ b/internal/lab/fleetworld/world.go
@@ -0,0 +1,346 @@
+// Package fleetworld plays a fleet in virtual time: the cores that ship, on disks and ways in memory, with faults by seed. It owns
+// what happens to them and the record of what was promised to whom. It must never reach into a core: what it knows comes out of
+// a core as it would on sockets, but for the disk, which it keeps for it.
+package fleetworld
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sabletally/internal/fleet/copies"
+	"sabletally/internal/fleet/core"
+	"sabletally/internal/fleet/steer"
+	"sabletally/internal/fleet/views"
+)
+
+const (
+	turnEach  = 50 * time.Millisecond
+	wayUsual  = 500 * time.Microsecond
+	wayJitter = 4 * time.Millisecond
+	goneSeen  = 3 * time.Second // so long until a member that is away is seen so
+	hereSeen  = 300 * time.Millisecond
+	evict     = 5 * time.Second
+	askWithin = 1500 * time.Millisecond
+)
+
+// Break is a fault of the cores' own, put in to see that it is found.
+type Break string
+
+const (
+	Sound      Break = ""
+	TooSoon    Break = "acknowledged-before-copied" // results are told before any copy is made
+	NotFenced  Break = "old-owner-not-fenced"       // a holder tells an overtaken primary that it has its write
+	NoRepair   Break = "repair-left-out"            // nobody begins to be a holder
+	NotWritten Break = "sent-before-written"        // what goes out does not wait for the disk
+)
+
+// Plan is one history.
+type Plan struct {
+	Seed     uint64
+	Members  int
+	Copies   int
+	Length   time.Duration // of faults; the end is without any
+	Rate     float64       // operations a second
+	Keys     int
+	Faults   float64 // a second
+	Machines bool    // machines are lost with their disks, as far as the table says that this is stood
+	Loss     float64 // of packets, doubled as often
+	Break    Break
+}
+
+// Act is one operation as its client saw it.
+type Act struct {
+	Op        copies.Op
+	Client    int
+	From, To  time.Duration
+	Result    copies.Result
+	Answered  bool
+	Withdrawn bool // the client's own process ended: nobody heard
+}
+
+// World is one history under way.
+type World struct {
+	plan  Plan
+	rng   *rand.Rand
+	now   time.Duration
+	queue events
+	order int
+	nodes []*node
+	byID  map[string]*node
+	ids   int
+	cut   func(from, to int) bool
+	loss  float64
+	calm  bool
+	opN   int
+
+	Acts  []*Act
+	byOp  map[string]*Act
+	Lost  int // machines
+	Kills int
+	Waits int // stalls
+	Cuts  int
+	Views int
+	sum   uint64
+	err   error
+}
+
+// node is one machine with one member at a time.
+type node struct {
+	num     int
+	id      string
+	life    uint64
+	core    *core.Core
+	disk    *disk
+	up      bool
+	stopped time.Duration // until then nothing of it runs
+	gone    bool          // its disk, until it comes back as another
+	waiting []func()
+	seen    map[int]sight
+	born    uint64 // counts lives, so that what was meant for one finds no other
+}
+
+type sight struct {
+	here  bool
+	since time.Duration
+	is    bool // what it truly is, and since when
+	from  time.Duration
+	id    string
+}
+
+type event struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].order < q[j].order
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// New makes a world in which all members begin with empty disks.
+func New(p Plan) *World {
+	w := &World{plan: p, rng: rand.New(rand.NewPCG(p.Seed, 0xf1ee)), byID: map[string]*node{}, byOp: map[string]*Act{},
+		cut: func(int, int) bool { return false }}
+	for i := range p.Members {
+		n := &node{num: i, seen: map[int]sight{}}
+		w.nodes = append(w.nodes, n)
+		w.fresh(n)
+		w.start(n)
+	}
+	for i := range w.nodes {
+		w.after(time.Duration(w.rng.Int64N(int64(turnEach))), func() { w.turn(w.nodes[i]) })
+	}
+	return w
+}
+
+func (w *World) after(d time.Duration, do func()) {
+	w.order++
+	heap.Push(&w.queue, event{w.now + d, w.order, do})
+}
+
+func (w *World) member(n *node) views.Member {
+	return views.Member{ID: n.id, Addr: fmt.Sprintf("m%d", n.num), Machine: fmt.Sprintf("m%d", n.num), Zone: fmt.Sprintf("z%d", n.num%3), Site: "s"}
+}
+
+// fresh gives a machine an empty disk, and so another member.
+func (w *World) fresh(n *node) {
+	w.ids++
+	delete(w.byID, n.id)
+	h := fnv.New64a()
+	fmt.Fprint(h, w.plan.Seed, w.ids)
+	n.id = fmt.Sprintf("%016x%016x", h.Sum64(), w.ids)
+	w.byID[n.id] = n
+	n.disk, n.life, n.gone = newDisk(), 0, false
+}
+
+func (w *World) start(n *node) {
+	n.life++
+	n.born++
+	c, err := core.New(core.Config{Self: w.member(n), Life: n.life, First: n.num == 0, Seeds: []string{"m0", "m1", "m2"}, Voters: 3,
+		Copies: w.plan.Copies, Evict: evict, Seed: w.plan.Seed<<20 ^ uint64(n.num)<<10 ^ n.born, Keys: 1 << 20, Bytes: 1 << 30, Ops: 4096}, n.disk.read(), w.now)
+	if err != nil {
+		w.fail("%d does not start: %v", n.num, err)
+		return
+	}
+	n.core, n.up, n.stopped, n.waiting = c, true, 0, nil
+}
+
+func (w *World) fail(format string, args ...any) {
+	if w.err == nil {
+		w.err = fmt.Errorf("seed %d at %v: %s", w.plan.Seed, w.now, fmt.Sprintf(format, args...))
+	}
+}
+
+// ---- One member's turn.
+
+// run has a member do something now, or once it is no longer stopped; nothing where its process has ended meanwhile.
+func (w *World) run(n *node, born uint64, do func()) {
+	switch {
+	case !n.up || n.born != born:
+	case n.stopped > w.now:
+		n.waiting = append(n.waiting, do)
+	default:
+		do()
+		w.ready(n)
+	}
+}
+
+func (w *World) turn(n *node) {
+	w.after(turnEach, func() { w.turn(n) })
+	if !n.up || n.stopped > w.now {
+		return
+	}
+	for _, do := range n.waiting {
+		do()
+	}
+	n.waiting = nil
+	n.core.Clock(w.now, w.sight(n))
+	w.ready(n)
+}
+
+// ready does what a core has to be done. A process may end between any two of its steps.
+func (w *World) ready(n *node) {
+	born := n.born
+	r, err := n.core.Ready()
+	if err != nil {
+		w.fail("%d: %v", n.num, err)
+		return
+	}
+	send := func() {
+		for _, p := range r.Packets {
+			w.send(n, p)
+		}
+		for _, one := range r.Results {
+			w.answer(one)
+		}
+	}
+	if w.plan.Break == NotWritten {
+		send()
+	}
+	if w.crashes() {
+		w.kill(n)
+		return
+	}
+	n.disk.write(r)
+	if w.plan.Break == NotWritten {
+		return
+	}
+	if w.crashes() {
+		w.kill(n)
+		return
+	}
+	if n.born == born {
+		send()
+	}
+}
+
+// crashes draws whether a process ends right here.
+func (w *World) crashes() bool {
+	return !w.calm && w.now > 15*time.Second && w.rng.Float64() < w.plan.Faults/40000
+}
+
+func (w *World) kill(n *node) {
+	if n.up {
+		w.Kills++
+		n.up = false
+		born := n.born
+		w.after(time.Duration(w.rng.Int64N(int64(8*time.Second))), func() {
+			if !n.up && n.born == born && !n.gone {
+				w.start(n)
+			}
+		})
+	}
+}
+
+// ---- Ways.
+
+func (w *World) send(from *node, p core.Packet) {
+	to := w.byID[p.To]
+	if to == nil {
+		return
+	}
+	if w.plan.Break == NotFenced {
+		p.Copies = slices.Clone(p.Copies)
+		for i, m := range p.Copies {
+			if m.Kind == copies.MsgStale {
+				p.Copies[i].Kind = copies.MsgWritten
+			}
+		}
+	}
+	w.note(from.num, to.num, p)
+	if w.cut(from.num, to.num) || w.rng.Float64() < w.loss {
+		return
+	}
+	times := 1
+	if w.rng.Float64() < w.loss {
+		times = 2
+	}
+	for range times {
+		late := wayUsual + time.Duration(w.rng.Int64N(int64(wayJitter)))
+		if w.rng.Float64() < w.loss { // far out of order
+			late += time.Duration(w.rng.Int64N(int64(2 * time.Second)))
+		}
+		w.after(late, func() {
+			if t := w.byID[p.To]; t != nil {
+				w.run(t, t.born, func() { t.core.Step(p) })
+			}
+		})
+	}
+}
+
+// note keeps a sum over all that was said: the same seed gives the same one.
+func (w *World) note(from, to int, p core.Packet) {
+	h := fnv.New64a()
+	var b [8]byte
+	for _, v := range []uint64{w.sum, uint64(w.now), uint64(from), uint64(to), uint64(len(p.Raft)), uint64(len(p.Copies))} {
+		binary.LittleEndian.PutUint64(b[:], v)
+		h.Write(b[:])
+	}
+	h.Write(p.Raft)
+	for _, m := range p.Copies {
+		fmt.Fprint(h, m.Kind, m.Slot, m.Ballot, m.Seq)
+	}
+	w.sum = h.Sum64()
+}
+
+// Sum tells two histories apart.
+func (w *World) Sum() uint64 { return w.sum }
+
+// sight is how a member sees the others: late, and not by what it can't know.
+func (w *World) sight(n *node) []steer.Seen {
+	var all []steer.Seen
+	for _, o := range w.nodes {
+		if o == n {
+			continue
+		}
+		s := n.seen[o.num]
+		is := o.up && o.stopped <= w.now && !w.cut(n.num, o.num) && !w.cut(o.num, n.num)
+		if is != s.is || s.id != o.id {
+			s.is, s.from = is, w.now
+		}
+		if s.id != o.id {
+			s.here, s.since, s.id = false, w.now, o.id
+		}
+		if wait := map[bool]time.Duration{true: hereSeen, false: goneSeen}[is]; is != s.here && w.now-s.from >= wait {
+			s.here, s.since = is, w.now
+		}
+		n.seen[o.num] = s
+		all = append(all, steer.Seen{Member: w.member(o), Here: s.here, For: w.now - s.since})
+	}
+	return all
+}
