--- a/internal/fleet/core/core.go
+++ b/internal/fleet/core/core.go
@@ -32,7 +32,8 @@
 	Seeds  []string // addresses
 	Voters int      // that the log has, once there are so many machines
 	Copies int
-	Evict  time.Duration
+	Evict  time.Duration // a member that is gone for so long is none of the next epoch
+	Repair int           // slots that may be copied to somebody at once
 	Seed   uint64
 	Keys   int // records that are held here at most,
 	Bytes  int // and their bytes
@@ -358,7 +359,7 @@
 	c.leader = c.cfg.Self.ID
 	if c.steer == nil || c.term != c.log.Term() {
 		c.term = c.log.Term()
-		c.steer = steer.New(steer.Config{Copies: c.cfg.Copies, Least: min(2, c.cfg.Copies), Evict: c.cfg.Evict, Joining: 8}, c.now)
+		c.steer = steer.New(steer.Config{Copies: c.cfg.Copies, Least: min(2, c.cfg.Copies), Evict: c.cfg.Evict, Joining: c.cfg.Repair}, c.now)
 	}
 	seen := append(slices.Clone(c.seen), steer.Seen{Member: c.cfg.Self, Here: true, For: time.Hour})
 	if e, is := c.steer.Decide(c.now, c.log.State(), seen); is {
--- a/internal/fleet/steer/steer.go
+++ b/internal/fleet/steer/steer.go
@@ -43,6 +43,9 @@
 	frozen time.Duration
 	blamed map[blame]time.Duration
 	caught map[blame]bool
+
+	targets [][]string // by slot, for the epoch
+	epoch   uint64
 }
 
 // blame is what was said of a member in a slot's view.
@@ -86,6 +89,12 @@
 		t.frozen = now
 		e.Epoch, e.Members = st.Epoch, members
 	}
+	if t.targets == nil || t.epoch != st.Epoch {
+		t.targets, t.epoch = make([][]string, len(st.Views)), st.Epoch
+		for num := range st.Views {
+			t.targets[num] = views.Pick(num, st.Members, t.cfg.Copies)
+		}
+	}
 	here := map[string]bool{}
 	for _, m := range seen {
 		here[m.ID] = m.Here
@@ -108,7 +117,7 @@
 			break
 		}
 		v := st.Views[num]
-		c, is := t.slot(num, v, st.Members, here, joining < t.cfg.Joining)
+		c, is := t.slot(num, v, here, joining < t.cfg.Joining)
 		if !is {
 			continue
 		}
@@ -134,9 +143,12 @@
 }
 
 // slot decides on one slot's next view: one step at a time, each of which leaves all that was promised with all of Full.
-func (t *Steerer) slot(num int, v views.View, members []views.Member, here map[string]bool, room bool) (views.Slot, bool) {
-	target := views.Pick(num, members, t.cfg.Copies)
+func (t *Steerer) slot(num int, v views.View, here map[string]bool, room bool) (views.Slot, bool) {
+	target := t.targets[num]
 	next := views.Slot{Slot: num, Of: v.Num, Full: v.Full, Joining: v.Joining}
+	if len(target) == 0 {
+		return next, false
+	}
 	if v.Num == 0 { // nothing was ever promised in it
 		next.Full = slices.DeleteFunc(slices.Clone(target), func(id string) bool { return !here[id] })
 		return next, len(next.Full) >= t.cfg.Least
