Holdings run on sockets and disk; the first kind, operators' words, outlives machines and the fleet

Need: out-of-service died with the process. Change: internal/fleet/store (bbolt; checksums, a format, one write whole), internal/fleet/hold (links between cores on the members' address, first to disk then out), internal/fleet/words; a balancer that starts is ready only once the word about it is heard, or after 5 s.

Seen and ruled out: members held views of their own of one number; each core was sound in virtual time. A second voter was made of a member that was already lost, and the log stood still: as many as lack begin at once. A leader that votes no more went on leading: it steps down. A view that only grew reset the time from which its silent primary was missed.

--- a/cmd/sabletally/main.go
+++ b/cmd/sabletally/main.go
@@ -31,6 +31,7 @@
 	comeOn     = 400 * time.Millisecond // so long clients still come to a balancer that leaves
 	logMost    = 10                     // lines a second of one kind in the log
 	stayOn     = 5 * time.Second        // after that the program exits by itself
+	wordWithin = 5 * time.Second        // the fleet tells what operators said last of a balancer that starts
 	fleetFile  = "SABLETALLY_FLEET"     // names the fleet's file
 )
 
@@ -82,6 +83,9 @@
 		log.Error("can't start", zap.Error(err))
 		return 2
 	}
+	if file != nil && !gate.Shared() { // the old process of an upgrade tells the new one
+		l.AwaitWord(wordWithin)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	l.Follow(ctx, s.Discovery)
@@ -103,10 +107,13 @@
 			return 2
 		}
 		defer member.Leave()
+		if !gate.Shared() {
+			member.Recall(s.Name, wordWithin, l.Recalled)
+		}
 		pages["/control/fleet"] = func() any { return member.Report() }
 	}
 	if s.Mgmt != "" { // last: who is answered there finds a loop that runs
-		m, err := mgmt.Open(s.Mgmt, mgmt.Conns(s.Sockets), l, pages, aside{log, "mgmt"})
+		m, err := mgmt.Open(s.Mgmt, mgmt.Conns(s.Sockets), operated{l, member, s.Name}, pages, aside{log, "mgmt"})
 		if err != nil {
 			log.Error("can't start", zap.NamedError("mgmt", err))
 			return 2
@@ -156,6 +163,23 @@
 	}
 }
 
+// operated passes on what operators tell a balancer, and has the fleet hold it.
+type operated struct {
+	*balancer.Loop
+	member *fleet.Fleet // nil where it is in none
+	name   string
+}
+
+func (o operated) OutOfService() error { return o.say(true, o.Loop.OutOfService()) }
+func (o operated) InService() error    { return o.say(false, o.Loop.InService()) }
+
+func (o operated) say(out bool, err error) error {
+	if err == nil && o.member != nil {
+		o.member.Say(o.name, out)
+	}
+	return err
+}
+
 // clients opens their address, or takes the socket that the platform holds for it.
 func clients(address string) (*balancer.Gate, error) {
 	const name = "EDGE_ACCEPT_FD"
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -68,6 +68,8 @@
 	order    int
 	listed   bool    // discovery has answered since the start
 	ready    bool    // clients are welcome
+	awaits   bool    // not before its operators' word of before is heard,
+	due      bool    // though it would be ready
 	pinged   []*conn // ask whether it is so
 
 	welcomed chan struct{}        // closed once it is ready
@@ -390,7 +392,8 @@
 
 // welcome answers that the balancer is ready, once the newest list is here or has not come for long.
 func (l *Loop) welcome() {
-	if l.ready {
+	if l.ready || l.awaits {
+		l.due = true
 		return
 	}
 	l.ready = true
--- a/internal/balancer/service.go
+++ b/internal/balancer/service.go
@@ -93,6 +93,42 @@
 	return nil
 }
 
+// AwaitWord has the balancer not be ready before Recalled, or a span, is over. It is called before Run.
+func (l *Loop) AwaitWord(within time.Duration) {
+	l.awaits = true
+	l.after(within, func() {
+		if l.awaits {
+			l.log.Warn("ready without its operators' word of before: nobody who holds it has answered", zap.Duration("within", within))
+			l.heard()
+		}
+	})
+}
+
+// Recalled takes what operators said last of this balancer, to whichever of its processes: out of service, or not. What they have told
+// this process itself wins over it.
+func (l *Loop) Recalled(out bool) {
+	l.post(event{do: func() {
+		l.wanted.Lock()
+		take := out && l.service == (service{})
+		if take {
+			l.service.out = true
+		}
+		l.wanted.Unlock()
+		if take {
+			l.Drains.Add(1)
+			l.log.Info("out of service, by its operators' word of before")
+			l.empty(drainFrom, drainWithin)
+		}
+		l.heard()
+	}})
+}
+
+func (l *Loop) heard() {
+	if l.awaits = false; l.due {
+		l.welcome()
+	}
+}
+
 // inheritOut has this process begin out of service, as the one before it was told.
 func (l *Loop) inheritOut() {
 	l.wanted.Lock()
--- a/internal/fleet/agree/agree.go
+++ b/internal/fleet/agree/agree.go
@@ -127,7 +127,7 @@
 
 func (n *Node) start() (err error) {
 	n.rn, err = raft.NewRawNode(&raft.Config{ID: n.id, ElectionTick: election, HeartbeatTick: heartbeat, Storage: n.store, Applied: n.applied,
-		MaxSizePerMsg: bytesMost, MaxUncommittedEntriesSize: bytesMost, MaxInflightMsgs: 64, PreVote: true, Logger: silent{}})
+		MaxSizePerMsg: bytesMost, MaxUncommittedEntriesSize: bytesMost, MaxInflightMsgs: 64, PreVote: true, StepDownOnRemoval: true, Logger: silent{}})
 	n.later()
 	return err
 }
@@ -148,7 +148,10 @@
 	n.write.Hard, _ = proto.Marshal(&pb.HardState{Term: &one, Commit: &one})
 	n.write.Snapshot, n.write.Upto = marshal(snap), 1
 	n.changed = true
-	return n.start()
+	if err := n.start(); err != nil {
+		return err
+	}
+	return n.rn.Campaign() // there is nobody to wait for
 }
 
 // State is what is agreed, as far as this member has heard. It is not to be changed.
@@ -213,17 +216,19 @@
 // Propose has the leader put an entry before the others; lost if this member leads no more.
 func (n *Node) Propose(e views.Entry) error { return n.rn.Propose(e.Encode()) }
 
-// Vote has a member begin to vote and another one stop, either by number and 0 for none, in one step: in no state between are there
-// fewer that may be lost. One such change is under way at a time; another is refused.
-func (n *Node) Vote(begins, stops uint64) error {
+// Vote has members begin to vote and one stop, by number and 0 for none, all in one step: in no state between are there fewer that
+// may be lost. One such change is under way at a time; another is refused.
+func (n *Node) Vote(begin []uint64, stops uint64) error {
 	cc := &pb.ConfChangeV2{}
 	change := func(kind pb.ConfChangeType, id uint64) {
-		if id != 0 {
-			cc.Changes = append(cc.Changes, &pb.ConfChangeSingle{Type: &kind, NodeId: &id})
-		}
+		cc.Changes = append(cc.Changes, &pb.ConfChangeSingle{Type: &kind, NodeId: &id})
+	}
+	for _, id := range begin {
+		change(pb.ConfChangeAddNode, id)
+	}
+	if stops != 0 {
+		change(pb.ConfChangeRemoveNode, stops)
 	}
-	change(pb.ConfChangeAddNode, begins)
-	change(pb.ConfChangeRemoveNode, stops)
 	return n.rn.ProposeConfChange(cc)
 }
 
--- a/internal/fleet/config/config.go
+++ b/internal/fleet/config/config.go
@@ -29,12 +29,16 @@
 	Listen    netip.AddrPort // TCP and UDP, members only
 	Advertise netip.AddrPort // where the others reach it; Listen where the file tells none
 	Seeds     []netip.AddrPort
-	Data      string // a directory of this member's own, absolute
-	Copies    int    // holders of each record
-	Machine   string // what is lost together with this process,
-	Zone      string // then what is lost together with the machine,
-	Site      string // and with the zone
-	Gone      time.Duration
+	Data      string        // a directory of this member's own, absolute
+	Copies    int           // holders of each record
+	Machine   string        // what is lost together with this process,
+	Zone      string        // then what is lost together with the machine,
+	Site      string        // and with the zone
+	Gone      time.Duration // a member that is gone for longer is shown no more
+	Repair    time.Duration // what one held that is gone for so long is copied anew
+	Voters    int           // members that agree on who holds what
+	Records   int           // held here at most,
+	Bytes     int           // and of keys and values together
 }
 
 // Read reads a file; the error is blocks.Faults where its content is wrong.
@@ -65,7 +69,7 @@
 }
 
 func (f *File) read(r *blocks.Reader, in *hcl.Block) {
-	b := r.Open("fleet", in.Body, in.DefRange, "listen advertise seeds data copies machine zone site gone_after")
+	b := r.Open("fleet", in.Body, in.DefRange, "listen advertise seeds data copies machine zone site gone_after repair_after voters records megabytes")
 	b.Must("listen", "seeds", "data", "machine", "zone", "site")
 	name := func(what, text string, at hcl.Range) string {
 		if at.Empty() {
@@ -102,6 +106,12 @@
 	}
 	f.Copies = b.Whole("copies", 3, 1, mostCopies)
 	f.Gone = b.Span("gone_after", 24*time.Hour, time.Minute, 30*24*time.Hour)
+	f.Repair = b.Span("repair_after", 10*time.Second, time.Second, time.Hour)
+	if f.Voters = b.Whole("voters", 3, 1, 7); f.Voters%2 == 0 {
+		r.At(b.At("voters"), "voters: %d is even: it stands no more losses than %d", f.Voters, f.Voters-1)
+	}
+	f.Records = b.Whole("records", 50000, 1, 1000000)
+	f.Bytes = b.Whole("megabytes", 64, 1, 4096) << 20
 }
 
 // address reads an IP address with a port. Names are refused: a look-up that hangs would hang the start with it.
--- a/internal/fleet/config/config_test.go
+++ b/internal/fleet/config/config_test.go
@@ -39,6 +39,7 @@
 		{`["127.0.0.1:7001", "127.0.0.1:7002"]`, `[]`, `f.hcl:3:13: seeds: wants a list of 1 to 64 texts`},
 		{`"/var/lib/sabletally"`, `"data"`, `f.hcl:4:13: data: "data" is no absolute path`},
 		{`copies  = 3`, `copies  = 0`, `f.hcl:5:13: copies: 0 lies outside 1 to 7`},
+		{`copies  = 3`, "copies  = 3\n  voters = 4", `f.hcl:6:12: voters: 4 is even`},
 		{`"m1"`, `"m 1"`, `f.hcl:6:13: machine: "m 1" is no name`},
 		{`  zone    = "a"` + "\n", ``, `f.hcl:1:1: fleet wants "zone"`},
 		{`fleet "istanbul"`, `fleet ""`, `f.hcl:1:7: fleet: "" is no name`},
--- a/internal/fleet/contact/wire.go
+++ b/internal/fleet/contact/wire.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -16,6 +17,8 @@
 const (
 	packetsMost = 512 // datagrams that wait to be read; more are dropped, as the network drops them
 	streamsMost = 32  // streams that others hold open; one more is closed
+	linksMost   = 1024
+	firstIn     = 3 * time.Second // the first byte of a stream
 	longest     = 65536
 	bufferKiB   = 256 // of the kernel, for datagrams: a member that was stopped finds so much of what came meanwhile
 )
@@ -28,7 +31,8 @@
 	tcp               *net.TCPListener
 	packets           chan *memberlist.Packet
 	streams           chan net.Conn
-	held              atomic.Int64
+	links             chan net.Conn
+	held, linked      atomic.Int64
 	all               sync.WaitGroup
 	done              context.Context
 	end               context.CancelFunc
@@ -39,7 +43,8 @@
 
 // Listen opens an address for both.
 func Listen(listen, advertise netip.AddrPort) (*Wire, error) {
-	w := &Wire{listen: listen, advertise: advertise, packets: make(chan *memberlist.Packet, packetsMost), streams: make(chan net.Conn)}
+	w := &Wire{listen: listen, advertise: advertise, packets: make(chan *memberlist.Packet, packetsMost), streams: make(chan net.Conn),
+		links: make(chan net.Conn)}
 	w.done, w.end = context.WithCancel(context.Background())
 	var err error
 	if w.tcp, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(listen)); err != nil {
@@ -98,32 +103,75 @@
 			c.Close()
 			continue
 		}
-		select {
-		case w.streams <- w.hold(c, true):
-		case <-w.done.Done():
-			c.Close()
+		s := w.hold(c, &w.held)
+		w.all.Add(1)
+		go func() { defer w.all.Done(); w.sort(s) }()
+	}
+}
+
+// LinkMark is the first byte of a stream that is a link between members; the library's begin with another.
+const LinkMark = 's'
+
+// sort hands a stream to whom it is for, by its first byte.
+func (w *Wire) sort(s *stream) {
+	s.SetReadDeadline(time.Now().Add(firstIn))
+	n, err := io.ReadFull(s.Conn, s.first[:])
+	s.SetReadDeadline(time.Time{})
+	to := w.streams
+	if err == nil && s.first[0] == LinkMark {
+		if w.linked.Add(1) > linksMost {
+			w.linked.Add(-1)
+			err = net.ErrClosed
+			w.Unopened.Add(1)
+		} else {
+			w.held.Add(-1)
+			s.counts = &w.linked
+			to = w.links
 		}
 	}
+	if err != nil {
+		s.Close()
+		return
+	}
+	s.unread = n
+	select {
+	case to <- s:
+	case <-w.done.Done():
+		s.Close()
+	}
 }
 
 // stream ends with the wire, and one that others opened gives its place back.
 type stream struct {
 	net.Conn
-	of   *Wire
-	stop func() bool
-	once sync.Once
-	in   bool
+	stop   func() bool
+	once   sync.Once
+	counts *atomic.Int64
+	first  [1]byte // read already
+	unread int
+}
+
+func (w *Wire) hold(c net.Conn, counts *atomic.Int64) *stream {
+	return &stream{Conn: c, counts: counts, stop: context.AfterFunc(w.done, func() { c.Close() })}
 }
 
-func (w *Wire) hold(c net.Conn, in bool) *stream {
-	return &stream{Conn: c, of: w, in: in, stop: context.AfterFunc(w.done, func() { c.Close() })}
+// Unwrap is the connection itself.
+func (s *stream) Unwrap() net.Conn { return s.Conn }
+
+func (s *stream) Read(b []byte) (int, error) {
+	if s.unread > 0 && len(b) > 0 {
+		s.unread = 0
+		b[0] = s.first[0]
+		return 1, nil
+	}
+	return s.Conn.Read(b)
 }
 
 func (s *stream) Close() error {
 	s.once.Do(func() {
 		s.stop()
-		if s.in {
-			s.of.held.Add(-1)
+		if s.counts != nil {
+			s.counts.Add(-1)
 		}
 	})
 	return s.Conn.Close()
@@ -155,13 +203,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return w.hold(c, false), nil
+	return w.hold(c, nil), nil
 }
 
 // PacketCh and StreamCh are where what comes in is taken from.
 func (w *Wire) PacketCh() <-chan *memberlist.Packet { return w.packets }
 func (w *Wire) StreamCh() <-chan net.Conn           { return w.streams }
 
+// Links is where links that other members opened are taken from, their first byte still to be read.
+func (w *Wire) Links() <-chan net.Conn { return w.links }
+
+// Done is closed with the wire.
+func (w *Wire) Done() <-chan struct{} { return w.done.Done() }
+
 // Shutdown closes the address and waits until nothing is read any more.
 func (w *Wire) Shutdown() error {
 	w.end()
--- a/internal/fleet/copies/copies.go
+++ b/internal/fleet/copies/copies.go
@@ -520,7 +520,10 @@
 func (n *Node) follow(num int, b Ballot, full, joining []string) {
 	s := &n.slots[num]
 	n.resign(num, s)
-	s.ballot, s.full, s.joining, s.taken, s.got, s.since = b, full, joining, false, 0, n.now
+	if len(s.full) == 0 || len(full) == 0 || s.full[0] != full[0] { // one that leads on is missed from when it was heard last
+		s.since = n.now
+	}
+	s.ballot, s.full, s.joining, s.taken, s.got = b, full, joining, false, 0
 }
 
 // told is what a primary says. Whoever was overtaken is refused, here at the place where its write would take hold.
--- a/internal/fleet/core/core.go
+++ b/internal/fleet/core/core.go
@@ -28,6 +28,7 @@
 type Config struct {
 	Self   views.Member
 	Life   uint64
+	Found  string   // the ID of a fleet that this member may found, drawn for it
 	First  bool     // this member is at the first of the seeds' addresses: it is who founds a fleet
 	Seeds  []string // addresses
 	Voters int      // that the log has, once there are so many machines
@@ -342,7 +343,7 @@
 	if !all {
 		return
 	}
-	if err := c.log.Found(fmt.Sprintf("%016x", c.rng.Uint64())); err != nil {
+	if err := c.log.Found(c.cfg.Found); err != nil {
 		c.out.Lines = append(c.out.Lines, Line{What: "not founded", Text: err.Error()})
 		return
 	}
@@ -371,8 +372,8 @@
 	}
 }
 
-// voters has one on a further machine begin to vote where there are too few, or in place of one that is no member any more. None
-// stops without another in its place: of two voters neither can be lost.
+// voters has members on further machines begin to vote: as many as are lacking, all at once, or one in place of one that is no
+// member any more. Two voters are never made: both would be needed then, and the second one may be gone already, unnoticed.
 func (c *Core) voters(seen []steer.Seen) {
 	st, voters := c.log.State(), c.log.Voters()
 	member := map[uint64]views.Member{}
@@ -384,22 +385,28 @@
 	for _, id := range voters {
 		if m, is := member[id]; is {
 			machines[m.Machine] = true
-		} else if stops == 0 {
+		} else if stops == 0 && id != agree.Number(c.cfg.Self.ID) {
 			stops = id
 		}
 	}
+	lacking := 1
 	if len(voters) < c.cfg.Voters {
-		stops = 0
+		lacking, stops = c.cfg.Voters-len(voters), 0
 	} else if stops == 0 {
 		return
 	}
 	slices.SortFunc(seen, func(a, b steer.Seen) int { return cmp.Compare(a.ID, b.ID) })
+	var begin []uint64
 	for _, m := range seen {
-		if id := agree.Number(m.ID); m.Here && m.For >= soundFor && member[id].ID == m.ID && !slices.Contains(voters, id) && !machines[m.Machine] {
-			c.log.Vote(id, stops)
-			return
+		id := agree.Number(m.ID)
+		if len(begin) < lacking && m.Here && m.For >= soundFor && member[id].ID == m.ID && !slices.Contains(voters, id) && !machines[m.Machine] {
+			begin = append(begin, id)
+			machines[m.Machine] = true
 		}
 	}
+	if len(begin) == lacking {
+		c.log.Vote(begin, stops)
+	}
 }
 
 // ---- What goes out.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,6 +4,7 @@
 package fleet
 
 import (
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"sync"
@@ -14,11 +15,17 @@
 	"sabletally/internal/fleet/boottime"
 	"sabletally/internal/fleet/config"
 	"sabletally/internal/fleet/contact"
+	"sabletally/internal/fleet/core"
+	"sabletally/internal/fleet/hold"
 	"sabletally/internal/fleet/members"
 	"sabletally/internal/fleet/seat"
 )
 
-const takeEach = 20 * time.Millisecond // how often the new process of an upgrade looks whether the old one has let go
+const (
+	takeEach  = 20 * time.Millisecond // how often the new process of an upgrade looks whether the old one has let go
+	repairing = 8                     // slots that are copied to somebody at once
+	opsMost   = 4096                  // operations that wait here
+)
 
 // Fleet is this process's part.
 type Fleet struct {
@@ -31,6 +38,8 @@
 	seat  *seat.Seat // nil until this process has the directory
 	wire  *contact.Wire
 	touch *contact.Contact
+	held  *hold.Hold
+	said  int // words of operators'
 	over  chan struct{}
 	all   sync.WaitGroup
 	err   error // why it could not begin, once that is known
@@ -93,22 +102,45 @@
 		s.Close()
 		return err
 	}
+	seeds := make([]string, 0, len(f.file.Seeds))
+	for _, a := range f.file.Seeds {
+		seeds = append(seeds, a.String())
+	}
+	h, err := hold.Open(hold.Options{Core: core.Config{Self: hold.Member(self), Life: s.Life, Found: rand.Text(), First: f.file.Seeds[0] == f.file.Advertise, Seeds: seeds,
+		Voters: f.file.Voters, Copies: f.file.Copies, Evict: f.file.Repair, Repair: repairing, Seed: f.seed ^ s.Life<<32, Keys: f.file.Records,
+		Bytes: f.file.Bytes, Ops: opsMost}, Fleet: f.file.Fleet, Dir: f.file.Data, Wire: w, Touch: t, Now: boottime.Now, Log: f.log})
+	if err != nil {
+		t.Close()
+		s.Close()
+		return fmt.Errorf("data: %w", err)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	select {
 	case <-f.over: // meanwhile
 		t.Close()
+		h.Close()
 		s.Close()
 		return nil
 	default:
 	}
-	f.seat, f.wire, f.touch = s, w, t
+	f.seat, f.wire, f.touch, f.held = s, w, t, h
 	f.log.Info("fleet: member", zap.String("fleet", f.file.Fleet), zap.String("id", s.Member), zap.Uint64("life", s.Life),
 		zap.Bool("fresh", s.Fresh), zap.Stringer("listen", f.file.Listen), zap.Stringer("advertise", f.file.Advertise),
 		zap.String("machine", f.file.Machine), zap.String("zone", f.file.Zone), zap.String("site", f.file.Site))
 	return nil
 }
 
+// holding is where records are held, and this member's ID; nil while another process of an upgrade is the member.
+func (f *Fleet) holding() (*hold.Hold, string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.held == nil {
+		return nil, ""
+	}
+	return f.held, f.seat.Member
+}
+
 // Leave says goodbye to the others and ends this part; it takes a second at most.
 func (f *Fleet) Leave() { f.end((*contact.Contact).Leave) }
 
@@ -124,11 +156,14 @@
 	default:
 	}
 	close(f.over)
-	t, s := f.touch, f.seat
 	f.mu.Unlock()
 	f.all.Wait()
+	f.mu.Lock()
+	t, s, h := f.touch, f.seat, f.held
+	f.mu.Unlock()
 	if t != nil {
 		how(t)
+		h.Close()
 		s.Close()
 	}
 }
@@ -152,6 +187,29 @@
 	Unopened int64  `json:"unopened"`
 	Sent     int64  `json:"sent"` // bytes of datagrams
 	Heard    int64  `json:"heard"`
+
+	Held *Held `json:"held,omitempty"`
+}
+
+// Held is what lies here, and what is agreed.
+type Held struct {
+	ID       string         `json:"id"` // of the fleet, drawn when it was founded; empty before
+	Epoch    uint64         `json:"epoch"`
+	Members  int            `json:"members"` // of the epoch
+	Voters   int            `json:"voters"`  // as this member knows; 0 where it does not vote
+	Leads    bool           `json:"leads"`
+	Slots    map[int]int    `json:"slots"` // by number of members that hold all of one
+	Mine     int            `json:"mine"`
+	Records  int            `json:"records"`
+	Bytes    int            `json:"bytes"`
+	File     int64          `json:"file"`
+	Disk     string         `json:"disk,omitempty"` // what is wrong with it: nothing is promised here then
+	Refusals map[string]int `json:"refusals,omitempty"`
+	Sent     int64          `json:"sent"`
+	Got      int64          `json:"got"`
+	Dropped  int64          `json:"dropped"`
+	Odd      int64          `json:"odd"`
+	Writes   int64          `json:"writes"`
 }
 
 // One is one member in a report.
@@ -176,7 +234,7 @@
 // Report answers at once, from what is published.
 func (f *Fleet) Report() Report {
 	f.mu.Lock()
-	t, w, err := f.touch, f.wire, f.err
+	t, w, h, err := f.touch, f.wire, f.held, f.err
 	f.mu.Unlock()
 	r := Report{Fleet: f.file.Fleet, Copies: f.file.Copies}
 	switch {
@@ -193,6 +251,9 @@
 	r.Member, r.Self, r.Standing, r.Here = true, &self, s.Standing.String(), 1
 	r.Health, r.Stalls, r.Refused, r.Odd = s.Health, s.Stalls, s.Refused, s.Odd
 	r.Dropped, r.Unopened, r.Sent, r.Heard = w.Dropped.Load(), w.Unopened.Load(), w.Sent.Load(), w.Heard.Load()
+	a := h.Status()
+	r.Held = &Held{ID: a.Fleet, Epoch: a.Epoch, Members: a.Members, Voters: a.Voters, Leads: a.Leads, Slots: a.Slots, Mine: a.Mine, Records: a.Keys,
+		Bytes: a.Bytes, File: a.File, Disk: a.Disk, Refusals: a.Refusals, Sent: a.Sent, Got: a.Got, Dropped: a.Dropped, Odd: a.Odd, Writes: a.Writes}
 	machines := map[string]bool{s.Self.Machine: true}
 	for _, k := range s.Others {
 		o := one(k.Member)
--- /dev/null
+++ b/internal/fleet/hold/hold.go
@@ -0,0 +1,298 @@
+// Package hold runs a member's core on sockets and disk: it owns the goroutine that the core lives in, the links to the others'
+// cores, and the order in which things happen: first to disk, then out. Whoever asks it posts and is called back. It must never
+// be waited for by the balancer's loop, and never promise anything once the disk has failed.
+package hold
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sabletally/internal/fleet/contact"
+	"sabletally/internal/fleet/copies"
+	"sabletally/internal/fleet/core"
+	"sabletally/internal/fleet/members"
+	"sabletally/internal/fleet/steer"
+	"sabletally/internal/fleet/store"
+	"sabletally/internal/fleet/views"
+)
+
+const (
+	beat      = 50 * time.Millisecond
+	tellEach  = 100 * time.Millisecond
+	inboxMost = 8192 // packets that wait for the core; more are dropped, and asked for again by who needs them
+)
+
+// Options is what it begins with.
+type Options struct {
+	Core  core.Config
+	Fleet string // its name in the files
+	Dir   string
+	Wire  *contact.Wire
+	Touch *contact.Contact
+	Now   func() time.Duration
+	Log   *zap.Logger
+}
+
+// Status is what is known at one moment.
+type Status struct {
+	Fleet       string
+	Epoch       uint64
+	Members     int
+	Leads       bool
+	Voters      int
+	Keys, Bytes int
+	Slots       map[int]int // by number of full holders
+	Mine        int         // slots that this member holds
+	Disk        string      // what is wrong with it
+	File        int64       // its bytes
+	Refusals    map[string]int
+	Sent, Got   int64
+	Dropped     int64
+	Odd         int64
+	Writes      int64
+}
+
+// Hold is one member's.
+type Hold struct {
+	opt   Options
+	core  *core.Core
+	store *store.Store
+	links *links
+
+	mu      sync.Mutex
+	packets []core.Packet
+	asks    []ask
+	over    bool
+	wake    chan struct{}
+	done    chan struct{}
+	all     sync.WaitGroup
+	once    sync.Once
+
+	waiting map[string]func(copies.Result) // the core's goroutine's
+	broken  error
+	status  atomic.Pointer[Status]
+	told    time.Duration // the status was published then
+	dropped atomic.Int64
+}
+
+type ask struct {
+	op     copies.Op
+	within time.Duration
+	done   func(copies.Result)
+}
+
+// Open reads the disk and begins.
+func Open(opt Options) (*Hold, error) {
+	s, saved, err := store.Open(opt.Dir)
+	if err != nil {
+		return nil, err
+	}
+	c, err := core.New(opt.Core, saved, opt.Now())
+	if err != nil {
+		s.Close()
+		return nil, err
+	}
+	h := &Hold{opt: opt, core: c, store: s, wake: make(chan struct{}, 1), done: make(chan struct{}), waiting: map[string]func(copies.Result){}}
+	h.links = &links{fleet: opt.Fleet, self: opt.Core.Self.ID, wire: opt.Wire, heard: h.heard, to: map[string]*link{}}
+	h.publish()
+	h.all.Add(1)
+	go h.run()
+	h.links.all.Add(1)
+	go h.links.accept()
+	return h, nil
+}
+
+// Ask has an operation done, here or wherever its slot's primary is. done is called once, from another goroutine, within the span
+// or a little later; it must not wait.
+func (h *Hold) Ask(op copies.Op, within time.Duration, done func(copies.Result)) {
+	h.mu.Lock()
+	over := h.over || len(h.asks) >= inboxMost
+	if !over {
+		h.asks = append(h.asks, ask{op, within, done})
+	}
+	h.mu.Unlock()
+	if over {
+		done(copies.Result{Op: op.ID, Outcome: copies.Refused, Why: copies.Busy})
+		return
+	}
+	h.poke()
+}
+
+// Status is what was known at the newest turn.
+func (h *Hold) Status() Status { return *h.status.Load() }
+
+// Close ends it; the wire has to be closed before. Who still waits is told that it is not known.
+func (h *Hold) Close() {
+	h.once.Do(func() {
+		close(h.done)
+		h.all.Wait()
+		h.links.all.Wait()
+		h.store.Close()
+	})
+}
+
+func (h *Hold) poke() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (h *Hold) heard(p core.Packet) {
+	h.mu.Lock()
+	if len(h.packets) >= inboxMost {
+		h.dropped.Add(1)
+	} else {
+		h.packets = append(h.packets, p)
+	}
+	h.mu.Unlock()
+	h.poke()
+}
+
+func (h *Hold) run() {
+	defer h.all.Done()
+	tick := time.NewTicker(beat)
+	defer tick.Stop()
+	for {
+		select {
+		case <-h.done:
+			h.end()
+			return
+		case <-h.wake:
+		case <-tick.C:
+		}
+		h.turn()
+	}
+}
+
+// end tells who still waits, and those that come too late.
+func (h *Hold) end() {
+	h.mu.Lock()
+	h.over = true
+	asks := h.asks
+	h.asks = nil
+	h.mu.Unlock()
+	for _, a := range asks {
+		a.done(copies.Result{Op: a.op.ID, Outcome: copies.Refused, Why: copies.Busy})
+	}
+	for id, done := range h.waiting {
+		done(copies.Result{Op: id, Outcome: copies.Unknown})
+	}
+}
+
+// turn takes in all that is there, and carries out what follows: first to disk, all of it together, then out.
+func (h *Hold) turn() {
+	h.mu.Lock()
+	packets, asks := h.packets, h.asks
+	h.packets, h.asks = nil, nil
+	h.mu.Unlock()
+	at := h.seen()
+	h.core.Clock(h.opt.Now(), at)
+	for _, p := range packets {
+		if err := h.core.Step(p); err != nil {
+			h.links.odd.Add(1)
+			h.opt.Log.Debug("fleet: odd", zap.Error(err))
+		}
+	}
+	for _, a := range asks {
+		h.waiting[a.op.ID] = a.done
+		h.core.Ask(a.op, a.within)
+	}
+	r, err := h.core.Ready()
+	if err == nil && h.opt.Touch.Status().Standing == members.Doubled {
+		err = errors.New("another process has a copy of the directory")
+	}
+	if err == nil && h.broken == nil {
+		err = h.store.Write(r)
+	}
+	if err != nil && h.broken == nil {
+		h.broken = err
+		h.core.Broken()
+		h.opt.Log.Error("fleet: this member promises nothing any more", zap.Error(err))
+	}
+	if h.broken != nil { // what it leans on is not on disk: nothing goes out
+		r.Packets = nil
+		for i := range r.Results {
+			r.Results[i] = copies.Result{Op: r.Results[i].Op, Outcome: copies.Unknown, Why: copies.Disk}
+		}
+	}
+	h.out(r, at)
+	if now := h.opt.Now(); now-h.told >= tellEach {
+		h.told = now
+		h.publish()
+	}
+}
+
+func (h *Hold) out(r core.Ready, at []steer.Seen) {
+	for _, l := range r.Lines {
+		h.opt.Log.Info("fleet: "+l.What, zap.Uint64("epoch", l.Epoch), zap.String("is", l.Text))
+	}
+	addr := map[string]string{}
+	for _, m := range h.core.State().Members {
+		addr[m.ID] = m.Addr
+	}
+	for _, m := range at {
+		addr[m.ID] = m.Addr
+	}
+	for _, p := range r.Packets {
+		if to := addr[p.To]; to != "" {
+			h.links.send(p.To, to, p)
+		}
+	}
+	for _, one := range r.Results {
+		if done := h.waiting[one.Op]; done != nil {
+			delete(h.waiting, one.Op)
+			if one.Outcome == copies.Refused || one.Outcome == copies.Unknown {
+				h.opt.Log.Warn("fleet: not promised", zap.String("op", one.Op), zap.Stringer("outcome", one.Outcome), zap.Stringer("why", one.Why))
+			}
+			done(one)
+		}
+	}
+}
+
+// seen is how the other members are seen.
+func (h *Hold) seen() []steer.Seen {
+	s := h.opt.Touch.Status()
+	now := h.opt.Now()
+	var all []steer.Seen
+	for _, k := range s.Others {
+		all = append(all, steer.Seen{Member: Member(k.Member), Left: k.State == members.Left, For: now - k.Since,
+			Here: k.State == members.Here})
+	}
+	return all
+}
+
+// Member is what is agreed of a member.
+func Member(m members.Member) views.Member {
+	return views.Member{ID: m.ID, Addr: m.Addr.String(), Machine: m.Machine, Zone: m.Zone, Site: m.Site}
+}
+
+func (h *Hold) publish() {
+	st := h.core.State()
+	s := Status{Fleet: st.Fleet, Epoch: st.Epoch, Members: len(st.Members), Leads: h.core.Leads(), Voters: len(h.core.Voters()),
+		Slots: map[int]int{}, Refusals: map[string]int{}, File: h.store.Size(), Sent: h.links.sent.Load(), Got: h.links.got.Load(),
+		Dropped: h.links.dropped.Load() + h.dropped.Load(), Odd: h.links.odd.Load(), Writes: h.store.Writes}
+	s.Keys, s.Bytes = h.core.Held().Held()
+	for _, v := range st.Views {
+		s.Slots[len(v.Full)]++
+		for _, id := range v.Full {
+			if id == h.opt.Core.Self.ID {
+				s.Mine++
+			}
+		}
+	}
+	for w, n := range h.core.Held().Refusals {
+		if n > 0 {
+			s.Refusals[copies.Why(w).String()] = n
+		}
+	}
+	if h.broken != nil {
+		s.Disk = fmt.Sprint(h.broken)
+	}
+	h.status.Store(&s)
+}
--- /dev/null
+++ b/internal/fleet/store/store.go
@@ -0,0 +1,251 @@
+// Package store owns what a member has on disk beside its card: the agreed log's part and the slots' records, in one file of bbolt's
+// in the member's directory. A write is on disk whole or not at all. It must never be used on the balancer's loop, and never go on
+// after a write that failed: what is on disk then is not known.
+package store
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"path/filepath"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
+
+	"sabletally/internal/fleet/agree"
+	"sabletally/internal/fleet/copies"
+	"sabletally/internal/fleet/core"
+	"sabletally/internal/fleet/views"
+)
+
+// Format is the newest form of the file that this program writes and reads; older ones are read.
+const Format = 1
+
+const openWithin = time.Second // the directory is this process's; nobody else should have the file
+
+var (
+	meta    = []byte("meta") // format, fleet, hard, snapshot, upto
+	entries = []byte("log")
+	slots   = []byte("slots") // by slot: its ballot
+	records = []byte("records")
+)
+
+// Store is an open file.
+type Store struct {
+	db   *bbolt.DB
+	upto uint64 // of the log's snapshot
+	err  error  // the first that failed
+
+	Writes, Bytes int64 // transactions, and bytes handed to them
+}
+
+// Open opens the file in a directory, which has to be this process's, and reads all of it. A file of a newer format, or one whose
+// records do not match their checksums, is an error that names it.
+func Open(dir string) (*Store, core.Saved, error) {
+	path := filepath.Join(dir, "holdings.db")
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openWithin, FreelistType: bbolt.FreelistMapType})
+	if err != nil {
+		if errors.Is(err, berrors.ErrTimeout) {
+			err = errors.New("another process has it")
+		}
+		return nil, core.Saved{}, fmt.Errorf("%s: %w", path, err)
+	}
+	s := &Store{db: db}
+	saved, err := s.read()
+	if err != nil {
+		db.Close()
+		return nil, core.Saved{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, saved, nil
+}
+
+func (s *Store) read() (core.Saved, error) {
+	out := core.Saved{Slots: map[int]core.Slot{}}
+	err := s.db.Update(func(tx *bbolt.Tx) error {
+		var all [4]*bbolt.Bucket
+		for i, name := range [][]byte{meta, entries, slots, records} {
+			b, err := tx.CreateBucketIfNotExists(name)
+			if err != nil {
+				return err
+			}
+			all[i] = b
+		}
+		m := all[0]
+		if f := m.Get([]byte("format")); f == nil {
+			if err := m.Put([]byte("format"), []byte{Format}); err != nil {
+				return err
+			}
+		} else if len(f) != 1 || f[0] < 1 || f[0] > Format {
+			return fmt.Errorf("its format is %d, written by a newer program; this one reads up to %d", f, Format)
+		}
+		out.Fleet = string(m.Get([]byte("fleet")))
+		out.Agree = agree.Saved{Hard: bytes.Clone(m.Get([]byte("hard"))), Snapshot: bytes.Clone(m.Get([]byte("snapshot")))}
+		if u := m.Get([]byte("upto")); u != nil {
+			s.upto = binary.BigEndian.Uint64(u)
+		}
+		if err := all[1].ForEach(func(_, v []byte) error {
+			text, err := unseal(v)
+			out.Agree.Entries = append(out.Agree.Entries, bytes.Clone(text))
+			return err
+		}); err != nil {
+			return fmt.Errorf("the log: %w", err)
+		}
+		if err := all[2].ForEach(func(k, v []byte) error {
+			num := int(binary.BigEndian.Uint16(k))
+			if num >= views.Slots || len(v) != 16 {
+				return fmt.Errorf("slot %d is none", num)
+			}
+			out.Slots[num] = core.Slot{Ballot: copies.Ballot{View: binary.BigEndian.Uint64(v), Life: binary.BigEndian.Uint64(v[8:])}}
+			return nil
+		}); err != nil {
+			return err
+		}
+		return all[3].ForEach(func(k, v []byte) error {
+			text, err := unseal(v)
+			var r copies.Record
+			if err == nil {
+				err = cbor.Unmarshal(text, &r)
+			}
+			num := int(binary.BigEndian.Uint16(k))
+			if err == nil && (num >= views.Slots || r.Key != string(k[2:])) {
+				err = errors.New("it is another key's")
+			}
+			if err != nil {
+				return fmt.Errorf("record %q of slot %d: %w", k[2:], num, err)
+			}
+			one := out.Slots[num]
+			one.Records = append(one.Records, r)
+			out.Slots[num] = one
+			return nil
+		})
+	})
+	return out, err
+}
+
+// Write puts what a Ready asks for on disk, all of it or nothing, and answers once it is there. After an error every later call
+// answers that error.
+func (s *Store) Write(r core.Ready) error {
+	if s.err != nil {
+		return s.err
+	}
+	if r.Fleet == "" && len(r.Slots) == 0 && len(r.Agree.Hard)+len(r.Agree.Snapshot)+len(r.Agree.Entries) == 0 {
+		return nil
+	}
+	s.Writes++
+	s.err = s.db.Update(func(tx *bbolt.Tx) error {
+		put := func(b *bbolt.Bucket, k, v []byte) error {
+			s.Bytes += int64(len(k) + len(v))
+			return b.Put(k, v)
+		}
+		if err := s.log(tx, r, put); err != nil {
+			return err
+		}
+		ballots, held := tx.Bucket(slots), tx.Bucket(records)
+		for _, w := range r.Slots {
+			num := binary.BigEndian.AppendUint16(nil, uint16(w.Slot))
+			ballot := binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, w.Ballot.View), w.Ballot.Life)
+			if !bytes.Equal(ballots.Get(num), ballot) {
+				if err := put(ballots, num, ballot); err != nil {
+					return err
+				}
+			}
+			if w.Replace {
+				c := held.Cursor()
+				for k, _ := c.Seek(num); k != nil && bytes.HasPrefix(k, num); k, _ = c.Seek(num) {
+					if err := c.Delete(); err != nil {
+						return err
+					}
+				}
+			}
+			for _, one := range w.Records {
+				text, err := cbor.Marshal(one)
+				if err == nil {
+					err = put(held, append(num[:2:2], one.Key...), seal(text))
+				}
+				if err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	})
+	if s.err != nil {
+		s.err = fmt.Errorf("holdings: %w", s.err)
+	}
+	return s.err
+}
+
+func (s *Store) log(tx *bbolt.Tx, r core.Ready, put func(*bbolt.Bucket, []byte, []byte) error) error {
+	m, l := tx.Bucket(meta), tx.Bucket(entries)
+	key := func(i uint64) []byte { return binary.BigEndian.AppendUint64(nil, i) }
+	if r.Fleet != "" {
+		if err := put(m, []byte("fleet"), []byte(r.Fleet)); err != nil {
+			return err
+		}
+	}
+	if len(r.Agree.Hard) > 0 {
+		if err := put(m, []byte("hard"), r.Agree.Hard); err != nil {
+			return err
+		}
+	}
+	if len(r.Agree.Entries) > 0 {
+		c := l.Cursor()
+		for k, _ := c.Seek(key(r.Agree.First)); k != nil; k, _ = c.Seek(key(r.Agree.First)) {
+			if err := c.Delete(); err != nil {
+				return err
+			}
+		}
+		for i, e := range r.Agree.Entries {
+			if err := put(l, key(r.Agree.First+uint64(i)), seal(e)); err != nil {
+				return err
+			}
+		}
+	}
+	if len(r.Agree.Snapshot) == 0 {
+		return nil
+	}
+	if err := put(m, []byte("snapshot"), r.Agree.Snapshot); err != nil {
+		return err
+	}
+	if err := put(m, []byte("upto"), key(r.Agree.Upto)); err != nil {
+		return err
+	}
+	s.upto = r.Agree.Upto
+	c := l.Cursor()
+	for k, _ := c.First(); k != nil && binary.BigEndian.Uint64(k) <= s.upto; k, _ = c.First() {
+		if err := c.Delete(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Size is the file's, in bytes.
+func (s *Store) Size() int64 {
+	var n int64
+	s.db.View(func(tx *bbolt.Tx) error { n = tx.Size(); return nil })
+	return n
+}
+
+// Close lets go of the file.
+func (s *Store) Close() error { return s.db.Close() }
+
+// ---- The form of a record.
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+// seal puts a checksum before a text, unseal takes it off.
+func seal(text []byte) []byte {
+	return append(binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(text)), crc32.Checksum(text, table)), text...)
+}
+
+func unseal(text []byte) ([]byte, error) {
+	if len(text) < 4 || binary.BigEndian.Uint32(text) != crc32.Checksum(text[4:], table) {
+		return nil, errors.New("its checksum is wrong")
+	}
+	return text[4:], nil
+}
--- /dev/null
+++ b/internal/fleet/store/store_test.go
@@ -0,0 +1,105 @@
+package store
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"go.etcd.io/bbolt"
+
+	"sabletally/internal/fleet/agree"
+	"sabletally/internal/fleet/copies"
+	"sabletally/internal/fleet/core"
+)
+
+func record(key string, version uint64) copies.Record {
+	return copies.Record{Key: key, Version: version, Value: []byte("v"), Op: fmt.Sprint("o", version), Past: []string{"p"}}
+}
+
+// TestWhatIsWrittenIsRead writes slots and the log over each other and opens the file anew after each.
+func TestWhatIsWrittenIsRead(t *testing.T) {
+	dir := t.TempDir()
+	b1, b2 := copies.Ballot{View: 1, Life: 1}, copies.Ballot{View: 2, Life: 7}
+	for _, c := range []struct {
+		write core.Ready
+		want  core.Saved
+	}{
+		{core.Ready{Fleet: "f", Agree: agree.Write{Hard: []byte("h"), Snapshot: []byte("s"), Upto: 1, Entries: [][]byte{{2}, {3}}, First: 2},
+			Slots: []copies.Write{{Slot: 3, Ballot: b1, Records: []copies.Record{record("a", 1), record("b", 1)}}, {Slot: 4, Ballot: b1}}},
+			core.Saved{Fleet: "f", Agree: agree.Saved{Hard: []byte("h"), Snapshot: []byte("s"), Entries: [][]byte{{2}, {3}}},
+				Slots: map[int]core.Slot{3: {Ballot: b1, Records: []copies.Record{record("a", 1), record("b", 1)}}, 4: {Ballot: b1}}}},
+		{core.Ready{Agree: agree.Write{Entries: [][]byte{{9}}, First: 3}, Slots: []copies.Write{{Slot: 3, Ballot: b2, Records: []copies.Record{record("a", 2)}}}},
+			core.Saved{Fleet: "f", Agree: agree.Saved{Hard: []byte("h"), Snapshot: []byte("s"), Entries: [][]byte{{2}, {9}}},
+				Slots: map[int]core.Slot{3: {Ballot: b2, Records: []copies.Record{record("a", 2), record("b", 1)}}, 4: {Ballot: b1}}}},
+		{core.Ready{Agree: agree.Write{Snapshot: []byte("t"), Upto: 3}, Slots: []copies.Write{{Slot: 3, Ballot: b2, Replace: true, Records: []copies.Record{record("c", 1)}}}},
+			core.Saved{Fleet: "f", Agree: agree.Saved{Hard: []byte("h"), Snapshot: []byte("t")},
+				Slots: map[int]core.Slot{3: {Ballot: b2, Records: []copies.Record{record("c", 1)}}, 4: {Ballot: b1}}}},
+	} {
+		s, _, err := Open(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Write(c.write); err != nil {
+			t.Fatal(err)
+		}
+		s.Close()
+		s, got, err := Open(dir)
+		if err != nil || !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%+v, %v; wanted %+v", got, err, c.want)
+		}
+		s.Close()
+	}
+}
+
+// TestFilesThatAreRefused spoils one record, and the format.
+func TestFilesThatAreRefused(t *testing.T) {
+	for want, spoil := range map[string]func(tx *bbolt.Tx) error{
+		"newer program": func(tx *bbolt.Tx) error { return tx.Bucket(meta).Put([]byte("format"), []byte{Format + 1}) },
+		`record "a" of slot 3: its checksum is wrong`: func(tx *bbolt.Tx) error {
+			v := tx.Bucket(records).Get([]byte("\x00\x03a"))
+			return tx.Bucket(records).Put([]byte("\x00\x03a"), append([]byte{v[0] + 1}, v[1:]...))
+		},
+		`record "x" of slot 3: it is another key's`: func(tx *bbolt.Tx) error {
+			return tx.Bucket(records).Put([]byte("\x00\x03x"), tx.Bucket(records).Get([]byte("\x00\x03a")))
+		},
+	} {
+		dir := t.TempDir()
+		s, _, err := Open(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := s.Write(core.Ready{Slots: []copies.Write{{Slot: 3, Records: []copies.Record{record("a", 1)}}}}); err != nil {
+			t.Fatal(err)
+		}
+		if err := s.db.Update(spoil); err != nil {
+			t.Fatal(err)
+		}
+		s.Close()
+		if s, _, err := Open(dir); err == nil || !strings.Contains(err.Error(), want) || !strings.Contains(err.Error(), dir) {
+			t.Errorf("%v; wanted %q", err, want)
+			s.Close()
+		}
+	}
+}
+
+// TestAfterAFailureNothingIsWritten closes the file under the store. Guards against a member that goes on promising once its disk
+// has failed.
+func TestAfterAFailureNothingIsWritten(t *testing.T) {
+	dir := t.TempDir()
+	s, _, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.db.Close()
+	one := core.Ready{Slots: []copies.Write{{Slot: 3, Records: []copies.Record{record("a", 1)}}}}
+	first := s.Write(one)
+	if first == nil || s.Write(one) != first {
+		t.Error(first)
+	}
+	if _, err := os.Stat(filepath.Join(dir, "holdings.db")); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/lab/field/band.go
+++ b/internal/lab/field/band.go
@@ -62,6 +62,8 @@
   machine   = "m%d"
   zone      = %q
   site      = "s"
+
+  repair_after = "2s"
 }
 `, b.Ties.Listen(i), b.Ties.Reached(i), strings.Join(seeds, ", "), b.Data(i), copies, i, Zone(i%max(zones, 1)))
 	file := filepath.Join(b.dir, fmt.Sprintf("fleet-%d.hcl", i))
--- a/internal/lab/fleetworld/world.go
+++ b/internal/lab/fleetworld/world.go
@@ -179,7 +179,7 @@
 	if w.plan.Break == NoRepair {
 		repair = 0
 	}
-	c, err := core.New(core.Config{Self: w.member(n), Life: n.life, First: n.num == 0, Seeds: []string{"m0", "m1", "m2"}, Voters: 3,
+	c, err := core.New(core.Config{Self: w.member(n), Life: n.life, Found: fmt.Sprintf("f%d", w.ids), First: n.num == 0, Seeds: []string{"m0", "m1", "m2"}, Voters: 3,
 		Copies: w.plan.Copies, Evict: evict, Repair: repair, Seed: w.plan.Seed<<20 ^ uint64(n.num)<<10 ^ n.born, Keys: 1 << 20, Bytes: 1 << 30, Ops: 4096}, n.disk.read(), w.now)
 	if err != nil {
 		w.fail("%d does not start: %v", n.num, err)
