Intents: circuits of held grades go to a server only once the fleet holds that they will

Seen: 200 unrepeatable circuits are out when their balancer is lost; asked again elsewhere with their ids, 200 of 200 run twice.

Result, real sockets, five processes, machine lost with its disk: 0 of 200 run twice where the grade is held, 200 of 200 where it is not.

Found by it: the founder's machine lost within three seconds took the only copy of the log along, and nothing promised could be reached; slots get their first views only once all voters vote.

--- a/cmd/sabletally/fleet_test.go
+++ b/cmd/sabletally/fleet_test.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -27,6 +30,10 @@
 }
 
 func enlist(t *testing.T, many int, shared bool) *members {
+	return enlistWith(t, many, shared, "", agent(t))
+}
+
+func enlistWith(t *testing.T, many int, shared bool, more string, a *standin.Agent) *members {
 	t.Parallel()
 	dir := t.TempDir()
 	b, err := field.NewBand(many, dir, 11)
@@ -34,8 +41,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(b.Close)
+	b.More = more
 	m := &members{Band: b, t: t}
-	a := agent(t)
 	for i := range many {
 		p, err := field.NewProcess(fmt.Sprintf("n%d", i), []string{os.Args[0]}, []string{"SABLETALLY_CHILD=1", "EDGE_DISCOVERY=" + a.Addr()}, dir, nil)
 		if err != nil {
@@ -106,8 +113,12 @@
 
 // station is a balancer's configuration.
 func station(name string, p *field.Process, a *standin.Agent, seed int) []byte {
-	return fmt.Appendf(nil, `{"name":%q,"listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":192,"sockets":512},
-		"known":%s,"settings":%s}`, name, p.Addr, a.Addr(), seed, a.Known(), settings)
+	return fmt.Appendf(nil, `{"name":%q,"listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":192,"sockets":2048},
+		"known":%s,"settings":%s}`, name, p.Addr, a.Addr(), seed, a.Known(), strings.Replace(settings, `[{"Name":"feed"`, `[`+grade("pay")+grade("order")+`{"Name":"feed"`, 1))
+}
+
+func grade(name string) string {
+	return fmt.Sprintf(`{"Name":%q,"Effect":"non_idempotent","Group":"all","LatencyGoalUs":300000,"OuterLimitUs":9000000,"Utility":1},`, name)
 }
 
 // want waits until members say of themselves what is wanted.
@@ -271,6 +282,107 @@
 	starts(3, "yes")
 }
 
+// TestNothingRunsTwiceOverBalancers has 200 unrepeatable circuits out at servers when their balancer is lost with its disk, and asks
+// for each again elsewhere: of a grade that is held, and of one that is not, which shows that the count can be another than none.
+func TestNothingRunsTwiceOverBalancers(t *testing.T) {
+	const many = 200
+	a := agent(t)
+	script := standin.NewScript(4*many, 4*bound)
+	t.Cleanup(script.Close)
+	for _, uid := range []string{"s-1", "s-2", "s-3", "s-4"} {
+		addr, err := script.Listen(uid)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.Set(entry(uid, addr, standin.InService))
+	}
+	m := enlistWith(t, 5, false, "hold \"intents\" { grades = [\"pay\"] }\n", a)
+	m.want("every slot has its holders", m.all, repaired)
+	for _, p := range m.procs {
+		if err := p.Yes(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	asks := func(i int, grade string, id int) *ask {
+		c, err := net.Dial("tcp", m.procs[i].Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		script.Hold(c)
+		one := &ask{c, bufio.NewReader(c), t}
+		one.write(fmt.Sprintf("OPEN %016x 7f3a9c21e0b4d655 c=%s,t=acme,d=8000,g=%x\r\n", id, grade, id))
+		return one
+	}
+	ran := map[string]int{} // by id: first lines that came to a server
+	session := func() *standin.Session {
+		select {
+		case e := <-script.Sessions:
+			ran[strings.Fields(e.First)[1]]++
+			return e
+		case <-time.After(bound):
+			t.Fatalf("only %d ran", len(ran))
+			return nil
+		}
+	}
+	// What was answered is answered with the same word.
+	for id := 1; id <= 5; id++ {
+		first := asks(1, "pay", id)
+		io.WriteString(session(), fmt.Sprintf("UP %d\r\n", id))
+		first.want(fmt.Sprintf("UP %d\r\n", id))
+		asks(2, "pay", id).want(fmt.Sprintf("UP %d\r\n", id))
+	}
+	for lost, grade := range []string{"pay", "order"} {
+		base := 1000 * (lost + 1)
+		for id := range many {
+			asks(lost, grade, base+id)
+		}
+		for range many {
+			session()
+		}
+		if err := m.Lose(lost); err != nil {
+			t.Fatal(err)
+		}
+		began, slowest := time.Now(), time.Duration(0)
+		var again []*ask
+		for id := range many {
+			again = append(again, asks(2+id%3, grade, base+id))
+		}
+		if grade == "pay" {
+			nacked := 0
+			for id, one := range again {
+				got := one.line()
+				for ; strings.HasPrefix(got, "BUSY "); nacked++ { // no promise in time: it comes again, as it is told
+					if time.Since(began) > bound {
+						t.Fatal("nacked for ever")
+					}
+					time.Sleep(100 * time.Millisecond)
+					one = asks(2+id%3, grade, base+id)
+					got = one.line()
+				}
+				if got != "ERR\r\n" {
+					t.Fatalf("asked again: %q", got)
+				}
+				slowest = max(slowest, time.Since(began))
+			}
+			t.Logf("%d nacks until the lost one's slots had another primary", nacked)
+		} else {
+			for range many {
+				session()
+			}
+		}
+		twice := 0
+		for _, n := range ran {
+			if n > 1 {
+				twice++
+			}
+		}
+		if want := map[string]int{"pay": 0, "order": many}[grade]; twice != want {
+			t.Errorf("%s: %d of %d ran twice, wanted %d", grade, twice, many, want)
+		}
+		t.Logf("%s: %d of %d ran twice; all answered after %v", grade, twice, many, slowest)
+	}
+}
+
 // TestAnUpgradeIsOneMember starts a new process beside a member's. Guards against two members of one balancer, and a member
 // that is gone while its balancer is upgraded.
 func TestAnUpgradeIsOneMember(t *testing.T) {
--- a/cmd/sabletally/main.go
+++ b/cmd/sabletally/main.go
@@ -83,8 +83,24 @@
 		log.Error("can't start", zap.Error(err))
 		return 2
 	}
-	if file != nil && !gate.Shared() { // the old process of an upgrade tells the new one
-		l.AwaitWord(wordWithin)
+	pages := mgmt.Pages{}
+	var member *fleet.Fleet
+	if file != nil {
+		err := file.Known(s.Deployment.Grades)
+		if err == nil {
+			member, err = fleet.Open(file, s.Name, s.Seed, gate.Shared(), log)
+		}
+		if err != nil {
+			eachFault(err, func(err error) { log.Error("can't start", zap.NamedError("fleet", err)) })
+			return 2
+		}
+		defer member.Leave()
+		l.HoldFor(member)
+		if !gate.Shared() { // else the old process of an upgrade tells the new one
+			l.AwaitWord(wordWithin)
+			member.Recall(s.Name, wordWithin, l.Recalled)
+		}
+		pages["/control/fleet"] = func() any { return member.Report() }
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -99,19 +115,6 @@
 		log.Error("can't start", zap.Error(err))
 		return 2
 	}
-	pages := mgmt.Pages{}
-	var member *fleet.Fleet
-	if file != nil {
-		if member, err = fleet.Open(file, s.Name, s.Seed, gate.Shared(), log); err != nil {
-			log.Error("can't start", zap.NamedError("fleet", err))
-			return 2
-		}
-		defer member.Leave()
-		if !gate.Shared() {
-			member.Recall(s.Name, wordWithin, l.Recalled)
-		}
-		pages["/control/fleet"] = func() any { return member.Report() }
-	}
 	if s.Mgmt != "" { // last: who is answered there finds a loop that runs
 		m, err := mgmt.Open(s.Mgmt, mgmt.Conns(s.Sockets), operated{l, member, s.Name}, pages, aside{log, "mgmt"})
 		if err != nil {
--- a/internal/balancer/circuit.go
+++ b/internal/balancer/circuit.go
@@ -52,6 +52,7 @@
 	standing bool           // it was open before the run and goes to its server without the module
 	calledAt time.Duration  // when the newest try was decided
 	giveUp   time.Duration  // when it is given up
+	held     *held          // where the fleet holds it for others
 }
 
 // firstLine takes a client's first line.
@@ -114,6 +115,7 @@
 		l.stand(cir)
 		return
 	}
+	l.hold(cir)
 	l.bal.CircuitArrived(cir.arrival)
 }
 
@@ -206,6 +208,9 @@
 			l.tryEnded(cir, policy.TimedOut, nil)
 		}
 	})
+	if cir.held != nil {
+		l.promise(cir)
+	}
 	cir.called = l.dial(sv.address, within, cir, func(c *relay.Conn, err error) { l.dialed(cir, turn, c, err) })
 }
 
@@ -228,7 +233,11 @@
 	case cir.at.state != policy.Ready && !cir.standing:
 		// Guards against a first byte after the drain grace: the list has changed while the dial was out.
 		l.tryEnded(cir, policy.NeverSent, nil)
+	case !l.allowed(cir, func() { l.dialed(cir, turn, c, nil) }):
 	default:
+		if cir.held != nil {
+			cir.held.wrote = true
+		}
 		text := cir.ask.Onward(cir.giveUp - l.now)
 		go func() { // beside the loop: a write is most of what a set-up costs
 			err := c.Early()
@@ -250,6 +259,10 @@
 
 // tryEnded ends a setup try that did not come to stand: its connection is closed before the module hears.
 func (l *Loop) tryEnded(cir *circuit, how policy.Outcome, why error) {
+	if h := cir.held; h != nil && h.tells { // its end is on its way to be told
+		h.gone = true
+		return
+	}
 	l.log.Debug("try ended", zap.Stringer("circuit", cir), zap.String("how", outcomes[how]),
 		zap.String("server", cir.at.listedAs.UID), zap.Duration("after", l.now-cir.calledAt), zap.Error(why))
 	l.Ended[how].Add(1)
@@ -295,6 +308,8 @@
 	switch {
 	case ln.Bad != nil && ln.Kind != line.Busy:
 		l.tryEnded(cir, policy.Failed, ln.Bad)
+	case ln.Kind == line.Up && cir.held != nil:
+		l.confirm(cir, ln)
 	case ln.Kind == line.Up:
 		l.stands(cir, ln)
 	case ln.Kind == line.Busy:
@@ -463,6 +478,11 @@
 // giveUp answers a circuit for a reason that the module does not know of.
 func (l *Loop) giveUp(cir *circuit, last []byte) {
 	l.BrokenOff.Add(1)
+	l.conclude(cir, last)
+}
+
+// conclude ends a circuit with its final answer, whatever the module has under way for it.
+func (l *Loop) conclude(cir *circuit, last []byte) {
 	l.clientGone(cir, &Broken{})
 	l.end(cir.client, last)
 }
@@ -474,6 +494,9 @@
 		l.bal.ClientLeft(id)
 	}
 	told := !cir.standing
+	if h := cir.held; h != nil && !h.wrote {
+		l.withdraw(cir)
+	}
 	l.forget(cir)
 	cir.dropServer(b.Abrupt)
 	if held && told {
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -19,6 +19,7 @@
 
 	"sabletally/internal/deployment"
 	"sabletally/internal/discovery"
+	"sabletally/internal/fleet"
 	"sabletally/internal/line"
 	"sabletally/internal/peers"
 	"sabletally/internal/relay"
@@ -50,9 +51,10 @@
 	most   int64        // of those at most, less
 	beside atomic.Int64 // what the other process of an upgrade holds
 
-	link     *peers.Link // to the other balancers, nil where they are not told
-	linked   *peers.Link // the newest one that was opened, and whether another process of this balancer may run
-	shared   bool        // beside it, which only Reconfigure looks at
+	link     *peers.Link  // to the other balancers, nil where they are not told
+	linked   *peers.Link  // the newest one that was opened, and whether another process of this balancer may run
+	shared   bool         // beside it, which only Reconfigure looks at
+	fleet    *fleet.Fleet // holds circuits of some grades for others; nil where there is none
 	relays   *relay.Shards
 	watch    *discovery.Watch
 	unwatch  context.CancelFunc // ends it
@@ -321,6 +323,7 @@
 		l.try(c, d.Server, d.For)
 	case policy.Nack:
 		l.Nacked.Add(1)
+		l.withdraw(c)
 		l.answer(c, line.Turned(d.For))
 	case policy.BreakOff:
 		l.BrokenOff.Add(1)
--- a/internal/fleet/config/config.go
+++ b/internal/fleet/config/config.go
@@ -19,6 +19,7 @@
 const (
 	MostMembers = 1024 // of one fleet
 	mostSeeds   = 64
+	mostGrades  = 64
 	mostCopies  = 7
 	longestName = 64 // bytes; names go with every word about a member
 )
@@ -39,6 +40,24 @@
 	Voters    int           // members that agree on who holds what
 	Records   int           // held here at most,
 	Bytes     int           // and of keys and values together
+	Intents   []Grade       // grades whose circuits are held for others before they go to a server
+}
+
+// Grade is a service grade's name, and where it stands.
+type Grade struct {
+	Name string
+	at   hcl.Range
+}
+
+// Known tells which grades that the file names are none of a deployment's: nil if all are.
+func (f *File) Known(grades map[string]int) error {
+	r := &blocks.Reader{}
+	for _, g := range f.Intents {
+		if _, is := grades[g.Name]; !is {
+			r.At(g.at, "grades: %q is no grade of the settings", g.Name)
+		}
+	}
+	return r.Err()
 }
 
 // Read reads a file; the error is blocks.Faults where its content is wrong.
@@ -57,11 +76,27 @@
 	if body == nil {
 		return nil, r.Faults
 	}
-	top := r.Open("the file", body, blocks.Start(path), "", hcl.BlockHeaderSchema{Type: "fleet", LabelNames: []string{"name"}})
+	top := r.Open("the file", body, blocks.Start(path), "", hcl.BlockHeaderSchema{Type: "fleet", LabelNames: []string{"name"}},
+		hcl.BlockHeaderSchema{Type: "hold", LabelNames: []string{"kind"}})
 	f := &File{}
 	if in := top.Only("fleet", true); in != nil {
 		f.read(r, in)
 	}
+	for _, in := range top.In["hold"] {
+		if in.Labels[0] != "intents" {
+			r.At(in.LabelRanges[0], "hold %q is none; there is \"intents\"", in.Labels[0])
+			continue
+		}
+		if len(f.Intents) > 0 {
+			r.At(in.DefRange, "a second hold \"intents\"")
+		}
+		b := r.Open("hold", in.Body, in.DefRange, "grades")
+		b.Must("grades")
+		grades, places := b.Texts("grades", mostGrades)
+		for i, g := range grades {
+			f.Intents = append(f.Intents, Grade{g, places[i]})
+		}
+	}
 	if err := r.Err(); err != nil {
 		return nil, err
 	}
--- a/internal/fleet/config/config_test.go
+++ b/internal/fleet/config/config_test.go
@@ -46,6 +46,8 @@
 		{`fleet "istanbul"`, `flet "istanbul"`, `f.hcl:1:1: the file wants a block "fleet"`},
 		{`site    =`, `sight   =`, `f.hcl:8:3: Unsupported argument`},
 		{"}\n", "}\nfleet \"b\" {}\n", `f.hcl:10:1: a second block "fleet"; the first is in line 1`},
+		{"}\n", "}\nhold \"intent\" {}\n", `f.hcl:10:6: hold "intent" is none`},
+		{"}\n", "}\nhold \"intents\" {}\n", `f.hcl:10:1: hold wants "grades"`},
 		{`copies  = 3`, `copies  =`, `f.hcl:5:12: Invalid expression`},
 	} {
 		_, err := Parse([]byte(strings.Replace(whole, c.old, c.new, 1)), "f.hcl")
@@ -54,3 +56,16 @@
 		}
 	}
 }
+
+func TestGradesThatAreNone(t *testing.T) {
+	f, err := Parse([]byte(whole+"hold \"intents\" { grades = [\"pay\", \"buy\"] }\n"), "f.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Known(map[string]int{"pay": 0, "buy": 1}); err != nil {
+		t.Error(err)
+	}
+	if err := f.Known(map[string]int{"pay": 0}); err == nil || !strings.Contains(err.Error(), `f.hcl:10:35: grades: "buy" is no grade`) {
+		t.Error(err)
+	}
+}
--- a/internal/fleet/copies/copies.go
+++ b/internal/fleet/copies/copies.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,7 +20,9 @@
 	blameAfter = 800 * time.Millisecond  // a holder that answers nothing for so long is complained about,
 	missAfter  = 1500 * time.Millisecond // and a primary that nothing is heard of
 	beatEach   = 250 * time.Millisecond
-	recentMost = 128 // writes that a holder may lack and still be sent one by one
+	expireEach = time.Second // how often a primary looks for records that were held for their time,
+	expireMost = 64          // and of one slot so many at once
+	recentMost = 128         // writes that a holder may lack and still be sent one by one
 	pastMost   = 4
 	askAgain   = 150 * time.Millisecond // an operation that was refused for a moment is asked for again
 )
@@ -32,6 +35,13 @@
 	MostKeys  int // records held here
 	MostBytes int // of keys and values together
 	MostOps   int // operations that wait here
+	Keeps     []Keep
+}
+
+// Keep is how long records whose keys begin in one way are held from the time on that they were born; others are held for good.
+type Keep struct {
+	Prefix string
+	For    time.Duration
 }
 
 // Node is one member's part in the copies. It is one goroutine's.
@@ -45,6 +55,8 @@
 	bytes int
 	heard map[string]time.Duration
 	beat  time.Duration
+	wall  int64 // Unix seconds
+	aged  time.Duration
 	bad   bool // the disk fails
 	out   Ready
 
@@ -98,6 +110,7 @@
 	op     Op
 	from   string
 	result Result // once all holders have it
+	drops  bool   // record is to be no more, and nobody asked
 }
 
 type queued struct {
@@ -158,6 +171,41 @@
 	}
 }
 
+// Wall tells of the time of day, in Unix seconds, by which records age. It orders nothing: a clock that is off has them held
+// shorter or longer.
+func (n *Node) Wall(now int64) {
+	if n.wall = now; n.now-n.aged < expireEach {
+		return
+	}
+	n.aged = n.now
+	for num := range n.slots {
+		if s := &n.slots[num]; s.leads && len(s.records) > 0 && s.active() && len(s.full) >= n.cfg.Least {
+			n.expire(num, s)
+		}
+	}
+}
+
+// expire drops records that were held for their time, like any other write but that nothing is left of them.
+func (n *Node) expire(num int, s *slot) {
+	var old []string
+	for key, r := range s.records {
+		for _, k := range n.cfg.Keeps {
+			if strings.HasPrefix(key, k.Prefix) && n.wall-r.Born > int64(k.For/time.Second) {
+				old = append(old, key)
+			}
+		}
+	}
+	slices.Sort(old)
+	for _, key := range old[:min(len(old), expireMost)] {
+		if !slices.ContainsFunc(s.flight, func(f *flight) bool { return f.record.Key == key }) {
+			gone := Record{Key: key}
+			n.set(s, gone)
+			n.write(num, s, []Record{gone}, false)
+			n.fly(num, s, &flight{record: gone, drops: true})
+		}
+	}
+}
+
 // View tells of a slot's newest view. Older ones than the one that is known change nothing.
 func (n *Node) View(num int, v views.View) {
 	s := &n.slots[num]
@@ -408,6 +456,11 @@
 		f.record, f.result.Record = next, next
 	}
 	// What is only told goes the same way: an overtaken primary, which does not know of its end yet, would tell what is over.
+	n.fly(num, s, f)
+}
+
+// fly sends a write, or a word that only asks whether all holders follow yet, on its way to all of them.
+func (n *Node) fly(num int, s *slot, f *flight) {
 	s.seq++
 	f.seq, f.digest = s.seq, s.digest
 	s.flight = append(s.flight, f)
@@ -427,7 +480,7 @@
 		p.owes = n.now
 	}
 	m := Msg{Kind: MsgWrite, To: id, Slot: num, Ballot: s.ballot, Seq: f.seq}
-	if f.record.Version > 0 {
+	if f.record.Version > 0 || f.drops {
 		m.Records = []Record{f.record}
 	}
 	n.send(m)
@@ -503,8 +556,10 @@
 			}
 		}
 		s.flight = s.flight[1:]
-		n.reply(num, f.from, f.result)
-		if q := s.queue[f.record.Key]; f.record.Version > 0 && len(q) > 0 && !slices.ContainsFunc(s.flight, func(o *flight) bool { return o.record.Key == f.record.Key }) {
+		if !f.drops {
+			n.reply(num, f.from, f.result)
+		}
+		if q := s.queue[f.record.Key]; (f.record.Version > 0 || f.drops) && len(q) > 0 && !slices.ContainsFunc(s.flight, func(o *flight) bool { return o.record.Key == f.record.Key }) {
 			delete(s.queue, f.record.Key)
 			s.waiting -= len(q)
 			for _, one := range q {
@@ -677,6 +732,10 @@
 		n.keys--
 		n.bytes -= len(old.Key) + len(old.Value)
 	}
+	if r.Version == 0 { // it is no more
+		delete(s.records, r.Key)
+		return
+	}
 	s.records[r.Key] = r
 	s.digest ^= sum(r)
 	n.keys++
--- a/internal/fleet/core/core.go
+++ b/internal/fleet/core/core.go
@@ -19,8 +19,8 @@
 const (
 	pollEach  = 250 * time.Millisecond
 	foundEach = 500 * time.Millisecond
-	voteEach  = time.Second     // changes of who votes
-	soundFor  = 3 * time.Second // a member that is to vote has been here so long
+	voteEach  = time.Second / 2 // changes of who votes
+	soundFor  = time.Second     // a member that is to vote has been here so long
 	freshFor  = 2 * time.Second // an answer that a seed knows of no fleet counts so long
 )
 
@@ -39,6 +39,7 @@
 	Keys   int // records that are held here at most,
 	Bytes  int // and their bytes
 	Ops    int // operations that wait
+	Keeps  []copies.Keep
 }
 
 // Saved is what is on disk.
@@ -132,7 +133,7 @@
 		fresh: map[string]time.Duration{}, poll: now, found: now, vote: now, said: saved.Fleet}
 	c.known.Fleet = saved.Fleet
 	c.held = copies.New(copies.Config{ID: cfg.Self.ID, Life: cfg.Life, Least: min(2, cfg.Copies), MostKeys: cfg.Keys, MostBytes: cfg.Bytes,
-		MostOps: cfg.Ops}, now)
+		MostOps: cfg.Ops, Keeps: cfg.Keeps}, now)
 	for _, num := range sortedSlots(saved.Slots) {
 		c.held.Load(num, saved.Slots[num].Ballot, saved.Slots[num].Records)
 	}
@@ -173,6 +174,9 @@
 	}
 }
 
+// Wall tells of the time of day, by which records age.
+func (c *Core) Wall(unix int64) { c.held.Wall(unix) }
+
 // Ask has an operation done within a span; its result comes with a Ready.
 func (c *Core) Ask(op copies.Op, within time.Duration) { c.held.Ask(op, within) }
 
@@ -363,7 +367,7 @@
 		c.steer = steer.New(steer.Config{Copies: c.cfg.Copies, Least: min(2, c.cfg.Copies), Evict: c.cfg.Evict, Joining: c.cfg.Repair}, c.now)
 	}
 	seen := append(slices.Clone(c.seen), steer.Seen{Member: c.cfg.Self, Here: true, For: time.Hour})
-	if e, is := c.steer.Decide(c.now, c.log.State(), seen); is {
+	if e, is := c.steer.Decide(c.now, c.log.State(), seen, len(c.log.Voters()) >= c.cfg.Voters); is {
 		c.log.Propose(e)
 	}
 	if c.now >= c.vote {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -15,8 +15,10 @@
 	"sabletally/internal/fleet/boottime"
 	"sabletally/internal/fleet/config"
 	"sabletally/internal/fleet/contact"
+	"sabletally/internal/fleet/copies"
 	"sabletally/internal/fleet/core"
 	"sabletally/internal/fleet/hold"
+	"sabletally/internal/fleet/intents"
 	"sabletally/internal/fleet/members"
 	"sabletally/internal/fleet/seat"
 )
@@ -108,7 +110,7 @@
 	}
 	h, err := hold.Open(hold.Options{Core: core.Config{Self: hold.Member(self), Life: s.Life, Found: rand.Text(), First: f.file.Seeds[0] == f.file.Advertise, Seeds: seeds,
 		Voters: f.file.Voters, Copies: f.file.Copies, Evict: f.file.Repair, Repair: repairing, Seed: f.seed ^ s.Life<<32, Keys: f.file.Records,
-		Bytes: f.file.Bytes, Ops: opsMost}, Fleet: f.file.Fleet, Dir: f.file.Data, Wire: w, Touch: t, Now: boottime.Now, Log: f.log})
+		Bytes: f.file.Bytes, Ops: opsMost, Keeps: []copies.Keep{{Prefix: intents.Prefix, For: intents.Keep}}}, Fleet: f.file.Fleet, Dir: f.file.Data, Wire: w, Touch: t, Now: boottime.Now, Log: f.log})
 	if err != nil {
 		t.Close()
 		s.Close()
@@ -188,11 +190,11 @@
 	Sent     int64  `json:"sent"` // bytes of datagrams
 	Heard    int64  `json:"heard"`
 
-	Held *Held `json:"held,omitempty"`
+	Held *Holdings `json:"held,omitempty"`
 }
 
-// Held is what lies here, and what is agreed.
-type Held struct {
+// Holdings is what lies here, and what is agreed.
+type Holdings struct {
 	ID       string         `json:"id"` // of the fleet, drawn when it was founded; empty before
 	Epoch    uint64         `json:"epoch"`
 	Members  int            `json:"members"` // of the epoch
@@ -252,7 +254,7 @@
 	r.Health, r.Stalls, r.Refused, r.Odd = s.Health, s.Stalls, s.Refused, s.Odd
 	r.Dropped, r.Unopened, r.Sent, r.Heard = w.Dropped.Load(), w.Unopened.Load(), w.Sent.Load(), w.Heard.Load()
 	a := h.Status()
-	r.Held = &Held{ID: a.Fleet, Epoch: a.Epoch, Members: a.Members, Voters: a.Voters, Leads: a.Leads, Slots: a.Slots, Mine: a.Mine, Records: a.Keys,
+	r.Held = &Holdings{ID: a.Fleet, Epoch: a.Epoch, Members: a.Members, Voters: a.Voters, Leads: a.Leads, Slots: a.Slots, Mine: a.Mine, Records: a.Keys,
 		Bytes: a.Bytes, File: a.File, Disk: a.Disk, Refusals: a.Refusals, Sent: a.Sent, Got: a.Got, Dropped: a.Dropped, Odd: a.Odd, Writes: a.Writes}
 	machines := map[string]bool{s.Self.Machine: true}
 	for _, k := range s.Others {
--- a/internal/fleet/hold/hold.go
+++ b/internal/fleet/hold/hold.go
@@ -193,6 +193,7 @@
 	h.mu.Unlock()
 	at := h.seen()
 	h.core.Clock(h.opt.Now(), at)
+	h.core.Wall(time.Now().Unix())
 	for _, p := range packets {
 		if err := h.core.Step(p); err != nil {
 			h.links.odd.Add(1)
--- /dev/null
+++ b/internal/fleet/intents/intents.go
@@ -0,0 +1,155 @@
+// Package intents decides what a balancer may do with a circuit whose grade is held: before the first byte goes to a server the
+// fleet has to hold that it will, and before a success is told, that it was. It is pure: results of operations in, the next operation
+// or a word out. It must never let a byte out on an operation whose end is not known, and never let two owners take themselves for
+// the one: who takes over writes the old one's end first, in the one order that all holders have.
+package intents
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"sabletally/internal/fleet/copies"
+)
+
+const (
+	stepsMost = 6                // operations for one question: each that conflicts tells what is there by now
+	Keep      = 10 * time.Minute // how long one is held from its first promise on
+)
+
+// Key is where the intent of a circuit's id lies.
+func Key(id uint64) string { return fmt.Sprintf("intent/%016x", id) }
+
+// Prefix is what all keys of intents begin with.
+const Prefix = "intent/"
+
+// state of an intent.
+type state string
+
+const (
+	meant    state = "meant"    // its owner may write to a server
+	answered state = "answered" // Answer is the final answer
+	broken   state = "broken"   // somebody asked again while nothing was answered: it may have run, and will not again
+	never    state = "never"    // it never ran: whoever asks next may
+)
+
+// Intent is a record's value.
+type Intent struct {
+	State  state  `json:"state"`
+	Owner  string `json:"owner"`            // of a circuit, never of another one
+	Server string `json:"server,omitempty"` // of the newest try
+	Answer []byte `json:"answer,omitempty"`
+}
+
+// Verdict on a question.
+type Verdict uint8
+
+const (
+	Wait     Verdict = iota // for an operation's end
+	Go                      // the owner may write
+	Same                    // it was answered: Answer is the word
+	Broken                  // it is broken off
+	CantSay                 // no promise in time: it never ran here
+	Promised                // the answer is held
+)
+
+// Circuit is one circuit's intent, from its first try to its answer.
+type Circuit struct {
+	Key     string
+	Owner   string
+	Born    int64
+	version uint64 // of this owner's newest write
+	mine    bool
+	goal    goal
+	next    Intent
+	steps   int
+	ops     int
+
+	Answer []byte // with Same
+}
+
+type goal uint8
+
+const (
+	begin goal = iota
+	takeOver
+	tell
+)
+
+// New is a circuit for which nothing was asked yet.
+func New(id uint64, owner string, born int64) *Circuit {
+	return &Circuit{Key: Key(id), Owner: owner, Born: born}
+}
+
+// Mine tells whether the fleet holds this owner's intent, as far as is known.
+func (c *Circuit) Mine() bool { return c.mine }
+
+// Begin asks for the right to write to a server: the first operation of it.
+func (c *Circuit) Begin(server string) copies.Op {
+	c.goal, c.steps = begin, 0
+	c.next = Intent{State: meant, Owner: c.Owner, Server: server}
+	return c.op(c.version)
+}
+
+// Tell has the final answer held.
+func (c *Circuit) Tell(answer []byte) copies.Op {
+	c.goal, c.steps = tell, 0
+	c.next = Intent{State: answered, Owner: c.Owner, Answer: answer}
+	return c.op(c.version)
+}
+
+// Withdraw says that it never ran; nobody waits for it.
+func (c *Circuit) Withdraw() copies.Op {
+	c.next = Intent{State: never, Owner: c.Owner}
+	return c.op(c.version)
+}
+
+func (c *Circuit) op(version uint64) copies.Op {
+	text, err := json.Marshal(c.next)
+	if err != nil {
+		panic(err) // plain values
+	}
+	c.ops++
+	return copies.Op{ID: fmt.Sprintf("%s.%d", c.Owner, c.ops), Key: c.Key, If: version, Value: text, Born: c.Born}
+}
+
+// Ended takes an operation's end: a verdict, or Wait and the next operation.
+func (c *Circuit) Ended(r copies.Result) (Verdict, copies.Op) {
+	switch r.Outcome {
+	case copies.Done:
+		if c.goal == takeOver {
+			return Broken, copies.Op{}
+		}
+		c.version, c.mine = r.Record.Version, true
+		if c.goal == tell {
+			return Promised, copies.Op{}
+		}
+		return Go, copies.Op{}
+	case copies.Conflict:
+	default:
+		return CantSay, copies.Op{}
+	}
+	c.steps++
+	var there Intent
+	if r.Record.Gone || r.Record.Version == 0 { // it was held for its time and dropped
+		if c.mine || c.steps > stepsMost {
+			return CantSay, copies.Op{}
+		}
+		return Wait, c.op(0)
+	}
+	if err := json.Unmarshal(r.Record.Value, &there); err != nil || c.steps > stepsMost {
+		return CantSay, copies.Op{}
+	}
+	switch {
+	case there.State == answered:
+		c.Answer = there.Answer
+		return Same, copies.Op{}
+	case there.State == broken, c.mine: // another one has taken over what this owner had
+		return Broken, copies.Op{}
+	case there.State == never:
+		return Wait, c.op(r.Record.Version)
+	}
+	c.goal = takeOver
+	c.next = Intent{State: broken, Owner: c.Owner}
+	return Wait, c.op(r.Record.Version)
+}
--- /dev/null
+++ b/internal/fleet/intents/intents_test.go
@@ -0,0 +1,137 @@
+package intents
+
+import (
+	"fmt"
+	"testing"
+
+	"sabletally/internal/fleet/copies"
+)
+
+// world is one key in every state that two circuits and holders can bring about, walked whole.
+type world struct {
+	rec   copies.Record
+	own   [2]Circuit
+	phase [2]int // 0 not begun, 1 asks, 2 may write, 3 wrote, 4 asks to tell, 5 ended
+	op    [2]copies.Op
+	late  [2]copies.Op // on its way yet, though nobody waits for it any more
+	ran   [2]bool
+	word  [2]string
+}
+
+// apply is what the copies do with an operation, as one key's owner sees it.
+func apply(rec copies.Record, op copies.Op) (copies.Record, copies.Result) {
+	there := rec.Version > 0 && !rec.Gone
+	if there && op.If != rec.Version || !there && op.If != 0 {
+		return rec, copies.Result{Op: op.ID, Outcome: copies.Conflict, Record: rec}
+	}
+	rec = copies.Record{Key: op.Key, Version: rec.Version + 1, Value: op.Value, Op: op.ID}
+	return rec, copies.Result{Op: op.ID, Outcome: copies.Done, Record: rec}
+}
+
+func (w world) String() string {
+	return fmt.Sprint(string(w.rec.Value), w.rec.Version, w.phase, w.ran, w.word, w.own[0].goal, w.own[1].goal, w.own[0].version, w.own[1].version,
+		w.own[0].steps, w.own[1].steps, w.op[0].If, w.op[1].If, string(w.op[0].Value), string(w.op[1].Value),
+		w.late[0].ID, w.late[1].ID, w.late[0].If, w.late[1].If)
+}
+
+// next are all worlds that one step leads to: an operation takes hold and is heard of, takes hold and is not, or does not; a
+// circuit that may write writes, or its process stalls for good.
+func (w world) next() (all []world) {
+	for i := range 2 {
+		if w.late[i].ID != "" {
+			n := w
+			n.rec, _ = apply(w.rec, w.late[i])
+			n.late[i] = copies.Op{}
+			all = append(all, n)
+		}
+		switch w.phase[i] {
+		case 0:
+			n := w
+			n.op[i] = n.own[i].Begin("s")
+			n.phase[i] = 1
+			all = append(all, n)
+		case 1, 4:
+			rec, res := apply(w.rec, w.op[i])
+			heard := w
+			heard.rec = rec
+			heard.hear(i, res)
+			lost := w // done, and nobody hears
+			lost.rec = rec
+			lost.hear(i, copies.Result{Outcome: copies.Unknown})
+			refused, delayed := w, w
+			refused.hear(i, copies.Result{Outcome: copies.Refused})
+			delayed.hear(i, copies.Result{Outcome: copies.Unknown})
+			delayed.late[i] = w.op[i]
+			all = append(all, heard, lost, refused, delayed)
+		case 2:
+			wrote, stalls := w, w
+			wrote.ran[i], wrote.phase[i] = true, 3
+			stalls.phase[i] = 5
+			all = append(all, wrote, stalls)
+		case 3: // the server says UP, or the process ends
+			up, ends := w, w
+			up.op[i] = up.own[i].Tell([]byte("UP"))
+			up.phase[i] = 4
+			ends.phase[i] = 5
+			all = append(all, up, ends)
+		}
+	}
+	return all
+}
+
+func (w *world) hear(i int, r copies.Result) {
+	v, op := w.own[i].Ended(r)
+	switch v {
+	case Wait:
+		w.op[i] = op
+	case Go:
+		w.phase[i] = 2
+	case Promised:
+		w.phase[i], w.word[i] = 5, "UP"
+	case CantSay:
+		if w.phase[i] == 4 { // it ran: what the server said is told
+			w.word[i] = "UP"
+		} else {
+			w.word[i] = "BUSY"
+		}
+		w.phase[i] = 5
+	default:
+		w.phase[i], w.word[i] = 5, map[Verdict]string{Same: "same", Broken: "ERR"}[v]
+	}
+}
+
+// TestNothingRunsTwice walks every state of two owners of one id. Guards against a second owner that runs what the first has run
+// or may run yet, and one that tells of an answer that there was none.
+func TestNothingRunsTwice(t *testing.T) {
+	begin := world{own: [2]Circuit{*New(7, "a", 1), *New(7, "b", 1)}}
+	seen, queue, depth := map[string]bool{begin.String(): true}, []world{begin}, 0
+	ran := 0
+	for len(queue) > 0 {
+		var more []world
+		for _, w := range queue {
+			if w.ran[0] && w.ran[1] {
+				t.Fatalf("both ran: %v", w)
+			}
+			for i := range 2 {
+				if w.word[i] == "same" && !w.ran[1-i] {
+					t.Fatalf("an answer to what never ran: %v", w)
+				}
+				if w.ran[i] {
+					ran++
+				}
+			}
+			for _, n := range w.next() {
+				if k := n.String(); !seen[k] {
+					seen[k] = true
+					more = append(more, n)
+				}
+			}
+		}
+		queue = more
+		depth++
+	}
+	t.Logf("%d states, depth %d", len(seen), depth)
+	if len(seen) < 150 || ran == 0 {
+		t.Errorf("only %d states, %d of them after a run", len(seen), ran)
+	}
+}
--- a/internal/fleet/steer/steer.go
+++ b/internal/fleet/steer/steer.go
@@ -78,8 +78,9 @@
 	t.next = min(t.next, now)
 }
 
-// Decide answers what to propose now; false where nothing is due.
-func (t *Steerer) Decide(now time.Duration, st *views.State, seen []Seen) (views.Entry, bool) {
+// Decide answers what to propose now; false where nothing is due. Slots get their first views only once the log has its voters
+// (voted): what is promised before would be out of reach with the one member that knows who holds it.
+func (t *Steerer) Decide(now time.Duration, st *views.State, seen []Seen, voted bool) (views.Entry, bool) {
 	if now < t.next || st.Fleet == "" {
 		return views.Entry{}, false
 	}
@@ -117,6 +118,9 @@
 			break
 		}
 		v := st.Views[num]
+		if v.Num == 0 && !voted {
+			continue
+		}
 		c, is := t.slot(num, v, here, joining < t.cfg.Joining)
 		if !is {
 			continue
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -162,6 +162,12 @@
 				}
 			}
 			for _, one := range w.Records {
+				if one.Version == 0 { // it is no more
+					if err := held.Delete(append(num[:2:2], one.Key...)); err != nil {
+						return err
+					}
+					continue
+				}
 				text, err := cbor.Marshal(one)
 				if err == nil {
 					err = put(held, append(num[:2:2], one.Key...), seal(text))
--- a/internal/lab/field/band.go
+++ b/internal/lab/field/band.go
@@ -29,6 +29,7 @@
 	Ties *standin.Ties
 	dir  string
 	all  []*Process
+	More string // of each member's file, behind the block
 }
 
 // NewBand makes the ways between so many members, whose files and directories lie in dir.
@@ -65,7 +66,7 @@
 
   repair_after = "2s"
 }
-`, b.Ties.Listen(i), b.Ties.Reached(i), strings.Join(seeds, ", "), b.Data(i), copies, i, Zone(i%max(zones, 1)))
+%s`, b.Ties.Listen(i), b.Ties.Reached(i), strings.Join(seeds, ", "), b.Data(i), copies, i, Zone(i%max(zones, 1)), b.More)
 	file := filepath.Join(b.dir, fmt.Sprintf("fleet-%d.hcl", i))
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
--- a/internal/lab/fleetworld/disk.go
+++ b/internal/lab/fleetworld/disk.go
@@ -54,7 +54,9 @@
 			clear(s.records)
 		}
 		for _, one := range w.Records {
-			s.records[one.Key] = one
+			if s.records[one.Key] = one; one.Version == 0 {
+				delete(s.records, one.Key)
+			}
 		}
 	}
 }
--- a/internal/lab/fleetworld/world.go
+++ b/internal/lab/fleetworld/world.go
@@ -218,6 +218,7 @@
 	}
 	n.waiting = nil
 	n.core.Clock(w.now, w.sight(n))
+	n.core.Wall(int64(w.now / time.Second))
 	w.ready(n)
 }
 
