The cost of a held grade, measured by hand

A promise is two ways there and back, and a circuit waits for two: before its first byte, beside the dial, and before its yes is told. Not done: 5,000 set-ups a second of other grades beside it.

--- /dev/null
+++ b/cmd/sabletally/fleet_cost_test.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sabletally/internal/lab/standin"
+)
+
+// The cost of a held grade: go test ./cmd/sabletally -run TestCostOfHolding -cost -v
+var cost = flag.Bool("cost", false, "measure what holding costs; takes a minute")
+
+// TestCostOfHolding sets circuits up at a rate, of a grade that is held and of one that is not, over ways of several lengths.
+func TestCostOfHolding(t *testing.T) {
+	if !*cost {
+		t.Skip("by hand")
+	}
+	for _, many := range []int{3, 5} {
+		for _, late := range []time.Duration{0, time.Millisecond, 5 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%d members, %v", many, late), func(t *testing.T) { costs(t, many, late) })
+		}
+	}
+}
+
+func costs(t *testing.T, many int, late time.Duration) {
+	const rate, count = 100, 500
+	a := agent(t)
+	script := standin.NewScript(100, 4*bound)
+	t.Cleanup(script.Close)
+	for _, uid := range []string{"s-1", "s-2", "s-3", "s-4"} {
+		addr, err := script.Listen(uid)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.Set(entry(uid, addr, standin.InService))
+	}
+	go func() {
+		for e := range script.Sessions {
+			io.WriteString(e, "UP 1\r\n")
+		}
+	}()
+	m := enlistNow(t, many, false, "hold \"intents\" { grades = [\"pay\"] }\n", a)
+	m.want("every slot has its holders", m.all, repaired)
+	m.Ties.Set(func(_, _ int, tie *standin.Tie) { tie.Late = late })
+	if err := m.procs[0].Yes(); err != nil {
+		t.Fatal(err)
+	}
+	for n, grade := range []string{"order", "pay", "order", "pay"} {
+		h := hdrhistogram.New(1, int64(10*time.Second/time.Microsecond), 3)
+		var mu sync.Mutex
+		var all sync.WaitGroup
+		failed := 0
+		began := time.Now()
+		for i := range count {
+			due := began.Add(time.Duration(i) * time.Second / rate)
+			time.Sleep(time.Until(due))
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				c, err := net.Dial("tcp", m.procs[0].Addr)
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				id := 1 + 1000*(n+1) + i
+				fmt.Fprintf(c, "OPEN %016x 7f3a9c21e0b4d655 c=%s,t=acme,d=8000,g=%x\r\n", id, grade, id)
+				got, _ := bufio.NewReader(c).ReadString('\n')
+				mu.Lock()
+				defer mu.Unlock()
+				if !strings.HasPrefix(got, "UP") {
+					failed++
+					return
+				}
+				h.RecordValue(time.Since(due).Microseconds())
+			}()
+		}
+		all.Wait()
+		t.Logf("%s: p50 %.2f ms, p99 %.2f ms, %d failed", grade, float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000, failed)
+	}
+	r := m.report(0).Held
+	t.Logf("n0: %d records, %d bytes, file %d, %d writes, sent %d", r.Records, r.Bytes, r.File, r.Writes, r.Sent)
+}
--- a/cmd/sabletally/fleet_test.go
+++ b/cmd/sabletally/fleet_test.go
@@ -35,6 +35,10 @@
 
 func enlistWith(t *testing.T, many int, shared bool, more string, a *standin.Agent) *members {
 	t.Parallel()
+	return enlistNow(t, many, shared, more, a)
+}
+
+func enlistNow(t *testing.T, many int, shared bool, more string, a *standin.Agent) *members {
 	dir := t.TempDir()
 	b, err := field.NewBand(many, dir, 11)
 	if err != nil {
--- a/internal/fleet/contact/weigh_test.go
+++ b/internal/fleet/contact/weigh_test.go
@@ -16,7 +16,10 @@
 )
 
 // The figures of docs/design/fleet.md, in virtual time: go test ./internal/fleet/contact -run TestWeigh -weigh -v
-var weigh = flag.Bool("weigh", false, "weigh failure detectors against each other; takes minutes")
+var (
+	weigh = flag.Bool("weigh", false, "weigh failure detectors against each other; takes many minutes")
+	least = flag.Int("weigh-from", 0, "with so many members or more")
+)
 
 // found is what one arm came to.
 type found struct {
@@ -41,6 +44,9 @@
 	}
 	fmt.Println("arm | members | loss | falsely gone in 3 min | death seen by half | stall | one way cut | the cut one knows | bytes/s each")
 	for _, many := range []int{10, 100, 300} {
+		if many < *least {
+			continue
+		}
 		for _, loss := range []float64{0.01, 0.1, 0.3} {
 			for _, arm := range []struct {
 				name string
--- a/internal/lab/fleetworld/world_test.go
+++ b/internal/lab/fleetworld/world_test.go
@@ -12,6 +12,7 @@
 var (
 	seeds = flag.Int("seeds", 6, "histories in virtual time")
 	from  = flag.Uint64("from", 1, "the first seed")
+	many  = flag.Int("members", 5, "members of each")
 )
 
 func usual(seed uint64) Plan {
@@ -21,7 +22,9 @@
 // TestNothingPromisedIsLost plays histories with every fault.
 func TestNothingPromisedIsLost(t *testing.T) {
 	for seed := *from; seed < *from+uint64(*seeds); seed++ {
-		w := New(usual(seed))
+		p := usual(seed)
+		p.Members = *many
+		w := New(p)
 		err := w.Play()
 		n := w.Counts()
 		t.Logf("seed %d: %v, %d machines lost, %d killed, %d stalls, %d cuts, %d versions, %d of %d keys not judged", seed, n, w.Lost, w.Kills, w.Waits, w.Cuts, w.Views,
