An answer to an earlier process of a member is no news to the one after it

A poll of the process before it was answered with what had changed since the version that that one knew; the new process, which knew nothing, took it for everything. Answers now say from which version on they tell, and one that leaves something out is passed over.

--- a/internal/fleet/core/core.go
+++ b/internal/fleet/core/core.go
@@ -73,6 +73,7 @@
 // Told answers a poll: all that has changed since.
 type Told struct {
 	Fleet   string
+	Since   uint64 // the version that was asked from; what changed before it is not told
 	Version uint64
 	Epoch   uint64
 	Members []views.Member // nothing where they have not changed
@@ -233,7 +234,7 @@
 
 // tell answers a poll.
 func (c *Core) tell(p Packet) {
-	t := &Told{Fleet: c.known.Fleet, Version: c.known.Version, Epoch: c.known.Epoch, Slots: map[int]views.View{}, Leader: c.leader, Addr: c.cfg.Self.Addr}
+	t := &Told{Fleet: c.known.Fleet, Since: p.Poll.Version, Version: c.known.Version, Epoch: c.known.Epoch, Slots: map[int]views.View{}, Leader: c.leader, Addr: c.cfg.Self.Addr}
 	if since := p.Poll.Version; since < c.known.Version {
 		if c.members > since {
 			t.Members = c.known.Members
@@ -257,7 +258,8 @@
 	if t.Leader != "" {
 		c.leader = t.Leader
 	}
-	if t.Version <= c.known.Version {
+	// An answer to a process before this one, which knew more, leaves out what this one lacks.
+	if t.Version <= c.known.Version || t.Since > c.known.Version {
 		return
 	}
 	if c.known.Fleet == "" {
