A member that leaves as planned hands over what it holds before it ends

Need: SIGTERM of a member left its slots with a holder less, which was repaired only after it had been gone for a while. Change: a member that is told to end says that it goes; it stays a holder while others join and is then left out of views and voters; the log's leader hands the lead on. At most half of what a planned restart waits beyond its clients; what is not handed over by then is repaired like a lost machine's, with its disk still there. Virtual time has it as a fault beside all others.

--- a/cmd/sabletally/fleet_test.go
+++ b/cmd/sabletally/fleet_test.go
@@ -268,6 +268,15 @@
 			return field.Together(5)(r) && repaired(r) && r.Held.Epoch > was.Held.Epoch && r.Held.Members == 5 && old < 0
 		})
 	}
+	// One that leaves as planned hands over before it ends.
+	m.procs[2].Signal(syscall.SIGTERM)
+	<-m.procs[2].Exited()
+	if tail := m.procs[2].Tail(); !strings.Contains(tail, `"fleet: handed over","name":"n2","all":true`) {
+		t.Errorf("it left with what it held: %s", tail)
+	}
+	if r := m.report(4); !repaired(r) || r.Held.Members != 4 {
+		t.Errorf("after one has left: %+v", r.Held)
+	}
 	for _, p := range m.procs {
 		p.Signal(syscall.SIGKILL)
 	}
--- a/cmd/sabletally/main.go
+++ b/cmd/sabletally/main.go
@@ -132,6 +132,7 @@
 	}()
 
 	var exit <-chan time.Time
+	handed := make(chan struct{}) // what is held for others is, by others
 	for {
 		select {
 		case sig := <-signals:
@@ -145,14 +146,25 @@
 				for _, limit := range s.Deployment.OuterLimits {
 					longest = max(longest, limit)
 				}
-				if member != nil && l.HasHeir() { // which goes on as this member
-					member.Close()
-				}
 				within := min(longest, leaveMost) + leaveExtra
 				l.Leave(comeOn, within, func() { close(emptied) })
 				exit = time.After(within + stayOn)
+				go func() {
+					defer close(handed)
+					switch {
+					case member == nil:
+					case l.HasHeir(): // which goes on as this member
+						member.Close()
+					default:
+						member.HandOver(within + stayOn/2)
+					}
+				}()
 			}
 		case <-emptied:
+			select {
+			case <-handed:
+			case <-exit:
+			}
 			l.Report("exit")
 			return 0
 		case <-exit:
--- a/internal/fleet/agree/agree.go
+++ b/internal/fleet/agree/agree.go
@@ -232,6 +232,9 @@
 	return n.rn.ProposeConfChange(cc)
 }
 
+// Hand has another voter lead, if it has all that this one has.
+func (n *Node) Hand(to uint64) { n.rn.TransferLeader(to) }
+
 // Unreachable tells that a message to a voter may not have come.
 func (n *Node) Unreachable(id uint64) { n.rn.ReportUnreachable(id) }
 
--- a/internal/fleet/contact/contact.go
+++ b/internal/fleet/contact/contact.go
@@ -57,14 +57,15 @@
 	ml   *memberlist.Memberlist
 	list *members.Table
 
-	mu     sync.Mutex
-	inbox  []func()
-	missed bool // more came than was kept
-	wake   chan struct{}
-	beat   atomic.Int64 // when the newest one was
-	status atomic.Pointer[Status]
-	words  *memberlist.TransmitLimitedQueue // that go on from member to member
-	odd    atomic.Int64                     // strangers, words that can't be read, and what else the library found wrong
+	mu      sync.Mutex
+	inbox   []func()
+	missed  bool // more came than was kept
+	wake    chan struct{}
+	leaving atomic.Bool
+	beat    atomic.Int64 // when the newest one was
+	status  atomic.Pointer[Status]
+	words   *memberlist.TransmitLimitedQueue // that go on from member to member
+	odd     atomic.Int64                     // strangers, words that can't be read, and what else the library found wrong
 
 	done chan struct{}
 	all  sync.WaitGroup
@@ -121,6 +122,12 @@
 	return s
 }
 
+// Leaving has the others know that this member will go; it is still here for all it holds. It waits leaveIn at most.
+func (c *Contact) Leaving() {
+	c.leaving.Store(true)
+	c.ml.UpdateNode(leaveIn)
+}
+
 // Leave says goodbye, for leaveIn at most, and closes; Close does without the goodbye, where another process goes on as
 // this member.
 func (c *Contact) Leave() {
@@ -306,7 +313,9 @@
 
 // NodeMeta is what goes through the fleet with this member's address.
 func (d *delegate) NodeMeta(limit int) []byte {
-	text := describe(d.c.opt.Self)
+	m := d.c.opt.Self
+	m.Leaving = d.c.leaving.Load()
+	text := describe(m)
 	if len(text) > limit {
 		panic(fmt.Sprintf("%d bytes tell of a member where %d may", len(text), limit)) // the file bounds its names
 	}
--- a/internal/fleet/contact/meta.go
+++ b/internal/fleet/contact/meta.go
@@ -22,10 +22,11 @@
 	Life    uint64 `json:"l"`
 	Speaks  int    `json:"v"`
 	Oldest  int    `json:"o"`
+	Leaving bool   `json:"g,omitempty"`
 }
 
 func describe(m members.Member) []byte {
-	text, err := json.Marshal(meta{m.Name, m.Machine, m.Zone, m.Site, m.Life, m.Speaks, m.Oldest})
+	text, err := json.Marshal(meta{m.Name, m.Machine, m.Zone, m.Site, m.Life, m.Speaks, m.Oldest, m.Leaving})
 	if err != nil {
 		panic(err) // plain values
 	}
@@ -46,7 +47,7 @@
 		return m, fmt.Errorf("member %s (%s) speaks forms %d to %d, this one %d to %d", n.Name, in.Name, in.Oldest, in.Speaks, Oldest, Form)
 	}
 	return members.Member{ID: n.Name, Name: in.Name, Addr: netip.AddrPortFrom(addr.Unmap(), n.Port), Machine: in.Machine, Zone: in.Zone,
-		Site: in.Site, Life: in.Life, Speaks: in.Speaks, Oldest: in.Oldest}, nil
+		Site: in.Site, Life: in.Life, Speaks: in.Speaks, Oldest: in.Oldest, Leaving: in.Leaving}, nil
 }
 
 // bye is a member's word that it leaves as planned, with the life that it is the end of. The library's own word for it does not
--- a/internal/fleet/core/core.go
+++ b/internal/fleet/core/core.go
@@ -120,6 +120,8 @@
 	vote  time.Duration
 	fresh map[string]time.Duration // seeds, by address, that know of no fleet
 
+	leaves bool
+
 	said string // the fleet's ID, as it was written
 	out  Ready
 }
@@ -175,6 +177,9 @@
 	}
 }
 
+// Leave tells that this member will go: others are to hold what it holds, and to lead.
+func (c *Core) Leave() { c.leaves = true }
+
 // Wall tells of the time of day, by which records age.
 func (c *Core) Wall(unix int64) { c.held.Wall(unix) }
 
@@ -368,7 +373,16 @@
 		c.term = c.log.Term()
 		c.steer = steer.New(steer.Config{Copies: c.cfg.Copies, Least: min(2, c.cfg.Copies), Evict: c.cfg.Evict, Joining: c.cfg.Repair}, c.now)
 	}
-	seen := append(slices.Clone(c.seen), steer.Seen{Member: c.cfg.Self, Here: true, For: time.Hour})
+	if c.leaves && c.now >= c.vote {
+		c.vote = c.now + voteEach
+		for _, m := range c.seen {
+			if id := agree.Number(m.ID); m.Here && !m.Going && slices.Contains(c.log.Voters(), id) {
+				c.log.Hand(id)
+				break
+			}
+		}
+	}
+	seen := append(slices.Clone(c.seen), steer.Seen{Member: c.cfg.Self, Here: true, Going: c.leaves, For: time.Hour})
 	if e, is := c.steer.Decide(c.now, c.log.State(), seen, len(c.log.Voters()) >= c.cfg.Voters); is {
 		c.log.Propose(e)
 	}
@@ -405,7 +419,7 @@
 	var begin []uint64
 	for _, m := range seen {
 		id := agree.Number(m.ID)
-		if len(begin) < lacking && m.Here && m.For >= soundFor && member[id].ID == m.ID && !slices.Contains(voters, id) && !machines[m.Machine] {
+		if len(begin) < lacking && m.Here && !m.Going && m.For >= soundFor && member[id].ID == m.ID && !slices.Contains(voters, id) && !machines[m.Machine] {
 			begin = append(begin, id)
 			machines[m.Machine] = true
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,8 +26,9 @@
 
 const (
 	takeEach  = 20 * time.Millisecond // how often the new process of an upgrade looks whether the old one has let go
-	repairing = 8                     // slots that are copied to somebody at once
-	opsMost   = 4096                  // operations that wait here
+	handEach  = 50 * time.Millisecond
+	repairing = 8    // slots that are copied to somebody at once
+	opsMost   = 4096 // operations that wait here
 )
 
 // Fleet is this process's part.
@@ -143,6 +145,30 @@
 	return f.held, f.seat.Member
 }
 
+// HandOver has what lies here be held by others before this member goes, within a span; it waits for that. What could not be
+// handed over is repaired as if the machine were lost, and its disk is still there.
+func (f *Fleet) HandOver(within time.Duration) {
+	f.mu.Lock()
+	t, h := f.touch, f.held
+	f.mu.Unlock()
+	if t == nil || !slices.ContainsFunc(t.Status().Others, func(k members.Known) bool { return k.State == members.Here && !k.Leaving }) {
+		return // there is nobody to hand over to
+	}
+	began := time.Now()
+	h.Leave()
+	t.Leaving()
+	for {
+		s := h.Status()
+		if done := s.Mine == 0 && !s.Leads; done || time.Since(began) > within {
+			f.log.Info("fleet: handed over", zap.Bool("all", done), zap.Int("slots-left", s.Mine), zap.Duration("after", time.Since(began)))
+			return
+		}
+		if !f.rest(handEach) {
+			return
+		}
+	}
+}
+
 // Leave says goodbye to the others and ends this part; it takes a second at most.
 func (f *Fleet) Leave() { f.end((*contact.Contact).Leave) }
 
--- a/internal/fleet/hold/hold.go
+++ b/internal/fleet/hold/hold.go
@@ -68,6 +68,7 @@
 	packets []core.Packet
 	asks    []ask
 	over    bool
+	leaving bool
 	wake    chan struct{}
 	done    chan struct{}
 	all     sync.WaitGroup
@@ -123,6 +124,14 @@
 	h.poke()
 }
 
+// Leave has what lies here be copied to others, as this member will go.
+func (h *Hold) Leave() {
+	h.mu.Lock()
+	h.leaving = true
+	h.mu.Unlock()
+	h.poke()
+}
+
 // Status is what was known at the newest turn.
 func (h *Hold) Status() Status { return *h.status.Load() }
 
@@ -188,9 +197,12 @@
 // turn takes in all that is there, and carries out what follows: first to disk, all of it together, then out.
 func (h *Hold) turn() {
 	h.mu.Lock()
-	packets, asks := h.packets, h.asks
+	packets, asks, leaving := h.packets, h.asks, h.leaving
 	h.packets, h.asks = nil, nil
 	h.mu.Unlock()
+	if leaving {
+		h.core.Leave()
+	}
 	at := h.seen()
 	h.core.Clock(h.opt.Now(), at)
 	h.core.Wall(time.Now().Unix())
@@ -262,7 +274,7 @@
 	now := h.opt.Now()
 	var all []steer.Seen
 	for _, k := range s.Others {
-		all = append(all, steer.Seen{Member: Member(k.Member), Left: k.State == members.Left, For: now - k.Since,
+		all = append(all, steer.Seen{Member: Member(k.Member), Left: k.State == members.Left, Going: k.Leaving, For: now - k.Since,
 			Here: k.State == members.Here})
 	}
 	return all
--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -36,6 +36,7 @@
 	Zone    string
 	Site    string
 	Life    uint64 // how often it was started
+	Leaving bool   // it will go, and is still here: others are to take over from it
 	Speaks  int    // the newest form of words between members that it knows,
 	Oldest  int    // and the oldest
 }
--- a/internal/fleet/steer/steer.go
+++ b/internal/fleet/steer/steer.go
@@ -23,9 +23,10 @@
 // Seen is how the leading member sees another one.
 type Seen struct {
 	views.Member
-	Here bool
-	Left bool          // it said so
-	For  time.Duration // so long it has been as it is
+	Here  bool
+	Left  bool          // it said so
+	Going bool          // it will leave, and is still here
+	For   time.Duration // so long it has been as it is
 }
 
 // Config is what a steerer goes by.
@@ -138,7 +139,7 @@
 	var next []views.Member
 	for _, m := range seen {
 		was := slices.ContainsFunc(st.Members, func(o views.Member) bool { return o.ID == m.ID })
-		if m.Here || was && !m.Left && m.For < t.cfg.Evict {
+		if m.Here && !m.Going || was && !m.Going && !m.Left && m.For < t.cfg.Evict {
 			next = append(next, m.Member)
 		}
 	}
--- a/internal/lab/fleetworld/play.go
+++ b/internal/lab/fleetworld/play.go
@@ -96,7 +96,7 @@
 	w.after(time.Duration(w.rng.ExpFloat64()/w.plan.Faults*float64(time.Second)), w.fault)
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	span := time.Duration(w.rng.Int64N(int64(10 * time.Second)))
-	switch w.rng.IntN(8) {
+	switch w.rng.IntN(9) {
 	case 0:
 		w.kill(n)
 	case 1:
@@ -129,6 +129,17 @@
 				w.kill(n)
 			}
 		}
+	case 8: // leaves as planned, handed over or not, and comes back
+		if n.up {
+			n.going = true
+			w.run(n, n.born, n.core.Leave)
+			born := n.born
+			w.after(span/2, func() {
+				if n.born == born {
+					w.kill(n)
+				}
+			})
+		}
 	case 7: // stopped, and for a while after it wakes it hears nothing of what was agreed meanwhile
 		if n.up {
 			w.Waits++
--- a/internal/lab/fleetworld/world.go
+++ b/internal/lab/fleetworld/world.go
@@ -102,6 +102,7 @@
 	up      bool
 	stopped time.Duration // until then nothing of it runs
 	deaf    time.Duration // until then only what concerns copies comes to it
+	going   bool          // it said that it will go
 	gone    bool          // its disk, until it comes back as another
 	waiting []func()
 	seen    map[int]sight
@@ -186,6 +187,7 @@
 		return
 	}
 	n.core, n.up, n.stopped, n.deaf, n.waiting = c, true, 0, 0, nil
+	n.going = false
 }
 
 func (w *World) fail(format string, args ...any) {
@@ -368,7 +370,7 @@
 			s.here, s.since = is, w.now
 		}
 		n.seen[o.num] = s
-		all = append(all, steer.Seen{Member: w.member(o), Here: s.here, For: w.now - s.since})
+		all = append(all, steer.Seen{Member: w.member(o), Here: s.here, Going: o.going, For: w.now - s.since})
 	}
 	return all
 }
