The list of servers is held: a balancer that starts while discovery is silent is told by the fleet

Need: a balancer that started while discovery was silent knew nothing of what its neighbours know. Change: the member that orders the record writes the list that discovery said last, with its age; a balancer that has heard nothing after 0.7 s asks for it. Up to list_young it is used; up to list_old its servers are asked for a PING, four at a time, and listed as they answer; beyond that nothing. What the list calls draining stays so; discovery's first word ends it.

--- a/cmd/sabletally/fleet_test.go
+++ b/cmd/sabletally/fleet_test.go
@@ -39,13 +39,17 @@
 }
 
 func enlistNow(t *testing.T, many int, shared bool, more string, a *standin.Agent) *members {
+	return enlistAll(t, many, shared, "", more, a)
+}
+
+func enlistAll(t *testing.T, many int, shared bool, less, more string, a *standin.Agent) *members {
 	dir := t.TempDir()
 	b, err := field.NewBand(many, dir, 11)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(b.Close)
-	b.More = more
+	b.Less, b.More = less, more
 	m := &members{Band: b, t: t}
 	for i := range many {
 		p, err := field.NewProcess(fmt.Sprintf("n%d", i), []string{os.Args[0]}, []string{"SABLETALLY_CHILD=1", "EDGE_DISCOVERY=" + a.Addr()}, dir, nil)
@@ -81,6 +85,16 @@
 	return m
 }
 
+// logsOf waits until a process's log has a word.
+func (m *members) logsOf(p *field.Process, word string) {
+	m.t.Helper()
+	for end := time.Now().Add(bound); !strings.Contains(p.Tail(), word); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			m.t.Fatalf("%s does not log %s: %s", p.Name, word, p.Tail())
+		}
+	}
+}
+
 // logs waits until a member's log has a word.
 func (m *members) logs(i int, word string) {
 	m.t.Helper()
@@ -97,7 +111,17 @@
 // single starts a balancer beside them that is no member.
 func (m *members) single() *field.Process {
 	m.t.Helper()
-	dir, a := m.t.TempDir(), agent(m.t)
+	p := m.unstarted(agent(m.t))
+	if err := p.Start(); err != nil {
+		m.t.Fatal(err)
+	}
+	return p
+}
+
+// unstarted is one that is still to be started.
+func (m *members) unstarted(a *standin.Agent) *field.Process {
+	m.t.Helper()
+	dir := m.t.TempDir()
 	p, err := field.NewProcess("single", []string{os.Args[0]}, []string{"SABLETALLY_CHILD=1", "EDGE_DISCOVERY=" + a.Addr()}, dir, nil)
 	if err == nil {
 		err = p.Operate()
@@ -105,9 +129,6 @@
 	if err == nil {
 		err = p.Write(station("single", p, a, 7))
 	}
-	if err == nil {
-		err = p.Start()
-	}
 	if err != nil {
 		m.t.Fatal(err)
 	}
@@ -396,6 +417,98 @@
 	}
 }
 
+// TestAStartWhileDiscoveryIsSilent starts a balancer that was told no list while discovery says nothing: by a young list, by an
+// old one of which most servers are gone, by one that is too old, and without a fleet. Guards against a start that waits for
+// discovery with servers at hand, and one that sends to what an old list names without a look.
+func TestAStartWhileDiscoveryIsSilent(t *testing.T) {
+	for _, c := range []struct {
+		name, less string
+		served     bool
+		candidates bool
+	}{
+		{"young", "", true, false},
+		{"old", "list_young = \"0s\"", true, true},
+		{"too old", "list_young = \"0s\"\nlist_old = \"0s\"", false, false},
+		{"no fleet", "", false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			a := agent(t)
+			script := standin.NewScript(50, 4*bound)
+			t.Cleanup(script.Close)
+			addr, err := script.Listen("s-1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			a.Set(entry("s-1", addr, standin.InService))
+			drains, err := script.Listen("s-2")
+			if err != nil {
+				t.Fatal(err)
+			}
+			a.Set(entry("s-2", drains, standin.Terminating))
+			if c.candidates { // a young list is as good as discovery's: these would be tried
+				for _, uid := range []string{"dead-1", "dead-2", "dead-3"} {
+					a.Set(entry(uid, refused(t), standin.InService))
+				}
+			}
+			m := enlistAll(t, 3, false, c.less, "", a)
+			m.want("the list is held", m.all, func(r fleet.Report) bool { return repaired(r) && r.Held.Records > 0 })
+			a.Misbehave(standin.Mute)
+			p := m.procs[2]
+			if c.name == "no fleet" {
+				p = m.unstarted(a)
+			}
+			p.Kill()
+			text := station(p.Name, p, a, 5)
+			from := strings.Index(string(text), `"known":`)
+			to := strings.Index(string(text), `,"settings"`)
+			if err := p.Write([]byte(string(text[:from]) + `"known":{"rev":0,"all":false,"targets":[]}` + string(text[to:]))); err != nil {
+				t.Fatal(err)
+			}
+			began := time.Now()
+			if err := p.Launch(); err != nil {
+				t.Fatal(err)
+			}
+			if err := p.Yes(); err != nil {
+				t.Fatal(err)
+			}
+			ready := time.Since(began)
+			conn, err := net.Dial("tcp", p.Addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			script.Hold(conn)
+			one := &ask{conn, bufio.NewReader(conn), t}
+			one.write("OPEN 00000000000000a1 7f3a9c21e0b4d655 c=feed,t=acme,d=1500,g=1\r\n")
+			if !c.served {
+				if got := one.line(); !strings.HasPrefix(got, "BUSY") {
+					t.Errorf("served without a list: %q", got)
+				}
+				t.Logf("ready after %v, nacked", ready)
+				return
+			}
+			select {
+			case e := <-script.Sessions:
+				if e.UID != "s-1" {
+					t.Errorf("sent to %s, which drains", e.UID)
+				}
+				io.WriteString(e, "UP 1\r\n")
+			case <-time.After(bound):
+				t.Fatal("no server was asked")
+			}
+			one.want("UP 1\r\n")
+			t.Logf("ready after %v, served after %v", ready, time.Since(began))
+			p.Signal(syscall.SIGUSR1)
+			m.logsOf(p, `"why":"asked"`)
+			tail := p.Tail()
+			tail = tail[strings.LastIndex(tail, `"why":"asked"`):]
+			if none := strings.Contains(tail, `"candidates":0`); none == c.candidates || !strings.Contains(tail, `"ended-connect-failed":0`) {
+				t.Errorf("candidates asked %v, wanted %v, and no try at an absent server: %s", !none, c.candidates, tail)
+			}
+		})
+	}
+}
+
 // TestAnUpgradeIsOneMember starts a new process beside a member's. Guards against two members of one balancer, and a member
 // that is gone while its balancer is upgraded.
 func TestAnUpgradeIsOneMember(t *testing.T) {
--- a/internal/balancer/counters.go
+++ b/internal/balancer/counters.go
@@ -23,6 +23,7 @@
 	Passed, Inherited                         atomic.Int64                       // circuits and clients, to the new process and from the old one
 	Sent, Heard, Dropped                      atomic.Int64                       // messages between balancers
 	SameID, Unasked, Late, Shed               atomic.Int64                       // turned away: taken id, more before the answer, silent
+	Candidates                                atomic.Int64                       // servers of a held list that were asked before they were listed
 	Held, Same, NotHeld                       atomic.Int64                       // circuits held by the fleet, answered by its word, not promised in time
 	Ended                                     [policy.NeverSent + 1]atomic.Int64 // tries and circuits, by outcome
 }
@@ -47,7 +48,7 @@
 		{"passed", &c.Passed}, {"inherited", &c.Inherited},
 		{"sent", &c.Sent}, {"heard", &c.Heard}, {"dropped", &c.Dropped},
 		{"same-id", &c.SameID}, {"unasked", &c.Unasked}, {"late", &c.Late}, {"shed", &c.Shed},
-		{"held", &c.Held}, {"same-word", &c.Same}, {"not-held", &c.NotHeld},
+		{"candidates", &c.Candidates}, {"held", &c.Held}, {"same-word", &c.Same}, {"not-held", &c.NotHeld},
 		{"errors", &c.Errors}, {"panics", &c.Panics}, {"no-room", &c.NoRoom},
 	} {
 		all = append(all, zap.Int64(f.name, f.n.Load()))
--- a/internal/balancer/held.go
+++ b/internal/balancer/held.go
@@ -32,8 +32,11 @@
 	after []func()      // what waits for the promise that is out
 }
 
-// HoldFor has circuits of the grades that the fleet holds go by it. It is called before Run.
-func (l *Loop) HoldFor(f *fleet.Fleet) { l.fleet = f }
+// HoldFor has circuits of the grades that the fleet holds go by it, and the list of servers held there. It is called before Run.
+func (l *Loop) HoldFor(f *fleet.Fleet) {
+	l.fleet = f
+	l.recall()
+}
 
 // hold begins for a circuit whose grade is held.
 func (l *Loop) hold(cir *circuit) {
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -381,6 +381,7 @@
 	if !known {
 		l.log.Debug("list", zap.Uint64("rev", list.Rev), zap.Bool("whole", list.Whole), zap.Int("entries", len(list.Servers)))
 		l.Lists.Add(1)
+		l.keepList(list.Rev)
 		if !l.listed {
 			l.listed = true
 			l.welcome()
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -11,6 +11,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"sabletally/policy"
@@ -54,21 +56,49 @@
 	"in_service": policy.Ready, "terminating": policy.Draining, "terminated": policy.Gone,
 }
 
+// form is an answer as discovery writes it.
+type form struct {
+	Rev     *uint64  `json:"rev"`
+	All     *bool    `json:"all"`
+	Targets []target `json:"targets"`
+}
+
+type target struct {
+	UID      string   `json:"uid"`
+	Endpoint string   `json:"endpoint"`
+	Zone     string   `json:"az"`
+	Cell     int      `json:"pod_group"`
+	State    string   `json:"state"`
+	Heft     *float64 `json:"capacity_hint"`
+	BootMs   int64    `json:"boot_ms"`
+}
+
+// Encode writes a list as discovery does.
+func Encode(l List) []byte {
+	out := form{Rev: &l.Rev, All: &l.Whole, Targets: []target{}}
+	for _, s := range l.Servers {
+		t := target{UID: s.UID, Endpoint: s.Endpoint, Zone: s.Zone, Cell: s.Cell, Heft: &s.Heft}
+		for name, state := range states {
+			if state == s.State {
+				t.State = name
+			}
+		}
+		if !s.Boot.IsZero() {
+			t.BootMs = s.Boot.UnixMilli()
+		}
+		out.Targets = append(out.Targets, t)
+	}
+	slices.SortFunc(out.Targets, func(a, b target) int { return strings.Compare(a.UID, b.UID) })
+	text, err := json.Marshal(out)
+	if err != nil {
+		panic(err) // plain values
+	}
+	return text
+}
+
 // Decode reads one answer; one with any fault is taken for none.
 func Decode(text []byte) (List, error) {
-	var in struct {
-		Rev     *uint64 `json:"rev"`
-		All     *bool   `json:"all"`
-		Targets []struct {
-			UID      string   `json:"uid"`
-			Endpoint string   `json:"endpoint"`
-			Zone     string   `json:"az"`
-			Cell     int      `json:"pod_group"`
-			State    string   `json:"state"`
-			Heft     *float64 `json:"capacity_hint"`
-			BootMs   int64    `json:"boot_ms"`
-		} `json:"targets"`
-	}
+	var in form
 	if err := json.Unmarshal(text, &in); err != nil {
 		return List{}, err
 	}
--- a/internal/fleet/config/config.go
+++ b/internal/fleet/config/config.go
@@ -36,6 +36,8 @@
 	Zone      string        // then what is lost together with the machine,
 	Site      string        // and with the zone
 	Gone      time.Duration // a member that is gone for longer is shown no more
+	Young     time.Duration // a held list of servers is used up to this age,
+	Old       time.Duration // and its servers are asked one by one up to this
 	Repair    time.Duration // what one held that is gone for so long is copied anew
 	Voters    int           // members that agree on who holds what
 	Records   int           // held here at most,
@@ -104,7 +106,7 @@
 }
 
 func (f *File) read(r *blocks.Reader, in *hcl.Block) {
-	b := r.Open("fleet", in.Body, in.DefRange, "listen advertise seeds data copies machine zone site gone_after repair_after voters records megabytes")
+	b := r.Open("fleet", in.Body, in.DefRange, "listen advertise seeds data copies machine zone site gone_after repair_after voters records megabytes list_young list_old")
 	b.Must("listen", "seeds", "data", "machine", "zone", "site")
 	name := func(what, text string, at hcl.Range) string {
 		if at.Empty() {
@@ -141,6 +143,10 @@
 	}
 	f.Copies = b.Whole("copies", 3, 1, mostCopies)
 	f.Gone = b.Span("gone_after", 24*time.Hour, time.Minute, 30*24*time.Hour)
+	f.Young = b.Span("list_young", 30*time.Second, 0, 24*time.Hour)
+	if f.Old = b.Span("list_old", 24*time.Hour, 0, 30*24*time.Hour); f.Old < f.Young {
+		r.At(b.At("list_old"), "list_old: %v is less than list_young, %v", f.Old, f.Young)
+	}
 	f.Repair = b.Span("repair_after", 10*time.Second, time.Second, time.Hour)
 	if f.Voters = b.Whole("voters", 3, 1, 7); f.Voters%2 == 0 {
 		r.At(b.At("voters"), "voters: %d is even: it stands no more losses than %d", f.Voters, f.Voters-1)
--- a/internal/fleet/copies/copies.go
+++ b/internal/fleet/copies/copies.go
@@ -286,6 +286,10 @@
 	num := views.SlotOf(p.op.Key)
 	s := &n.slots[num]
 	p.next = n.now + askAgain
+	if p.op.Here && !s.leads {
+		n.finish(Result{Op: p.op.ID, Outcome: Refused, Why: NotPrimary})
+		return
+	}
 	if len(s.full) == 0 {
 		return
 	}
--- a/internal/fleet/copies/words.go
+++ b/internal/fleet/copies/words.go
@@ -19,6 +19,7 @@
 	Value []byte
 	Born  int64
 	Drop  bool // the key is to go
+	Here  bool // only if this member is the primary; else it is refused at once
 	Read  bool // nothing is to change: the answer is Conflict with what is there
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,6 +43,7 @@
 	wire  *contact.Wire
 	touch *contact.Contact
 	held  *hold.Hold
+	list  list
 	said  int // words of operators'
 	over  chan struct{}
 	all   sync.WaitGroup
--- a/internal/lab/field/band.go
+++ b/internal/lab/field/band.go
@@ -29,7 +29,8 @@
 	Ties *standin.Ties
 	dir  string
 	all  []*Process
-	More string // of each member's file, behind the block
+	More string // of each member's file, behind the block,
+	Less string // and within it
 }
 
 // NewBand makes the ways between so many members, whose files and directories lie in dir.
@@ -65,8 +66,9 @@
   site      = "s"
 
   repair_after = "2s"
+  %s
 }
-%s`, b.Ties.Listen(i), b.Ties.Reached(i), strings.Join(seeds, ", "), b.Data(i), copies, i, Zone(i%max(zones, 1)), b.More)
+%s`, b.Ties.Listen(i), b.Ties.Reached(i), strings.Join(seeds, ", "), b.Data(i), copies, i, Zone(i%max(zones, 1)), b.Less, b.More)
 	file := filepath.Join(b.dir, fmt.Sprintf("fleet-%d.hcl", i))
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
