--- a/cmd/sabletally/commands.go
+++ b/cmd/sabletally/commands.go
@@ -8,8 +8,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -18,6 +21,8 @@
 	"sabletally/internal/blocks"
 	"sabletally/internal/fleet"
 	"sabletally/internal/fleet/config"
+	"sabletally/internal/fleet/seat"
+	"sabletally/internal/fleet/store"
 )
 
 const askWithin = 5 * time.Second // a balancer's operators' address answers within one
@@ -25,6 +30,7 @@
 type commands struct {
 	Fleet struct {
 		Check  checkCmd  `cmd:"" help:"Reads the fleet's file and names each fault by file, line and column."`
+		Verify verifyCmd `cmd:"" help:"Reads all of a member's directory, whose process has ended, and holds it against its checksums."`
 		Status statusCmd `cmd:"" help:"Shows how a balancer sees the fleet."`
 	} `cmd:"" help:"The other balancers, and what is held for them."`
 }
@@ -77,6 +83,38 @@
 	return nil
 }
 
+type verifyCmd struct {
+	Dir string `arg:"" help:"The directory that the fleet's file names as data."`
+}
+
+// Run reads a directory.
+func (c verifyCmd) Run() error {
+	card, err := seat.Look(c.Dir)
+	if err != nil {
+		return err
+	}
+	saved, err := store.Look(c.Dir)
+	if err != nil {
+		return err
+	}
+	kinds, all, size := map[string]int{}, 0, 0
+	for _, s := range saved.Slots {
+		for _, r := range s.Records {
+			kind, _, _ := strings.Cut(r.Key, "/")
+			kinds[kind]++
+			all++
+			size += len(r.Key) + len(r.Value)
+		}
+	}
+	fmt.Printf("%s: member %s of fleet %q (%s), machine %s, life %d\n", c.Dir, card.Member, card.Fleet, saved.Fleet, card.Machine, card.Life)
+	fmt.Printf("%d records of %d bytes in %d slots, %d entries of the log behind a snapshot of %d bytes: all checksums hold\n", all, size, len(saved.Slots),
+		len(saved.Agree.Entries), len(saved.Agree.Snapshot))
+	for _, kind := range slices.Sorted(maps.Keys(kinds)) {
+		fmt.Printf("  %s: %d\n", kind, kinds[kind])
+	}
+	return nil
+}
+
 type statusCmd struct {
 	Address string `arg:"" help:"The operators' address of a balancer, such as 127.0.0.1:15000."`
 	JSON    bool   `help:"As the balancer says it."`
@@ -115,6 +153,21 @@
 		fmt.Fprintf(out, "fleet %s: this process is no member: %s\n", s.Fleet, s.Why)
 		return
 	}
+	if h := s.Held; h != nil {
+		defer func() {
+			fmt.Fprintf(out, "epoch %d of %d members, %d records here (%d bytes, file %d), slots by holders: %v", h.Epoch, h.Members, h.Records, h.Bytes, h.File, h.Slots)
+			if h.Voters > 0 {
+				fmt.Fprintf(out, "; one of %d voters", h.Voters)
+			}
+			if h.Leads {
+				fmt.Fprint(out, ", leads the log")
+			}
+			if h.Disk != "" {
+				fmt.Fprintf(out, "; promises nothing: %s", h.Disk)
+			}
+			fmt.Fprintln(out)
+		}()
+	}
 	fmt.Fprintf(out, "fleet %s: %s, %d of %d members here, on %d machines for %d copies; health %d, stopped %d times\n", s.Fleet, s.Standing, s.Here,
 		len(s.Others)+1, s.Machines, s.Copies, s.Health, s.Stalls)
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
--- a/cmd/sabletally/fleet_test.go
+++ b/cmd/sabletally/fleet_test.go
@@ -314,6 +314,16 @@
 		t.Fatal(err)
 	}
 	starts(3, "yes")
+	if code := command([]string{"fleet", "status", m.procs[4].Mgmt}); code != 0 {
+		t.Errorf("status: exit %d", code)
+	}
+	if code := command([]string{"fleet", "verify", m.Data(4)}); code != 1 {
+		t.Errorf("verify of a directory that a process has: exit %d", code)
+	}
+	m.procs[4].Kill()
+	if code := command([]string{"fleet", "verify", m.Data(4)}); code != 0 {
+		t.Errorf("verify: exit %d", code)
+	}
 }
 
 // TestNothingRunsTwiceOverBalancers has 200 unrepeatable circuits out at servers when their balancer is lost with its disk, and asks
--- a/internal/fleet/seat/seat.go
+++ b/internal/fleet/seat/seat.go
@@ -104,6 +104,19 @@
 	return s.write()
 }
 
+// Look reads the card of a directory and changes nothing.
+func Look(dir string) (Card, error) {
+	text, err := os.ReadFile(filepath.Join(dir, "member"))
+	if err != nil {
+		return Card{}, err
+	}
+	c, err := decode(text)
+	if err != nil {
+		err = fmt.Errorf("%s: member: %w", dir, err)
+	}
+	return c, err
+}
+
 // empty tells whether nothing but the lock lies there. Guards against a directory whose card alone was lost: its member
 // would come back as another one in the middle of its own records.
 func (s *Seat) empty() error {
--- /dev/null
+++ b/internal/fleet/store/look_test.go
@@ -0,0 +1,38 @@
+package store
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"sabletally/internal/fleet/copies"
+	"sabletally/internal/fleet/core"
+)
+
+// TestALookChangesNothing reads a directory that a process has, and one that nobody has.
+func TestALookChangesNothing(t *testing.T) {
+	dir := t.TempDir()
+	if _, err := Look(dir); err == nil {
+		t.Error("a directory without a file")
+	}
+	s, _, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Write(core.Ready{Fleet: "f", Slots: []copies.Write{{Slot: 3, Records: []copies.Record{record("a", 1)}}}}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Look(dir); err == nil {
+		t.Error("read while a process has it")
+	}
+	s.Close()
+	before, _ := os.ReadFile(filepath.Join(dir, "holdings.db"))
+	got, err := Look(dir)
+	if err != nil || got.Fleet != "f" || !reflect.DeepEqual(got.Slots[3].Records, []copies.Record{record("a", 1)}) {
+		t.Error(got, err)
+	}
+	if after, _ := os.ReadFile(filepath.Join(dir, "holdings.db")); string(after) != string(before) {
+		t.Error("it was changed")
+	}
+}
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"os"
 	"path/filepath"
 	"time"
 
@@ -63,29 +64,67 @@
 	return s, saved, nil
 }
 
-func (s *Store) read() (core.Saved, error) {
-	out := core.Saved{Slots: map[int]core.Slot{}}
-	err := s.db.Update(func(tx *bbolt.Tx) error {
-		var all [4]*bbolt.Bucket
-		for i, name := range [][]byte{meta, entries, slots, records} {
-			b, err := tx.CreateBucketIfNotExists(name)
-			if err != nil {
+// Look reads the file of a directory that no process has, and changes nothing.
+func Look(dir string) (core.Saved, error) {
+	path := filepath.Join(dir, "holdings.db")
+	if _, err := os.Stat(path); err != nil {
+		return core.Saved{}, err
+	}
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openWithin, ReadOnly: true})
+	if err != nil {
+		if errors.Is(err, berrors.ErrTimeout) {
+			err = errors.New("a process has it: end that first")
+		}
+		return core.Saved{}, fmt.Errorf("%s: %w", path, err)
+	}
+	defer db.Close()
+	out := core.Saved{}
+	err = db.View(func(tx *bbolt.Tx) (err error) {
+		for _, name := range [][]byte{meta, entries, slots, records} {
+			if tx.Bucket(name) == nil {
+				return fmt.Errorf("it has no %q", name)
+			}
+		}
+		out, _, err = load(tx)
+		return err
+	})
+	if err != nil {
+		err = fmt.Errorf("%s: %w", path, err)
+	}
+	return out, err
+}
+
+func (s *Store) read() (out core.Saved, err error) {
+	err = s.db.Update(func(tx *bbolt.Tx) error {
+		for _, name := range [][]byte{meta, entries, slots, records} {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
 				return err
 			}
-			all[i] = b
 		}
-		m := all[0]
-		if f := m.Get([]byte("format")); f == nil {
+		if m := tx.Bucket(meta); m.Get([]byte("format")) == nil {
 			if err := m.Put([]byte("format"), []byte{Format}); err != nil {
 				return err
 			}
-		} else if len(f) != 1 || f[0] < 1 || f[0] > Format {
+		}
+		out, s.upto, err = load(tx)
+		return err
+	})
+	return out, err
+}
+
+// load reads all, and holds each part against its checksum.
+func load(tx *bbolt.Tx) (out core.Saved, upto uint64, err error) {
+	out.Slots = map[int]core.Slot{}
+	all := [4]*bbolt.Bucket{tx.Bucket(meta), tx.Bucket(entries), tx.Bucket(slots), tx.Bucket(records)}
+	m := all[0]
+	err = func() error {
+		if f := m.Get([]byte("format")); len(f) != 1 || f[0] < 1 || f[0] > Format {
 			return fmt.Errorf("its format is %d, written by a newer program; this one reads up to %d", f, Format)
 		}
 		out.Fleet = string(m.Get([]byte("fleet")))
 		out.Agree = agree.Saved{Hard: bytes.Clone(m.Get([]byte("hard"))), Snapshot: bytes.Clone(m.Get([]byte("snapshot")))}
 		if u := m.Get([]byte("upto")); u != nil {
-			s.upto = binary.BigEndian.Uint64(u)
+			upto = binary.BigEndian.Uint64(u)
 		}
 		if err := all[1].ForEach(func(_, v []byte) error {
 			text, err := unseal(v)
@@ -122,8 +161,8 @@
 			out.Slots[num] = one
 			return nil
 		})
-	})
-	return out, err
+	}()
+	return out, upto, err
 }
 
 // Write puts what a Ready asks for on disk, all of it or nothing, and answers once it is there. After an error every later call
