A circuit that is nacked withdraws its intent, also one whose promise was not heard of

Seen: an intent that was held although nobody heard of it in time stayed, and whoever asked again was broken off for a circuit that never ran. Change: the last thing asked for such a circuit is what is there; if it is its own, it is written that it never ran.

--- a/internal/fleet/held.go
+++ b/internal/fleet/held.go
@@ -53,10 +53,10 @@
 	h.ask(h.intent.Tell(answer), within, done)
 }
 
-// Withdraw says that it never ran, if it may have been held. Nobody waits for it.
+// Withdraw says that it never ran, if it may have been held. It is the last call, and nobody waits for it.
 func (h *Held) Withdraw() {
-	if hold, _ := h.of.holding(); hold != nil && h.intent.Mine() {
-		hold.Ask(h.intent.Withdraw(), wordTry, func(copies.Result) {})
+	if h.intent.Left() {
+		h.ask(h.intent.Withdraw(), wordTry, func(Verdict) {})
 	}
 }
 
--- a/internal/fleet/intents/intents.go
+++ b/internal/fleet/intents/intents.go
@@ -60,6 +60,7 @@
 	Born    int64
 	version uint64 // of this owner's newest write
 	mine    bool
+	over    bool // another's word holds
 	goal    goal
 	next    Intent
 	steps   int
@@ -74,6 +75,7 @@
 	begin goal = iota
 	takeOver
 	tell
+	undo
 )
 
 // New is a circuit for which nothing was asked yet.
@@ -81,8 +83,9 @@
 	return &Circuit{Key: Key(id), Owner: owner, Born: born}
 }
 
-// Mine tells whether the fleet holds this owner's intent, as far as is known.
-func (c *Circuit) Mine() bool { return c.mine }
+// Left tells whether an intent of this owner's may be held that nobody will act on: one that is, or one of which it was not heard
+// whether it is.
+func (c *Circuit) Left() bool { return c.ops > 0 && !c.over }
 
 // Begin asks for the right to write to a server: the first operation of it.
 func (c *Circuit) Begin(server string) copies.Op {
@@ -98,10 +101,16 @@
 	return c.op(c.version)
 }
 
-// Withdraw says that it never ran; nobody waits for it.
+// Withdraw says of an intent that is left that it never ran: the last thing that is asked for a circuit, and nobody waits for it.
+// Without it whoever asks again would be told that it may have run.
 func (c *Circuit) Withdraw() copies.Op {
+	c.goal, c.steps = undo, 0
 	c.next = Intent{State: never, Owner: c.Owner}
-	return c.op(c.version)
+	if c.mine {
+		return c.op(c.version)
+	}
+	c.ops++ // not known whether it is there: look first
+	return copies.Op{ID: fmt.Sprintf("%s.%d", c.Owner, c.ops), Key: c.Key, Read: true}
 }
 
 func (c *Circuit) op(version uint64) copies.Op {
@@ -117,8 +126,12 @@
 func (c *Circuit) Ended(r copies.Result) (Verdict, copies.Op) {
 	switch r.Outcome {
 	case copies.Done:
-		if c.goal == takeOver {
+		switch c.goal {
+		case takeOver:
+			c.over = true
 			return Broken, copies.Op{}
+		case undo:
+			return CantSay, copies.Op{}
 		}
 		c.version, c.mine = r.Record.Version, true
 		if c.goal == tell {
@@ -141,10 +154,15 @@
 		return CantSay, copies.Op{}
 	}
 	switch {
+	case c.goal == undo && there.Owner == c.Owner && there.State == meant:
+		return Wait, c.op(r.Record.Version)
+	case c.goal == undo:
+		return CantSay, copies.Op{}
 	case there.State == answered:
-		c.Answer = there.Answer
+		c.Answer, c.over = there.Answer, true
 		return Same, copies.Op{}
 	case there.State == broken, c.mine: // another one has taken over what this owner had
+		c.over = true
 		return Broken, copies.Op{}
 	case there.State == never:
 		return Wait, c.op(r.Record.Version)
--- a/internal/fleet/intents/intents_test.go
+++ b/internal/fleet/intents/intents_test.go
@@ -29,7 +29,7 @@
 }
 
 func (w world) String() string {
-	return fmt.Sprint(string(w.rec.Value), w.rec.Version, w.phase, w.ran, w.word, w.own[0].goal, w.own[1].goal, w.own[0].version, w.own[1].version,
+	return fmt.Sprint(w.op[0].Read, w.op[1].Read, w.own[0].over, w.own[1].over, w.own[0].mine, w.own[1].mine, string(w.rec.Value), w.rec.Version, w.phase, w.ran, w.word, w.own[0].goal, w.own[1].goal, w.own[0].version, w.own[1].version,
 		w.own[0].steps, w.own[1].steps, w.op[0].If, w.op[1].If, string(w.op[0].Value), string(w.op[1].Value),
 		w.late[0].ID, w.late[1].ID, w.late[0].If, w.late[1].If)
 }
@@ -68,6 +68,20 @@
 			wrote.ran[i], wrote.phase[i] = true, 3
 			stalls.phase[i] = 5
 			all = append(all, wrote, stalls)
+		case 6: // nacked: it withdraws, heard of or not
+			rec, res := w.rec, copies.Result{Outcome: copies.Conflict, Record: w.rec}
+			if !w.op[i].Read {
+				rec, res = apply(w.rec, w.op[i])
+			}
+			heard, stops := w, w
+			heard.rec = rec
+			if v, op := heard.own[i].Ended(res); v == Wait {
+				heard.op[i] = op
+			} else {
+				heard.phase[i] = 5
+			}
+			stops.phase[i] = 5
+			all = append(all, heard, stops)
 		case 3: // the server says UP, or the process ends
 			up, ends := w, w
 			up.op[i] = up.own[i].Tell([]byte("UP"))
@@ -91,10 +105,13 @@
 	case CantSay:
 		if w.phase[i] == 4 { // it ran: what the server said is told
 			w.word[i] = "UP"
-		} else {
-			w.word[i] = "BUSY"
+			w.phase[i] = 5
+			return
+		}
+		w.word[i], w.phase[i] = "BUSY", 5
+		if w.own[i].Left() {
+			w.phase[i], w.op[i] = 6, w.own[i].Withdraw()
 		}
-		w.phase[i] = 5
 	default:
 		w.phase[i], w.word[i] = 5, map[Verdict]string{Same: "same", Broken: "ERR"}[v]
 	}
@@ -131,7 +148,7 @@
 		depth++
 	}
 	t.Logf("%d states, depth %d", len(seen), depth)
-	if len(seen) < 150 || ran == 0 {
+	if len(seen) < 1000 || ran == 0 {
 		t.Errorf("only %d states, %d of them after a run", len(seen), ran)
 	}
 }
--- a/internal/lab/fleetworld/world.go
+++ b/internal/lab/fleetworld/world.go
@@ -20,6 +20,7 @@
 
 const (
 	turnEach  = 50 * time.Millisecond
+	lookEach  = 200 * time.Millisecond
 	wayUsual  = 500 * time.Microsecond
 	wayJitter = 4 * time.Millisecond
 	goneSeen  = 3 * time.Second // so long until a member that is away is seen so
@@ -105,7 +106,10 @@
 	going   bool          // it said that it will go
 	gone    bool          // its disk, until it comes back as another
 	waiting []func()
-	seen    map[int]sight
+	self    views.Member
+	seen    []sight
+	looked  []steer.Seen // as of the newest look
+	looksAt time.Duration
 	born    uint64 // counts lives, so that what was meant for one finds no other
 }
 
@@ -142,7 +146,7 @@
 	w := &World{plan: p, rng: rand.New(rand.NewPCG(p.Seed, 0xf1ee)), byID: map[string]*node{}, byOp: map[string]*Act{}, wrote: map[[3]int]copies.Msg{},
 		cut: func(int, int) bool { return false }}
 	for i := range p.Members {
-		n := &node{num: i, seen: map[int]sight{}}
+		n := &node{num: i, seen: make([]sight, p.Members)}
 		w.nodes = append(w.nodes, n)
 		w.fresh(n)
 		w.start(n)
@@ -158,7 +162,7 @@
 	heap.Push(&w.queue, event{w.now + d, w.order, do})
 }
 
-func (w *World) member(n *node) views.Member {
+func memberOf(n *node) views.Member {
 	return views.Member{ID: n.id, Addr: fmt.Sprintf("m%d", n.num), Machine: fmt.Sprintf("m%d", n.num), Zone: fmt.Sprintf("z%d", n.num%3), Site: "s"}
 }
 
@@ -170,6 +174,7 @@
 	fmt.Fprint(h, w.plan.Seed, w.ids)
 	n.id = fmt.Sprintf("%016x%016x", h.Sum64(), w.ids)
 	w.byID[n.id] = n
+	n.self = memberOf(n)
 	n.disk, n.life, n.gone = newDisk(), 0, false
 }
 
@@ -180,7 +185,7 @@
 	if w.plan.Break == NoRepair {
 		repair = 0
 	}
-	c, err := core.New(core.Config{Self: w.member(n), Life: n.life, Found: fmt.Sprintf("f%d", w.ids), First: n.num == 0, Seeds: []string{"m0", "m1", "m2"}, Voters: 3,
+	c, err := core.New(core.Config{Self: n.self, Life: n.life, Found: fmt.Sprintf("f%d", w.ids), First: n.num == 0, Seeds: []string{"m0", "m1", "m2"}, Voters: 3,
 		Copies: w.plan.Copies, Evict: evict, Repair: repair, Seed: w.plan.Seed<<20 ^ uint64(n.num)<<10 ^ n.born, Keys: 1 << 20, Bytes: 1 << 30, Ops: 4096}, n.disk.read(), w.now)
 	if err != nil {
 		w.fail("%d does not start: %v", n.num, err)
@@ -353,7 +358,11 @@
 
 // sight is how a member sees the others: late, and not by what it can't know.
 func (w *World) sight(n *node) []steer.Seen {
-	var all []steer.Seen
+	if w.now < n.looksAt {
+		return n.looked
+	}
+	n.looksAt = w.now + lookEach
+	all := make([]steer.Seen, 0, len(w.nodes))
 	for _, o := range w.nodes {
 		if o == n {
 			continue
@@ -370,7 +379,8 @@
 			s.here, s.since = is, w.now
 		}
 		n.seen[o.num] = s
-		all = append(all, steer.Seen{Member: w.member(o), Here: s.here, Going: o.going, For: w.now - s.since})
+		all = append(all, steer.Seen{Member: o.self, Here: s.here, Going: o.going, For: w.now - s.since})
 	}
+	n.looked = all
 	return all
 }
