--- a/cmd/sabletally/fleet_cost_test.go
+++ b/cmd/sabletally/fleet_cost_test.go
@@ -34,15 +34,7 @@
 func costs(t *testing.T, many int, late time.Duration) {
 	const rate, count = 100, 500
 	a := agent(t)
-	script := standin.NewScript(100, 4*bound)
-	t.Cleanup(script.Close)
-	for _, uid := range []string{"s-1", "s-2", "s-3", "s-4"} {
-		addr, err := script.Listen(uid)
-		if err != nil {
-			t.Fatal(err)
-		}
-		a.Set(entry(uid, addr, standin.InService))
-	}
+	script := four(t, a, 100)
 	go func() {
 		for e := range script.Sessions {
 			io.WriteString(e, "UP 1\r\n")
--- a/cmd/sabletally/fleet_test.go
+++ b/cmd/sabletally/fleet_test.go
@@ -87,6 +87,34 @@
 	return m
 }
 
+// anew kills all members at once and starts them again.
+func (m *members) anew() {
+	m.t.Helper()
+	for _, p := range m.procs {
+		p.Signal(syscall.SIGKILL)
+	}
+	for _, p := range m.procs {
+		p.Kill()
+		if err := p.Launch(); err != nil {
+			m.t.Fatal(err)
+		}
+	}
+}
+
+// four are scripted servers that a discovery lists.
+func four(t *testing.T, a *standin.Agent, most int) *standin.Script {
+	script := standin.NewScript(most, 4*bound)
+	t.Cleanup(script.Close)
+	for _, uid := range []string{"s-1", "s-2", "s-3", "s-4"} {
+		addr, err := script.Listen(uid)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.Set(entry(uid, addr, standin.InService))
+	}
+	return script
+}
+
 // logsOf waits until a process's log has a word.
 func (m *members) logsOf(p *field.Process, word string) {
 	m.t.Helper()
@@ -227,15 +255,7 @@
 	m.Ties.Set(func(_, _ int, tie *standin.Tie) { *tie = standin.Tie{} })
 	m.together()
 
-	for _, p := range m.procs {
-		p.Signal(syscall.SIGKILL)
-	}
-	for _, p := range m.procs {
-		p.Kill()
-		if err := p.Launch(); err != nil {
-			t.Fatal(err)
-		}
-	}
+	m.anew()
 	m.together()
 	if is := m.report(0).Self; is.Life != 2 {
 		t.Errorf("%+v", is)
@@ -300,15 +320,7 @@
 	if r := m.report(4); !repaired(r) || r.Held.Members != 4 {
 		t.Errorf("after one has left: %+v", r.Held)
 	}
-	for _, p := range m.procs {
-		p.Signal(syscall.SIGKILL)
-	}
-	for _, p := range m.procs {
-		p.Kill()
-		if err := p.Launch(); err != nil {
-			t.Fatal(err)
-		}
-	}
+	m.anew()
 	starts(3, "out of service")
 	say(3, "/control/in-service", `"out":false,"version":2`)
 	m.procs[3].Kill()
@@ -333,15 +345,7 @@
 func TestNothingRunsTwiceOverBalancers(t *testing.T) {
 	const many = 200
 	a := agent(t)
-	script := standin.NewScript(4*many, 4*bound)
-	t.Cleanup(script.Close)
-	for _, uid := range []string{"s-1", "s-2", "s-3", "s-4"} {
-		addr, err := script.Listen(uid)
-		if err != nil {
-			t.Fatal(err)
-		}
-		a.Set(entry(uid, addr, standin.InService))
-	}
+	script := four(t, a, 4*many)
 	m := enlistWith(t, 5, false, "hold \"intents\" { grades = [\"pay\"] }\n", a)
 	m.want("every slot has its holders", m.all, repaired)
 	for _, p := range m.procs {
