Two tables of members are bounded: who was heard of, and fresh seeds

Seen on reading the change: both grew by an entry for each member that ever spoke, and a fleet whose machines are replaced for years has many. Who was silent for a minute is forgotten, which decides nothing anew: a holder is missed after 1.5 s; only seeds are noted as fresh.

--- a/internal/fleet/copies/copies.go
+++ b/internal/fleet/copies/copies.go
@@ -16,15 +16,16 @@
 )
 
 const (
-	resendEach = 200 * time.Millisecond
-	blameAfter = 800 * time.Millisecond  // a holder that answers nothing for so long is complained about,
-	missAfter  = 1500 * time.Millisecond // and a primary that nothing is heard of
-	beatEach   = 250 * time.Millisecond
-	expireEach = time.Second // how often a primary looks for records that were held for their time,
-	expireMost = 64          // and of one slot so many at once
-	recentMost = 128         // writes that a holder may lack and still be sent one by one
-	pastMost   = 4
-	askAgain   = 150 * time.Millisecond // an operation that was refused for a moment is asked for again
+	resendEach  = 200 * time.Millisecond
+	blameAfter  = 800 * time.Millisecond  // a holder that answers nothing for so long is complained about,
+	missAfter   = 1500 * time.Millisecond // and a primary that nothing is heard of
+	forgetAfter = time.Minute             // members of whom nothing was heard, which is as good as never
+	beatEach    = 250 * time.Millisecond
+	expireEach  = time.Second // how often a primary looks for records that were held for their time,
+	expireMost  = 64          // and of one slot so many at once
+	recentMost  = 128         // writes that a holder may lack and still be sent one by one
+	pastMost    = 4
+	askAgain    = 150 * time.Millisecond // an operation that was refused for a moment is asked for again
 )
 
 // Config is what a node begins with.
@@ -699,8 +700,13 @@
 	n.out.Complaints = append(n.out.Complaints, Complaint{Slot: num, View: s.ballot.View, From: n.cfg.ID, About: about})
 }
 
-// beats tells the others of the slots that this member leads that it lives.
+// beats tells the others of the slots that this member leads that it lives, and forgets who has long said nothing.
 func (n *Node) beats() {
+	for id, at := range n.heard {
+		if n.now-at > forgetAfter {
+			delete(n.heard, id)
+		}
+	}
 	to := map[string]bool{}
 	for i := range n.slots {
 		if s := &n.slots[i]; s.leads {
--- a/internal/fleet/core/core.go
+++ b/internal/fleet/core/core.go
@@ -257,7 +257,9 @@
 func (c *Core) told(p Packet) {
 	t := p.Told
 	if t.Fleet == "" {
-		c.fresh[t.Addr] = c.now
+		if slices.Contains(c.cfg.Seeds, t.Addr) {
+			c.fresh[t.Addr] = c.now
+		}
 		return
 	}
 	if t.Leader != "" {
