The last look before a line is written; what hangs is answered before a process ends

- The write of a circuit's line went on beside the loop after `dialed` had looked (circuit.go, `go func` in `dialed`): a client whose end stood in the inbox, or unread in the kernel, was still sent on ("the server was told OPEN 1 2 c=feed,d=9994").
Now the kernel is asked whether the client has left, just before the write (`hasLeft`), and a look older than 100 ms, as after a stall, is made anew by the loop: time, list, holders and all.
- A try whose time was up while the process was stopped was written first, with d=0, and then given up: it stands before its time-out in the turn.
Now it ends as never sent.
- A new process, and one that was stopped, wrote to a server that drains by what its agent has, which counts as told from the first moment (loop.go, `list` knew only what had come).
Now no line goes before the agent was heard, or for 250 ms where it is silent; a turn that is 300 ms late (counter `stalls`) asks the agent at once.
- SIGTERM: `within` is 3.4 s at most, and nothing ended a try that was out for longer (service.go, `empty` saw to `standing` only): with outer limits of 6.5 to 95 s circuits at hanging servers were held till the kill.
Now the module nacks them, or breaks them off by their effect, when `within` is over.
- `pair` tried again each millisecond for ever where the client's side could not be handed over, with the server's UP in hand ("it is tried for ever").
Now it ends after 500 ms with an ERR; a hand-over that fails at the relay is answered as well, where the client saw a bare end.
- Four signals in one queue: a SIGTERM behind them was dropped while a reload was under way (main.go, `signals`; "nothing of leaving in the log").
Now each meaning has its own place.
- The shared gate was known only once Serve ran: an end before that did not shut it.
Now Succeed takes it.

--- a/cmd/sabletally/main.go
+++ b/cmd/sabletally/main.go
@@ -45,8 +45,7 @@
 func run() int {
 	log := logger(os.Getenv("SABLETALLY_LOG"))
 	defer log.Sync()
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	ends, reloads, asks := on(syscall.SIGTERM, syscall.SIGINT), on(syscall.SIGHUP), on(syscall.SIGUSR1)
 	s, err := deployment.ReadStation(os.Getenv, nil)
 	if err != nil {
 		log.Error("can't start", zap.Error(err))
@@ -107,7 +106,7 @@
 	l.Follow(ctx, s.Discovery)
 	go l.Run(ctx.Done())
 	if gate.Shared() {
-		if err := l.Succeed(os.Getenv("TMPDIR"), s.Name, int64(s.MemoryMB)<<20, s.Sockets-sockets+balancer.KeptFds); err != nil {
+		if err := l.Succeed(gate, os.Getenv("TMPDIR"), s.Name, int64(s.MemoryMB)<<20, s.Sockets-sockets+balancer.KeptFds); err != nil {
 			log.Warn("alone: an upgrade will have clients moved", zap.Error(err))
 		}
 	}
@@ -135,31 +134,31 @@
 	handed := make(chan struct{}) // what is held for others is, by others
 	for {
 		select {
-		case sig := <-signals:
-			switch {
-			case sig == syscall.SIGUSR1:
-				l.Report("asked")
-			case sig == syscall.SIGHUP:
-				s = reload(ctx, log, l, s)
-			case exit == nil:
-				longest := time.Duration(0)
-				for _, limit := range s.Deployment.OuterLimits {
-					longest = max(longest, limit)
-				}
-				within := min(longest, leaveMost) + leaveExtra
-				l.Leave(comeOn, within, func() { close(emptied) })
-				exit = time.After(within + stayOn)
-				go func() {
-					defer close(handed)
-					switch {
-					case member == nil:
-					case l.HasHeir(): // which goes on as this member
-						member.Close()
-					default:
-						member.HandOver(within + stayOn/2)
-					}
-				}()
+		case <-asks:
+			l.Report("asked")
+		case <-reloads:
+			s = reload(ctx, log, l, s)
+		case <-ends:
+			if exit != nil {
+				continue
+			}
+			longest := time.Duration(0)
+			for _, limit := range s.Deployment.OuterLimits {
+				longest = max(longest, limit)
 			}
+			within := min(longest, leaveMost) + leaveExtra
+			l.Leave(comeOn, within, func() { close(emptied) })
+			exit = time.After(within + stayOn)
+			go func() {
+				defer close(handed)
+				switch {
+				case member == nil:
+				case l.HasHeir(): // which goes on as this member
+					member.Close()
+				default:
+					member.HandOver(within + stayOn/2)
+				}
+			}()
 		case <-emptied:
 			select {
 			case <-handed:
@@ -178,6 +177,14 @@
 	}
 }
 
+// on takes signals of one meaning: those that come before the first is seen are as good as it. Guards against one that is lost
+// behind others while a reload is under way.
+func on(signals ...os.Signal) <-chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, signals...)
+	return c
+}
+
 // operated passes on what operators tell a balancer, and has the fleet hold it.
 type operated struct {
 	*balancer.Loop
--- a/cmd/sabletally/main_test.go
+++ b/cmd/sabletally/main_test.go
@@ -124,6 +124,10 @@
 	if slices.Contains(env, "PROBES=yes") { // else a probe that is late on a busy machine could steer a test
 		text = strings.Replace(text, `"Probes":false`, `"Probes":true`, 1)
 	}
+	if slices.Contains(env, "LONG") { // outer limits longer than a process that leaves has
+		text = strings.Replace(text, `"OuterLimitUs":1800000,"Utility":1}`, `"OuterLimitUs":60000000,"Utility":1},{"Name":"pay",
+			"Effect":"non_idempotent","LatencyGoalUs":300000,"OuterLimitUs":60000000,"Utility":1}`, 1)
+	}
 	if slices.Contains(env, "SHARED") { // two processes hold them together
 		text = strings.Replace(text, `"sockets":64`, `"sockets":512`, 1)
 	}
@@ -539,6 +543,71 @@
 	}
 }
 
+// TestAPlannedRestartAnswersWhatHangs ends a process whose servers hang just then, under outer limits that are longer than it has:
+// each circuit that waits gets its one answer before it may be killed, by its effect. Guards rule 1.
+func TestAPlannedRestartAnswersWhatHangs(t *testing.T) {
+	s := begin(t, []string{"LONG"}, "s-1")
+	harmless := s.client(strings.Replace(open, "d=1500", "d=50000", 1))
+	s.session()
+	once := s.client(strings.Replace(strings.Replace(open, "d=1500", "d=50000", 1), "c=feed", "c=pay", 1))
+	s.session()
+	before := s.client(strings.Replace(open, "d=1500", "d=50000,at=s-1", 1))
+	s.session()
+	s.child.Signal(syscall.SIGTERM)
+	signalled := time.Now()
+	s.child.Signal(syscall.SIGTERM) // twice is as good as once
+	s.child.Signal(syscall.SIGHUP)
+	before.want("ERR\r\n")
+	if got := harmless.line(); !strings.HasPrefix(got, "BUSY") {
+		t.Errorf("%q for one that may run again", got)
+	}
+	once.want("ERR\r\n")
+	for _, a := range []*ask{harmless, once, before} {
+		ends(t, a.r, false)
+	}
+	if took := time.Since(signalled); took > 3700*time.Millisecond {
+		t.Errorf("answered %v after the signal, when it may be killed", took)
+	}
+}
+
+// TestNoSignalIsLostBehindOthers holds a reload half way, at a file that does not end yet, under a rush of other signals: the end
+// that is asked for then comes all the same.
+func TestNoSignalIsLostBehindOthers(t *testing.T) {
+	s := begin(t, nil, "s-1")
+	a, _ := s.up()
+	text, err := os.ReadFile(s.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	os.Remove(s.config)
+	if err := syscall.Mkfifo(s.config, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.child.Signal(syscall.SIGHUP)
+	file, err := os.OpenFile(s.config, os.O_WRONLY, 0) // comes back once it is read
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 50 { // those that are the same may fall together on their way
+		s.child.Signal(syscall.SIGUSR1)
+		time.Sleep(time.Millisecond)
+	}
+	s.child.Signal(syscall.SIGHUP)
+	s.child.Signal(syscall.SIGTERM)
+	file.Write(text)
+	if again, err := os.CreateTemp(filepath.Dir(s.config), ""); err != nil { // for the second
+		t.Fatal(err)
+	} else {
+		again.Write(text)
+		again.Close()
+		os.Rename(again.Name(), s.config)
+	}
+	file.Close()
+	s.waitLog(`"leaving"`)
+	a.want("MOVE\r\n")
+	s.waitLog(`"why":"asked"`)
+}
+
 func TestBadFirstLinesAreAnswered(t *testing.T) {
 	s := begin(t, nil, "s-1")
 	for _, text := range []string{
--- a/internal/balancer/circuit.go
+++ b/internal/balancer/circuit.go
@@ -31,6 +31,8 @@
 	beat        = time.Second            // slow messages of a server are noted so often
 	notedAbove  = 3                      // where they take over so-many-th of the shortest message goal
 	connectMost = time.Second            // a connection is up by then where no limit is told
+	lookFresh   = 100 * time.Millisecond // the last look before a line is written is no older than this
+	pairWithin  = 500 * time.Millisecond // a circuit that is up is a pair by then: its answer is owed, and no line is held for a second
 )
 
 // circuit is one circuit, from its first line to its end.
@@ -50,7 +52,8 @@
 	open     bool           // it stands
 	away     bool           // it is to be moved as soon as its connections are a pair
 	standing bool           // it was open before the run and goes to its server without the module
-	calledAt time.Duration  // when the newest try was decided
+	calledAt time.Duration  // when the newest try was decided,
+	stoodAt  time.Duration  // and when it came to stand
 	giveUp   time.Duration  // when it is given up
 	held     *held          // where the fleet holds it for others
 }
@@ -233,28 +236,48 @@
 	case cir.at.state != policy.Ready && !cir.standing:
 		// Guards against a first byte after the drain grace: the list has changed while the dial was out.
 		l.tryEnded(cir, policy.NeverSent, nil)
+	case l.now >= cir.giveUp: // by a stall: its time-out stands behind this event
+		l.tryEnded(cir, policy.NeverSent, nil)
+	case !cir.standing && l.unheard(func() { l.dialed(cir, turn, c, nil) }):
 	case !l.allowed(cir, func() { l.dialed(cir, turn, c, nil) }):
 	default:
 		if cir.held != nil {
 			cir.held.wrote = true
 		}
-		text := cir.ask.Onward(cir.giveUp - l.now)
-		go func() { // beside the loop: a write is most of what a set-up costs
-			err := c.Early()
-			if err == nil {
-				err = c.Ask(text)
-			}
-			if err == nil {
-				c.Listen()
-				return
+		l.send(cir, turn, c)
+	}
+}
+
+// send writes the circuit's line beside the loop: a write is most of what a set-up costs. What the loop knows is looked at just
+// before, and what it can't know yet here: an end of the client that nobody has read, and a stall of the process since.
+func (l *Loop) send(cir *circuit, turn int, c *relay.Conn) {
+	text, looked := cir.ask.Onward(cir.giveUp-l.now), time.Now()
+	then := func(do func()) {
+		l.post(event{of: cir, do: func() {
+			if cir.turn == turn && cir.out {
+				do()
 			}
-			l.post(event{of: cir, do: func() { // it has ended, or the line's last byte was not written
-				if cir.turn == turn && cir.out {
-					l.tryEnded(cir, policy.ConnectFailed, err)
-				}
-			}})
-		}()
+		}})
 	}
+	go func() {
+		err := c.Early()
+		switch {
+		case err != nil:
+		case cir.client.hasLeft():
+			then(func() { l.broken(cir.client, &Broken{Stage: Asked, Cause: errEnded}) })
+			return
+		case time.Since(looked) > lookFresh:
+			then(func() { l.dialed(cir, turn, c, nil) })
+			return
+		default:
+			err = c.Ask(text)
+		}
+		if err != nil { // it has ended, or the line's last byte was not written
+			then(func() { l.tryEnded(cir, policy.ConnectFailed, err) })
+			return
+		}
+		c.Listen()
+	}()
 }
 
 // tryEnded ends a setup try that did not come to stand: its connection is closed before the module hears.
@@ -340,7 +363,7 @@
 	l.log.Debug("stands", zap.Stringer("circuit", cir), zap.String("server", cir.at.listedAs.UID),
 		zap.Duration("after", l.now-cir.calledAt), zap.Int("tries", cir.tries), zap.Uint64("group", cir.arrival.Group))
 	cir.turn++
-	cir.out, cir.open = false, true
+	cir.out, cir.open, cir.stoodAt = false, true, l.now
 	l.open++
 	l.Open.Store(int64(l.open))
 	l.Served.Add(1)
@@ -359,6 +382,11 @@
 	if l.circuits[cir.id] != cir {
 		return
 	}
+	if l.now >= cir.stoodAt+pairWithin { // no descriptor for the hand-over, or a writer that hangs
+		l.NoRoom.Add(1)
+		l.unpaired(cir)
+		return
+	}
 	server, number := cir.server, uint64(cir.at.id)
 	go func() {
 		fd, how := cir.client.handOver()
@@ -374,6 +402,14 @@
 	}()
 }
 
+// unpaired ends a circuit that is up and can't be made a pair: it ran, and its client is owed an answer.
+func (l *Loop) unpaired(cir *circuit) {
+	cir.dropServer(false)
+	client := cir.client
+	l.stoodEnded(cir, policy.Reset)
+	l.end(client, line.ErrLine)
+}
+
 // paired takes a pair, if the circuit still stands.
 func (l *Loop) paired(cir *circuit, p *relay.Pair, err error) {
 	cir.client.over = true
--- a/internal/balancer/conn.go
+++ b/internal/balancer/conn.go
@@ -237,6 +237,24 @@
 	return err == nil && n > 0
 }
 
+// hasLeft tells whether the client has ended its connection, by the kernel's word: who reads it may not have come to that yet.
+func (c *conn) hasLeft() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return true
+	}
+	var b [1]byte
+	switch n, _, err := unix.Recvfrom(c.fd(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT); {
+	case err == unix.EAGAIN || err == unix.EINTR:
+		return false
+	case n > 0: // behind what it has said more its end may stand
+		info, err := unix.GetsockoptTCPInfo(c.fd(), unix.IPPROTO_TCP, unix.TCP_INFO)
+		return err == nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE)
+	}
+	return true
+}
+
 // answered tells whether its last line is written: a reset before would take it away.
 func (c *conn) answered() bool {
 	c.mu.Lock()
--- a/internal/balancer/counters.go
+++ b/internal/balancer/counters.go
@@ -20,6 +20,7 @@
 	Open                                      atomic.Int64 // circuits that stand now
 	Lists, ListErrors, Errors, Panics, NoRoom atomic.Int64
 	Reloads, ReloadErrors, Drains             atomic.Int64
+	Stalls                                    atomic.Int64                       // turns that came late: the process was stopped, or starved
 	Passed, Inherited                         atomic.Int64                       // circuits and clients, to the new process and from the old one
 	Sent, Heard, Dropped                      atomic.Int64                       // messages between balancers
 	SameID, Unasked, Late, Shed               atomic.Int64                       // turned away: taken id, more before the answer, silent
@@ -49,7 +50,7 @@
 		{"sent", &c.Sent}, {"heard", &c.Heard}, {"dropped", &c.Dropped},
 		{"same-id", &c.SameID}, {"unasked", &c.Unasked}, {"late", &c.Late}, {"shed", &c.Shed},
 		{"candidates", &c.Candidates}, {"held", &c.Held}, {"same-word", &c.Same}, {"not-held", &c.NotHeld},
-		{"errors", &c.Errors}, {"panics", &c.Panics}, {"no-room", &c.NoRoom},
+		{"stalls", &c.Stalls}, {"errors", &c.Errors}, {"panics", &c.Panics}, {"no-room", &c.NoRoom},
 	} {
 		all = append(all, zap.Int64(f.name, f.n.Load()))
 	}
--- /dev/null
+++ b/internal/balancer/crossing_test.go
@@ -0,0 +1,351 @@
+package balancer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"sabletally/internal/deployment"
+	"sabletally/internal/discovery"
+	"sabletally/internal/lab/record"
+	"sabletally/internal/lab/standin"
+	"sabletally/internal/line"
+	"sabletally/internal/relay"
+	"sabletally/policy"
+)
+
+// These tests force a crossing: two things that happen at once are held, by the loop that only the test turns or by a lock
+// that it holds, until they stand in the order that is wanted.
+
+const crossBound = 20 * time.Second
+
+// crossing is a loop that the test turns, with one circuit whose try has just come up: its client and its server are real sockets.
+type crossing struct {
+	t      *testing.T
+	l      *Loop
+	cir    *circuit
+	client net.Conn    // the client's end
+	up     *relay.Conn // to the server
+	asked  chan string // the server's first line
+	told   chan string // all that the server was told, once its connection has ended
+}
+
+// pipe is a connection of two ends over loopback.
+func pipe(t *testing.T) (near, far *net.TCPConn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close(); d.Close() })
+	return c.(*net.TCPConn), d.(*net.TCPConn)
+}
+
+func descriptor(t *testing.T, c *net.TCPConn) int {
+	t.Helper()
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fd := -1
+	raw.Control(func(at uintptr) { fd, err = unix.FcntlInt(at, unix.F_DUPFD_CLOEXEC, 3) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	return fd
+}
+
+func cross(t *testing.T, effect policy.Effect) *crossing {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	dep := &deployment.Deployment{
+		Policy: &policy.Deployment{Peers: 1, MostTries: 4, FallMultiple: 3, FallFor: time.Second, ColdFrom: 1, ColdFor: time.Second,
+			Grades: []policy.Grade{{SetupGoal: 5 * time.Second, Utility: 1, Effect: effect}}},
+		Grades: map[string]int{"feed": 0}, OuterLimits: []time.Duration{30 * time.Second},
+	}
+	known := discovery.List{Whole: true, Servers: []discovery.Server{{UID: "s-1", Endpoint: ln.Addr().String(), Heft: 1}}}
+	l, err := New(zap.NewNop(), dep, 7, known, 1024)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := &crossing{t: t, l: l, asked: make(chan string, 4), told: make(chan string, 4)}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				c.SetDeadline(time.Now().Add(crossBound))
+				r := bufio.NewReader(c)
+				got, _ := r.ReadString('\n')
+				if got != "" {
+					x.asked <- got
+				}
+				rest, _ := io.ReadAll(r)
+				c.Close()
+				x.told <- got + string(rest)
+			}()
+		}
+	}()
+	near, far := pipe(t)
+	nc, err := netpoll.NewFDConnection(descriptor(t, far))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.fds.Add(1)
+	c := adopt(nc, l, &l.fds)
+	c.door = l.door
+	nc.SetOnRequest(c.onRequest)
+	x.client = near
+	io.WriteString(near, "OPEN 1 2 c=feed,d=20000\r\n")
+	x.until("the try's connection is up", func() bool {
+		if cir := l.circuits[1]; cir != nil {
+			x.cir = cir
+			// Its event stands in the inbox and is taken out: the test says when it is seen.
+			return x.take(func(ev event) bool { return ev.of == cir })
+		}
+		return false
+	})
+	return x
+}
+
+// until turns the loop until something holds.
+func (x *crossing) until(what string, is func() bool) {
+	x.t.Helper()
+	for end := time.After(crossBound); !is(); {
+		select {
+		case <-x.l.wake:
+			if x.cir == nil {
+				x.l.turn()
+			}
+		case <-time.After(time.Millisecond):
+		case <-end:
+			x.t.Fatalf("not so within %v: %s", crossBound, what)
+		}
+	}
+}
+
+// take takes an event out of the inbox.
+func (x *crossing) take(is func(event) bool) bool {
+	x.l.mu.Lock()
+	defer x.l.mu.Unlock()
+	for i, ev := range x.l.inbox {
+		if is(ev) {
+			x.l.inbox = append(x.l.inbox[:i], x.l.inbox[i+1:]...)
+			x.up = x.cir.called.conn.Load()
+			return x.up != nil
+		}
+	}
+	return false
+}
+
+// has tells whether an event stands in the inbox.
+func (x *crossing) has(is func(event) bool) bool {
+	x.l.mu.Lock()
+	defer x.l.mu.Unlock()
+	for _, ev := range x.l.inbox {
+		if is(ev) {
+			return true
+		}
+	}
+	return false
+}
+
+// see has the loop see that the try's connection is up, as its event would.
+func (x *crossing) see() {
+	x.cir.called.ended = true
+	x.l.now = time.Since(x.l.start)
+	x.l.dialed(x.cir, x.cir.turn, x.up, nil)
+}
+
+// settled turns the loop until the server's connection has ended, and answers what the server was told.
+func (x *crossing) settled() string {
+	x.t.Helper()
+	for end := time.After(crossBound); ; {
+		select {
+		case <-x.l.wake:
+			x.l.turn()
+		case got := <-x.told:
+			return got
+		case <-end:
+			x.t.Fatal("the server's connection does not end")
+		}
+	}
+}
+
+// TestAClientThatLeftBeforeTheLineIsWritten has a client leave while its try's connection comes up; the loop sees that first,
+// and the client's end, which it has been posted or nobody has read, only later. Nothing of it may go to the server. Guards the
+// operators' word: what a client that has left was waiting for is not sent on.
+func TestAClientThatLeftBeforeTheLineIsWritten(t *testing.T) {
+	for _, how := range []string{"end", "half-close", "reset", "unread bytes and end"} {
+		t.Run(how, func(t *testing.T) {
+			x := cross(t, policy.Idempotent)
+			switch tcp := x.client.(*net.TCPConn); how {
+			case "half-close":
+				tcp.CloseWrite()
+			case "reset":
+				tcp.SetLinger(0)
+				tcp.Close()
+			case "unread bytes and end":
+				io.WriteString(tcp, strings.Repeat("x", 100))
+				tcp.Close()
+			default:
+				tcp.Close()
+			}
+			c := x.cir.client
+			x.until("its end is here", func() bool { return x.has(func(ev event) bool { return ev.conn == c && ev.broken != nil }) })
+			x.see()
+			if got := x.settled(); got != "" {
+				t.Errorf("the server was told %q", got)
+			}
+			if n := len(x.l.circuits); n != 0 {
+				t.Errorf("%d circuits are left", n)
+			}
+		})
+	}
+}
+
+// TestATryWhoseTimeIsUpIsNotSent has the process stopped while a connection comes up, past the try's time: it is seen first.
+func TestATryWhoseTimeIsUpIsNotSent(t *testing.T) {
+	x := cross(t, policy.Unrepeatable)
+	x.cir.giveUp = time.Since(x.l.start)
+	x.see()
+	if got := x.settled(); got != "" {
+		t.Errorf("the server was told %q", got)
+	}
+	if n := x.l.Ended[policy.NeverSent].Load(); n != 1 {
+		t.Errorf("%d ended as never sent", n)
+	}
+}
+
+// TestAStallBetweenTheLookAndTheWrite holds the goroutine that writes a line until the list has said that the server drains:
+// the line is not written by what was seen before.
+func TestAStallBetweenTheLookAndTheWrite(t *testing.T) {
+	x := cross(t, policy.Idempotent)
+	c := x.cir.client
+	c.mu.Lock() // it looks at the client last
+	x.see()
+	held := time.Now()
+	x.l.list(discovery.List{Whole: true, Servers: []discovery.Server{{UID: "s-1", Endpoint: x.cir.at.address, Heft: 1, State: policy.Draining}}}, false)
+	x.until("the look is old", func() bool { return time.Since(held) > lookFresh })
+	c.mu.Unlock()
+	if got := x.settled(); got != "" {
+		t.Errorf("a draining server was told %q", got)
+	}
+	x.client.SetReadDeadline(time.Now().Add(crossBound))
+	if got, err := bufio.NewReader(x.client).ReadString('\n'); !strings.HasPrefix(got, "BUSY") {
+		t.Errorf("the client got %q, %v", got, err)
+	}
+}
+
+// TestNothingIsSentBeforeDiscoveryIsHeard starts with a list by which a server is ready that drains by discovery's, and stops a
+// loop in between: each time the agent's word, which counts as told, is heard before a line is written. Where discovery is
+// silent the line goes after a while all the same.
+func TestNothingIsSentBeforeDiscoveryIsHeard(t *testing.T) {
+	for _, stalled := range []bool{false, true} {
+		for _, silent := range []bool{false, true} {
+			x := cross(t, policy.Idempotent)
+			agent, err := standin.NewAgent(0, &standin.Clock{}, record.New(0), func(string) int { return 0 })
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(agent.Close)
+			if silent {
+				agent.Misbehave(standin.Mute)
+			}
+			agent.Set(standin.Entry{UID: "s-1", Endpoint: x.cir.at.address, State: standin.Terminating, Heft: 1})
+			ctx, stop := context.WithCancel(context.Background())
+			t.Cleanup(stop)
+			heard := x.l.Lists.Load()
+			if stalled { // the loop was there before: it is followed already, and its newest word is not in yet
+				x.l.watch = discovery.New(agent.Addr(), 1, false, func(list discovery.List) {
+					x.l.post(event{do: func() { x.l.list(list, false) }})
+				}, func(err error) {})
+				x.l.start = x.l.start.Add(-2 * time.Second) // stopped for so long, and the try's time is not up
+				x.l.post(event{do: x.see})
+				go x.l.watch.Run(ctx)
+			} else {
+				x.l.Follow(ctx, agent.Addr())
+				x.l.post(event{do: x.see})
+			}
+			x.l.turn()
+			if x.l.Lists.Load() != heard {
+				t.Fatal("discovery was heard before")
+			}
+			if silent {
+				for end, asked := time.After(crossBound), false; !asked; {
+					select {
+					case <-x.l.wake:
+					case <-time.After(time.Millisecond): // the loop's own alarm
+					case <-x.asked:
+						asked = true
+					case <-end:
+						t.Fatal("a silent discovery is waited for")
+					}
+					x.l.turn()
+				}
+				x.client.Close()
+			}
+			if got := x.settled(); (got != "") != silent {
+				t.Errorf("stalled %v, silent %v: the server was told %q", stalled, silent, got)
+			}
+		}
+	}
+}
+
+// TestACircuitThatCantBeMadeAPairIsAnswered has no descriptor left for the hand-over of a circuit that is up: its client is told
+// in time, and the loop does not try for ever.
+func TestACircuitThatCantBeMadeAPairIsAnswered(t *testing.T) {
+	x := cross(t, policy.Unrepeatable)
+	c := x.cir.client
+	c.mu.Lock()
+	c.writing = true // a writer that hangs looks the same: the hand-over has to wait
+	c.mu.Unlock()
+	x.cir.called.ended, x.cir.called, x.cir.server = true, nil, x.up
+	x.l.now = time.Since(x.l.start)
+	x.l.stands(x.cir, line.Decode([]byte("UP 1\r\n")))
+	began := time.Now()
+	for end := time.After(crossBound); len(x.l.circuits) > 0; {
+		select {
+		case <-x.l.wake:
+		case <-time.After(time.Millisecond): // the loop's own alarm
+		case <-end:
+			t.Fatal("it is tried for ever")
+		}
+		x.l.turn()
+	}
+	if took := time.Since(began); took < pairWithin/2 {
+		t.Errorf("given up after %v", took)
+	}
+	c.mu.Lock()
+	if got := string(c.out); got != "ERR\r\n" || !c.ending {
+		t.Errorf("the client gets %q, ending %v", got, c.ending)
+	}
+	c.mu.Unlock()
+	if got := x.settled(); got != "" {
+		t.Errorf("the server was told %q", got)
+	}
+}
--- a/internal/balancer/heir.go
+++ b/internal/balancer/heir.go
@@ -38,10 +38,12 @@
 	heirReady bool          // which takes what is held
 }
 
-// Succeed looks for the old process of this balancer, which it may take circuits over from, and waits for the next. base is
+// Succeed looks for the old process of this balancer, which it may take circuits over from, and waits for the next. The gate is
+// known from here on: a Leave that comes before Serve shuts it. base is
 // how many descriptors this process holds beside connections. An error leaves it without both. It is called before Reconfigure.
-func (l *Loop) Succeed(dir, name string, memory int64, base int) error {
+func (l *Loop) Succeed(g *Gate, dir, name string, memory int64, base int) error {
 	l.shared = true
+	l.gate.Store(g)
 	path, err := upgrade.Path(dir, name)
 	if err != nil {
 		return err
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -29,6 +29,7 @@
 const (
 	readyWithin = 2 * time.Second        // ready after that without a list
 	readySoon   = 250 * time.Millisecond // and after that with the one known at the start: what is newer comes at once
+	stalledFor  = 300 * time.Millisecond // a turn that comes so late had the process stopped, or starved
 	KeptFds     = 24                     // descriptors for the program itself
 	spareFds    = 8                      // so-many-th of the rest, kept for clients that are only told to come again
 )
@@ -68,11 +69,13 @@
 	last     policy.CircuitID
 	timers   timers
 	order    int
-	listed   bool    // discovery has answered since the start
-	ready    bool    // clients are welcome
-	awaits   bool    // not before its operators' word of before is heard,
-	due      bool    // though it would be ready
-	pinged   []*conn // ask whether it is so
+	listed   bool          // discovery has answered since the start
+	hearBy   time.Duration // until then no line goes to a server before discovery has been heard,
+	unsent   []func()      // and these wait for that
+	ready    bool          // clients are welcome
+	awaits   bool          // not before its operators' word of before is heard,
+	due      bool          // though it would be ready
+	pinged   []*conn       // ask whether it is so
 
 	welcomed chan struct{}        // closed once it is ready
 	gate     atomic.Pointer[Gate] // the listener, where it is shared with another process
@@ -163,8 +166,11 @@
 			w.From(l.known)
 			l.known = discovery.List{}
 		}
+		first := l.unwatch == nil
 		ctx, l.unwatch = context.WithCancel(ctx)
-		l.watch = w
+		if l.watch = w; first {
+			l.hear()
+		}
 		go w.Run(ctx)
 	}})
 }
@@ -213,8 +219,13 @@
 	batch := l.inbox
 	l.inbox = nil
 	l.mu.Unlock()
+	due := l.next()
 	l.now = time.Since(l.start)
 	l.bal.Clock(l.now)
+	if l.now-due > stalledFor {
+		l.Stalls.Add(1)
+		l.hear()
+	}
 	for _, ev := range batch {
 		c := ev.conn
 		if ev.of != nil {
@@ -382,6 +393,8 @@
 		l.log.Debug("list", zap.Uint64("rev", list.Rev), zap.Bool("whole", list.Whole), zap.Int("entries", len(list.Servers)))
 		l.Lists.Add(1)
 		l.keepList(list.Rev)
+		l.hearBy = l.now
+		l.heardOf()
 		if !l.listed {
 			l.listed = true
 			l.welcome()
@@ -389,6 +402,39 @@
 	}
 }
 
+// hear has nothing go to a server before its own machine's agent has said what it has, which counts as told: after a start, or
+// while the process was stopped. Where it is silent that is not waited for. Guards against a first line to a server that
+// drains since, by a word that nobody here has read yet.
+func (l *Loop) hear() {
+	if l.watch == nil || l.dep.AskForList {
+		return
+	}
+	l.watch.Again()
+	l.hearBy = l.now + readySoon
+	l.after(readySoon, l.heardOf)
+}
+
+// unheard tells whether that is waited for; do then runs once it is over.
+func (l *Loop) unheard(do func()) bool {
+	if l.now >= l.hearBy {
+		return false
+	}
+	l.unsent = append(l.unsent, do)
+	return true
+}
+
+// heardOf goes on with what waits, unless it has to wait again.
+func (l *Loop) heardOf() {
+	if l.now < l.hearBy {
+		return
+	}
+	all := l.unsent
+	l.unsent = nil
+	for _, do := range all {
+		l.guard(nil, do)
+	}
+}
+
 func (l *Loop) unlisted(err error) {
 	l.ListErrors.Add(1)
 	l.log.Warn("no list", zap.Error(err))
--- a/internal/balancer/serve.go
+++ b/internal/balancer/serve.go
@@ -204,7 +204,6 @@
 func (l *Loop) Serve(g *Gate) error {
 	type key struct{}
 	if g.shared {
-		l.gate.Store(g)
 		<-l.welcomed // guards against clients that come to this process while the old one still knows more
 	}
 	events, err := netpoll.NewEventLoop(
--- a/internal/balancer/service.go
+++ b/internal/balancer/service.go
@@ -6,11 +6,14 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"sabletally/internal/line"
+	"sabletally/policy"
 )
 
 const (
@@ -161,6 +164,7 @@
 			l.passAll()
 		}
 		l.empty(from, within)
+		l.after(within, l.answerAll)
 		if g != nil {
 			l.after(within, l.turnAway)
 			l.emptied(done)
@@ -168,6 +172,19 @@
 	}})
 }
 
+// answerAll ends what still waits for a server when a process that leaves has to be done: the module nacks it, or breaks it off
+// where it may have run. Guards against circuits with outer limits that are longer than a process has.
+func (l *Loop) answerAll() {
+	for _, id := range slices.Sorted(maps.Keys(l.circuits)) {
+		switch cir := l.circuits[id]; {
+		case cir.standing:
+			l.giveUp(cir, line.ErrLine)
+		case cir.out:
+			l.tryEnded(cir, policy.TimedOut, errLeaving)
+		}
+	}
+}
+
 // emptied looks again and again whether nothing is held any more.
 func (l *Loop) emptied(done func()) {
 	if link := l.takesAll(); len(l.circuits) == 0 && l.fds.Load() == 0 && (link == nil || link.Flushed()) {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -154,6 +154,7 @@
 	rev     uint64        // of the newest list,
 	whole   bool          // and whether there is one that changes can be added to
 	client  *http.Client
+	again   chan struct{} // asks for what there is now
 	news    func(List)
 	failed  func(error)
 }
@@ -164,7 +165,8 @@
 	each := func(d time.Duration) time.Duration { return time.Duration(among) * d }
 	w := &Watch{
 		address: address, shared: shared, news: news, failed: failed,
-		hold: ownHold, lag: ownLag, answer: answerIn, low: ownLow, most: ownMost,
+		again: make(chan struct{}, 1),
+		hold:  ownHold, lag: ownLag, answer: answerIn, low: ownLow, most: ownMost,
 		client: &http.Client{Transport: &http.Transport{Proxy: nil, MaxIdleConns: 1, MaxConnsPerHost: 2,
 			// A dial outlives its call, and would hold one of the two places for minutes where nobody answers it.
 			DialContext: (&net.Dialer{Timeout: ownEach}).DialContext}},
@@ -184,6 +186,14 @@
 	w.rev, w.whole = known.Rev, w.shared && known.Whole && len(known.Servers) > 0
 }
 
+// Again has discovery asked for what it has now, beside a watch that waits for news. It never waits itself.
+func (w *Watch) Again() {
+	select {
+	case w.again <- struct{}{}:
+	default:
+	}
+}
+
 // Run follows the list until the context ends.
 func (w *Watch) Run(ctx context.Context) {
 	defer w.client.CloseIdleConnections()
@@ -247,6 +257,7 @@
 	case a := <-answers:
 		return a.list, a.err
 	case <-late.C:
+	case <-w.again:
 	}
 	go func() {
 		for within := w.answer; ctx.Err() == nil; sleep(ctx, ownPause) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"sabletally/internal/line"
 )
 
 const (
@@ -318,7 +320,8 @@
 
 // Stand makes a pair of a client's descriptor, which is the relay's from here on, and a server's connection that
 // has said its first line; first goes to the client before all else. The server is the one that times are told of.
-// Nothing may be sent to the server's connection any more. On an error the descriptor is closed.
+// Nothing may be sent to the server's connection any more. On an error the client is told of a failure, as who has its
+// circuit can't any more, and the descriptor is closed.
 func (s *Shards) Stand(client int, server *Conn, first []byte, number uint64, data any) (*Pair, error) {
 	unix.SetNonblock(client, true)
 	c := s.adopt(server.sh, client, resting, nil)
@@ -328,12 +331,14 @@
 	c.mine = Client
 	c.pair.Store(p)
 	if err := c.register(0); err != nil {
+		c.push(line.ErrLine)
 		c.Close()
 		return nil, err
 	}
 	server.mu.Lock()
 	if server.closed {
 		server.mu.Unlock()
+		c.push(line.ErrLine)
 		c.Close()
 		return nil, net.ErrClosed
 	}
