A cold server bears all that comes home at once: the chance is bounded by what one server holds

They belong to few groups (16, 6 and 5 of 29 to three), whose home it is: two to three servers shed some 60 connections each in those seconds.

Cause: policy.go, `mayWarm`, last line: the chance of a circuit, part*colds/draws/wanted, takes the fleet's wants for even over all cold servers and 1 for the least that a balancer sees. With twenty cold servers it came to a half and more for each member of a group, wherever its home is, and members come together.

Change: no more than so much of what a server holds on the mean as a cold one bears in a span (the multiple, its warmth, the part of the filling), or a dozen over all balancers. And cold servers are no longer probed for their load where the host guesses it from the probe's time: of cold ones it makes no guess (`load.go`, `guess`), so each circuit waited for, and the server worked on, an answer that told nothing.

The price is that new servers fill slower. Ruled out: restarts that spend a budget anew (no balancer sent two), tries again (all were first ones), two tries of one.

--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -58,6 +59,41 @@
 	}
 }
 
+// All members of a few groups whose home is a server that has just started come within a second, one at each balancer: as a
+// release of servers moves them. Each balancer sees one and knows of no other. Without the bound in mayWarm 40 of 60 go there.
+func TestManyBalancersDoNotBringGroupsHomeAtOnce(t *testing.T) {
+	for _, members := range []int{38, 60} { // what one server holds, and more
+		list := starting(fleet(80), 0, 20, time.Second)
+		all := many(t, 300, 3000, deployment(), list[20:])
+		began := 5 * time.Second
+		sent := 0
+		for k, b := range all[:members] {
+			b.Clock(began - 2*roundEvery)
+			b.ListArrived(list, true)
+			pull(b)
+			b.Clock(began + time.Duration(k)*time.Second/time.Duration(members)) // a round: the cold ones are known
+			pull(b)
+			group := uint64(1)
+			for ; ; group++ { // whose home is the first
+				c := b.take(Arrival{ID: 1 << 30, Key: 1, Group: group, Left: time.Second})
+				delete(b.circuit, c.id)
+				if b.id[b.order(c)[0].server] == 100 {
+					break
+				}
+			}
+			if d := arrive(t, b, Arrival{ID: 1000, Key: uint64(k) + 7, Group: group}); d.Do == Try && d.Server == 100 {
+				sent++
+			}
+		}
+		// What it bears in a span: the multiple of what servers hold on the mean, cut to its warmth, as much of it as a span is of
+		// the filling; and what the operators allow for chance.
+		bears := 3 * (0.15 + 0.85*4/20) * 3000 / 80 / (20 / coldFill / 2)
+		if most := bears + 3*math.Sqrt(bears) + 3; float64(sent) > most || sent == 0 {
+			t.Errorf("%d of %d members at once, it bears %.0f", sent, members, most)
+		}
+	}
+}
+
 // With every balancer asking every server each two seconds 200 of them ask 9404 times here.
 func TestManyBalancersAskLittleAfterACommonStart(t *testing.T) {
 	d := deployment()
@@ -115,6 +151,36 @@
 	}
 }
 
+// Guards against probes that cold servers bear, and circuits wait for, and by which the host learns nothing; where servers tell of
+// their load themselves they are asked as any other.
+func TestAColdServerIsAskedOnlyWhereItTellsItself(t *testing.T) {
+	for _, tell := range []bool{false, true} {
+		d := deployment()
+		d.ReportsOnAsk, d.ServersTell = true, tell
+		b := started(d, starting(fleet(3), 0, 3, 0))
+		probes := 0
+		for step := range 200 {
+			b.Clock(time.Duration(step) * 50 * ms)
+			if step%4 == 0 {
+				b.CircuitArrived(Arrival{ID: CircuitID(step + 1), Key: uint64(step + 1), Left: 2 * time.Second})
+			}
+			for _, d := range pull(b) {
+				switch d.Do {
+				case Probe:
+					probes++
+					b.ProbeAnswered(d.Server, Succeeded)
+					b.Reported(d.Server, Report{Asked: 0.1, Piled: -1, Util: -1})
+				case Try:
+					b.SetUp(d.Circuit, 0, ms)
+				}
+			}
+		}
+		if held := b.total; held == 0 || (probes > 0) != tell {
+			t.Errorf("servers tell %v: %d probes, %d held", tell, probes, held)
+		}
+	}
+}
+
 func TestACircuitWaitsForAReportOnlyAWhile(t *testing.T) {
 	d := deployment()
 	d.ReportsOnAsk = true
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -542,8 +542,7 @@
 }
 
 // belie weighs a server's word that it has little to do against slow messages or a reset here: for a while
-// such words of its kin in the list count for nothing. Guards against hundreds of balancers that each believe
-// it once. Covers slow and lossy ways too; sound kin of one bad server are filled as if unasked, no worse.
+// such words of its kin count for nothing. Guards against hundreds of balancers that each believe it once.
 func (b *Balancer) belie(i int) {
 	if b.dep.ServersTell && b.now-b.askedAt[i] <= reportFresh && b.asked[i] < crowded.asked/2 {
 		b.untrue[[2]int{b.zone[i], b.cell[i]}] = b.now + untrueFor
@@ -674,22 +673,22 @@
 // which it could fall, as many connections as servers hold on the mean, times the multiple and cut to its
 // warmth, over a part of the warm-up. A part far under one here is a chance: dealt out before it is lost.
 func (b *Balancer) mayWarm(c *circuit, i int) bool {
-	mean := float64(b.total) / float64(max(len(b.newest().servers), 1))
-	mean = math.Sqrt(mean * max(mean, b.warmMean)) // warm ones hold more, maybe too much
-	mean = max(mean, coldLeast/float64(b.dep.Peers))
+	mean, least := float64(b.total)/float64(max(len(b.newest().servers), 1)), coldLeast/float64(b.dep.Peers)
+	mean = max(math.Sqrt(mean*max(mean, b.warmMean)), least) // warm ones hold more, maybe too much
 	spans := max(float64(b.dep.ColdFor)/coldFill/float64(max(b.dep.FallFor, 1)), 1)
 	part := b.dep.FallMultiple * b.warmth(i) * mean / spans
 	if b.now-b.paidAt[i] >= b.dep.FallFor { // what is not used is lost, or all would spend it at once
 		b.budget[i], b.paidAt[i] = max(1, math.Floor(part+b.random())), b.now
 	}
 	if !c.wanted {
-		c.wanted = true
-		b.wanted++
+		c.wanted, b.wanted = true, b.wanted+1
 	}
 	draws := b.heft[i] * min(1, coolMore*b.warmth(i)) // circuits of its zone, against other cold servers
 	// The chance lies in the key, for a while: drawn anew at each report and move it left cold servers empty.
 	draw := unit(mix(mix(c.key, uint64(b.id[i])), uint64((b.now-b.started[i])/fillEach)))
-	return b.budget[i] >= 1 && (part >= 1 || draw < part*b.colds/draws/max(b.wanted, 1))
+	// Guards against all members of a few groups that come home at once: as if all that one server holds came.
+	most := max(b.dep.FallMultiple*b.warmth(i)/spans, least)
+	return b.budget[i] >= 1 && (part >= 1 || draw < min(most, part*b.colds/draws/max(b.wanted, 1)))
 }
 
 func mix(a, z uint64) uint64 {
@@ -867,10 +866,11 @@
 	return at, true
 }
 
-// mayAsk tells whether server i's report is old, and not asked for in vain for this circuit already.
+// mayAsk tells whether server i's report is old, and not asked for in vain for this circuit already. Guards
+// against work for cold servers by which nothing is learned: of their probes the host makes no guess.
 func (b *Balancer) mayAsk(c *circuit, i int) bool {
-	return b.dep.MayProbe && b.dep.ReportsOnAsk && b.now-b.askedAt[i] > reportYoung && c.asks < asksMost &&
-		c.waitsOn != i
+	old := b.now-b.askedAt[i] > reportYoung && (b.dep.ServersTell || b.warmth(i) >= 1)
+	return b.dep.MayProbe && b.dep.ReportsOnAsk && old && c.asks < asksMost && c.waitsOn != i
 }
 
 // asksFirst tells whether a circuit waits for server i's report: there is time to ask for it.
@@ -994,8 +994,8 @@
 		}
 		if due := b.probeAt[i] <= b.now; due && b.aside[i] && !b.dep.MayProbe {
 			b.back(i)
-		} else if asks := b.dep.ReportsOnAsk && askedBy*b.total >= len(b.newest().servers); due && b.dep.MayProbe &&
-			(b.aside[i] || asks) {
+		} else if asks := b.dep.ReportsOnAsk && askedBy*b.total >= len(b.newest().servers) &&
+			(b.dep.ServersTell || b.warmth(i) >= 1); due && b.dep.MayProbe && (b.aside[i] || asks) {
 			b.due, b.probing[i] = append(b.due, Decision{Do: Probe, Server: b.id[i]}), true
 			b.probeAt[i] = b.now + b.jitter(time.Duration(b.dep.Peers)*reportEach) // one set aside: by its answer
 		}
