A server's second line right behind its UP belongs to the client, not to the circuit's set-up

Found by a test that holds the hand-over while the server goes on (TestWhatCrossesTheHandOver, "the server says more and ends"): in 8 of 60 runs the log had `stands`, then `try ended` for the same circuit, and its client got no UP; once the circuit and a descriptor stayed for good.

Cause: internal/relay/conn.go. A dial is registered for EPOLLOUT; `Listen` adds EPOLLIN by `want`, which keeps what is in `interest`, so the set was armed for both. Where the first line was here by then, `writable` armed the set anew for nothing (`want(EPOLLOUT, false)`) before `readable` told the line: a second line was told unasked, and `verdict` took it for the answer to a try that stood. A second answer some milliseconds late, a LOAD or a message behind UP could do so wherever the shard came late.

Change: a connection that has come up wishes for nothing until it is listened to. TestALineIsToldOnceForEachListen has both lines here at the right moments: `"UP 2\r\n" unasked` on the code before.

--- a/internal/balancer/crossing_test.go
+++ b/internal/balancer/crossing_test.go
@@ -35,6 +35,8 @@
 	client net.Conn    // the client's end
 	up     *relay.Conn // to the server
 	asked  chan string // the server's first line
+	want   chan bool   // the test wants the server's connection for itself, once its line has come
+	mine   chan net.Conn
 	told   chan string // all that the server was told, once its connection has ended
 }
 
@@ -90,7 +92,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	x := &crossing{t: t, l: l, asked: make(chan string, 4), told: make(chan string, 4)}
+	x := &crossing{t: t, l: l, want: make(chan bool, 1), mine: make(chan net.Conn, 1), asked: make(chan string, 4), told: make(chan string, 4)}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -104,6 +106,12 @@
 				if got != "" {
 					x.asked <- got
 				}
+				select {
+				case <-x.want: // the test answers itself
+					x.mine <- c
+					return
+				default:
+				}
 				rest, _ := io.ReadAll(r)
 				c.Close()
 				x.told <- got + string(rest)
@@ -349,3 +357,93 @@
 		t.Errorf("the server was told %q", got)
 	}
 }
+
+// TestWhatCrossesTheHandOver has a circuit come to stand and holds the hand-over of its client until something else has happened:
+// an end on either side, the list's word that the server drains, the end of the process. The server's line reaches a client that
+// is there, both sides end, and nothing is left behind.
+func TestWhatCrossesTheHandOver(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		do    func(x *crossing, server net.Conn)
+		after string // what the client reads, to the end
+	}{
+		{"the client ends", func(x *crossing, _ net.Conn) { x.client.Close() }, ""},
+		{"the client resets", func(x *crossing, _ net.Conn) { x.client.(*net.TCPConn).SetLinger(0); x.client.Close() }, ""},
+		{"the server ends", func(_ *crossing, server net.Conn) { server.Close() }, "UP 1\r\n"},
+		{"the server says more and ends", func(_ *crossing, server net.Conn) {
+			io.WriteString(server, "M 1\r\nUP 2\r\nBYE\r\n")
+			server.Close()
+		}, "UP 1\r\nM 1\r\nUP 2\r\nBYE\r\n"},
+		{"the server resets", func(_ *crossing, server net.Conn) { server.(*net.TCPConn).SetLinger(0); server.Close() }, "?"},
+		{"the server drains", func(x *crossing, _ net.Conn) {
+			x.l.post(event{do: func() {
+				x.l.list(discovery.List{Whole: true, Servers: []discovery.Server{{UID: "s-1", Endpoint: x.cir.at.address, Heft: 1, State: policy.Draining},
+					{UID: "s-2", Endpoint: x.cir.at.address, Heft: 1}}}, false) // nobody is moved to nowhere
+			}})
+		}, "UP 1\r\nMOVE\r\n"},
+		{"the process is told to end", func(x *crossing, _ net.Conn) { x.l.Leave(0, 100*time.Millisecond, func() {}) }, "UP 1\r\nMOVE\r\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			x := cross(t, policy.Idempotent)
+			x.want <- true
+			x.see()
+			server := x.answers(t)
+			conn := x.cir.client
+			conn.mu.Lock() // the hand-over waits for it
+			x.until("it stands", func() bool {
+				if !x.cir.open {
+					x.l.turn()
+				}
+				return x.cir.open
+			})
+			c.do(x, server)
+			if c.after != "" {
+				for range 3 { // what has been posted is taken in while the hand-over waits
+					x.l.turn()
+				}
+			}
+			conn.mu.Unlock()
+			got := make(chan string, 1)
+			go func() {
+				x.client.SetReadDeadline(time.Now().Add(crossBound))
+				all, _ := io.ReadAll(x.client)
+				got <- string(all)
+			}()
+			for end := time.After(crossBound); len(x.l.circuits) > 0 || x.l.fds.Load() > 0; {
+				select {
+				case <-x.l.wake:
+				case <-time.After(time.Millisecond): // the loop's own alarm
+				case <-end:
+					t.Fatalf("%d circuits and %d descriptors are left", len(x.l.circuits), x.l.fds.Load())
+				}
+				x.l.turn()
+			}
+			if text := <-got; c.after != "?" && c.after != "" && text != c.after {
+				t.Errorf("the client got %q", text)
+			}
+			server.SetDeadline(time.Now().Add(crossBound))
+			if _, err := io.ReadAll(server); err != nil && strings.Contains(err.Error(), "timeout") {
+				t.Error("the server's side is open")
+			}
+			if n := x.l.Panics.Load(); n != 0 || x.l.open != 0 {
+				t.Errorf("%d panics, %d open", n, x.l.open)
+			}
+		})
+	}
+}
+
+// answers has the server say that the circuit is up, and hands its connection to the test.
+func (x *crossing) answers(t *testing.T) net.Conn {
+	t.Helper()
+	for end := time.After(crossBound); ; {
+		select {
+		case server := <-x.mine:
+			io.WriteString(server, "UP 1\r\n")
+			return server
+		case <-x.l.wake:
+			x.l.turn()
+		case <-end:
+			t.Fatal("the server gets no line")
+		}
+	}
+}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -271,6 +271,9 @@
 	}
 	if err == nil {
 		c.state = lone
+		// Guards against a first line that is listened for as well by the wish to write: that event would arm the set anew, and a
+		// second line was told unasked.
+		c.interest = unix.EPOLLONESHOT
 	}
 	c.mu.Unlock()
 	c.sh.of.owner.Connected(c, err)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -147,6 +147,17 @@
 	if err != nil {
 		b.t.Fatal(err)
 	}
+	if p, err = b.Stand(b.take(), c, []byte("UP 1\r\n"), 7, nil); err != nil {
+		b.t.Fatal(err)
+	}
+	client = b.outer(near)
+	client.want("UP 1\r\n")
+	return p, client, server
+}
+
+// take takes the descriptor of the next connection that was accepted.
+func (b *bench) take() int {
+	b.t.Helper()
 	far := get(b.t, b.taken)
 	file, err := far.(*net.TCPConn).File()
 	if err != nil {
@@ -158,12 +169,7 @@
 	}
 	file.Close()
 	far.Close()
-	if p, err = b.Stand(fd, c, []byte("UP 1\r\n"), 7, nil); err != nil {
-		b.t.Fatal(err)
-	}
-	client = b.outer(near)
-	client.want("UP 1\r\n")
-	return p, client, server
+	return fd
 }
 
 func TestAConnectionWithoutAPair(t *testing.T) {
@@ -225,6 +231,71 @@
 	}
 }
 
+// TestALineIsToldOnceForEachListen has a server's first line lie here before it is listened for, and a second one come right behind:
+// that is nobody's before the pair stands, and the client's then.
+func TestALineIsToldOnceForEachListen(t *testing.T) {
+	b := begin(t, 1)
+	for range 50 {
+		c, far := b.dial()
+		waits := func(most int) bool { // so many bytes that nobody has read
+			n, err := unix.IoctlGetInt(c.fd, unix.TIOCINQ)
+			return err == nil && n >= most
+		}
+		until := func(is func() bool) {
+			t.Helper()
+			for end := time.Now().Add(bound); !is(); time.Sleep(100 * time.Microsecond) {
+				if len(b.said) > 0 {
+					t.Fatalf("%q unasked", <-b.said)
+				}
+				if time.Now().After(end) {
+					t.Fatal("what was written does not lie here")
+				}
+			}
+		}
+		io.WriteString(far, "UP 1\r\n")
+		until(func() bool { return waits(6) })
+		c.Listen()
+		if got := get(t, b.said); got != "UP 1\r\n" {
+			t.Fatal(got)
+		}
+		io.WriteString(far, "UP 2\r\n")
+		until(func() bool { return waits(6) })
+		near, err := net.Dial("tcp", b.ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := b.Stand(b.take(), c, []byte("UP 1\r\n"), 7, nil); err != nil {
+			t.Fatal(err)
+		}
+		client := b.outer(near)
+		client.want("UP 1\r\n")
+		client.want("UP 2\r\n")
+		client.Close()
+		far.ends(false)
+		get(t, b.ended)
+	}
+}
+
+// TestAClientIsToldWhereThereIsNoPair has a server's connection closed before its pair is made. Guards against a bare end.
+func TestAClientIsToldWhereThereIsNoPair(t *testing.T) {
+	b := begin(t, 1)
+	c, _ := b.dial()
+	c.Close()
+	near, err := net.Dial("tcp", b.ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := b.Stand(b.take(), c, []byte("UP 1\r\n"), 7, nil); err == nil {
+		t.Fatal("a pair without a server")
+	}
+	client := b.outer(near)
+	client.want("ERR\r\n")
+	client.ends(false)
+	if n := b.fds.Load(); n != 0 {
+		t.Fatalf("%d descriptors", n)
+	}
+}
+
 func TestLinesPassWholeAndEndsAsTheyCome(t *testing.T) {
 	b := begin(t, 2)
 	_, client, server := b.pair()
