Spoilt answers in each effect, a client that leaves while its server is asked, a watch without waits

Tests on real processes: twelve answers that are none (without an end, in pieces that stop, a bare end of line, errors, resets and ends at each place, BUSY with an UP behind it) against three classes of effect: one try at a time, the second only once the first connection has ended as its server sees it, none where it may have run and must not again. A client that ends, half-closes or resets while its server is asked for its load: no try. Both hold as they are.

Found by reading: a discovery that answers each watch at once without news was called again without a pause (discovery.go, `Run`); now 20 ms are between, within the 200 ms that a watch may pause.

--- a/cmd/sabletally/main_test.go
+++ b/cmd/sabletally/main_test.go
@@ -18,6 +18,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"sabletally/internal/lab/field"
 	"sabletally/internal/lab/record"
 	"sabletally/internal/lab/standin"
@@ -126,7 +128,8 @@
 	}
 	if slices.Contains(env, "LONG") { // outer limits longer than a process that leaves has
 		text = strings.Replace(text, `"OuterLimitUs":1800000,"Utility":1}`, `"OuterLimitUs":60000000,"Utility":1},{"Name":"pay",
-			"Effect":"non_idempotent","LatencyGoalUs":300000,"OuterLimitUs":60000000,"Utility":1}`, 1)
+			"Effect":"non_idempotent","LatencyGoalUs":300000,"OuterLimitUs":60000000,"Utility":1},{"Name":"book","Effect":"idempotency_key",
+			"Group":"cell","WindowUs":5000000,"LatencyGoalUs":300000,"OuterLimitUs":60000000,"Utility":1}`, 1)
 	}
 	if slices.Contains(env, "SHARED") { // two processes hold them together
 		text = strings.Replace(text, `"sockets":64`, `"sockets":512`, 1)
@@ -608,6 +611,136 @@
 	s.waitLog(`"why":"asked"`)
 }
 
+// TestSpoiltAnswers has servers answer a first line with what is no answer, in each class of effect: what may run again is tried
+// elsewhere, only once the connection before has ended, as the server sees it; what must not is broken off. Guards rule 2.
+func TestSpoiltAnswers(t *testing.T) {
+	spoilt := []struct {
+		name, text string
+		how        string // what follows the text
+		ran        bool   // it may have run
+	}{
+		{"without an end", strings.Repeat("U", 5000), "", true},
+		{"in pieces that stop", "U", "", true},
+		{"a bare end of line", "UP 1\n", "", true},
+		{"an error", "ERR\r\n", "", true},
+		{"a word that is none", "DOWN 1\r\n", "", true},
+		{"a load, then a reset", "LOAD 3\r\n", "reset", true},
+		{"a reset", "", "reset", true},
+		{"an end", "", "end", true},
+		{"half an UP and an end", "UP 1\r", "end", true},
+		{"sent away", "MOVE\r\n", "end", true},
+		{"turned away", "BUSY\r\n", "end", false},
+		{"turned away, and up a moment later", "BUSY\r\nUP 1\r\n", "end", false},
+	}
+	for _, grade := range []string{"feed", "pay", "book"} {
+		for _, c := range spoilt {
+			t.Run(grade+" "+c.name, func(t *testing.T) {
+				s := begin(t, []string{"LONG"}, "s-1", "s-2", "s-3")
+				a := s.client(strings.Replace(strings.Replace(open, "c=feed", "c="+grade, 1), "d=1500", "d=3000", 1))
+				first := s.session()
+				io.WriteString(first, c.text)
+				switch c.how {
+				case "reset":
+					first.Conn.(*net.TCPConn).SetLinger(0)
+					first.Close()
+				case "end":
+					first.Conn.(*net.TCPConn).CloseWrite()
+				}
+				if grade == "pay" && c.ran {
+					a.want("ERR\r\n")
+					ends(t, a.r, false)
+				} else {
+					second := s.session()
+					if c.how != "reset" && !ended(t, first.Conn) {
+						t.Error("the second try came before the end of the first")
+					}
+					io.WriteString(second, "UP 2\r\n")
+					a.want("UP 2\r\n")
+					a.Close()
+					ends(t, second.R, false)
+				}
+				if n := s.counted("panics"); n != 0 {
+					t.Fatalf("%d panics", n)
+				}
+				if len(s.Sessions) > 0 {
+					t.Fatal("one try too many")
+				}
+			})
+		}
+	}
+}
+
+// ended tells whether the other side of a connection has ended it by now.
+func ended(t *testing.T, c net.Conn) (is bool) {
+	t.Helper()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		is = err == nil && info.State != unix.BPF_TCP_ESTABLISHED && info.State != unix.BPF_TCP_FIN_WAIT1 && info.State != unix.BPF_TCP_FIN_WAIT2
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return is
+}
+
+// TestAClientThatLeavesWhileItsServerIsAsked has a circuit wait for a server's word about its load, and its client leave meanwhile:
+// what comes then leads to no try.
+func TestAClientThatLeavesWhileItsServerIsAsked(t *testing.T) {
+	for _, how := range []string{"end", "half-close", "reset"} {
+		t.Run(how, func(t *testing.T) {
+			s := begin(t, []string{"PROBES=yes"})
+			ln, lines := listen(t), make(chan *ask, 10)
+			go func() {
+				for {
+					c, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					s.Hold(c)
+					r := bufio.NewReader(c)
+					if text, err := r.ReadString('\n'); err == nil && text == "PING\r\n" {
+						lines <- &ask{c, r, t}
+					} else if err == nil {
+						t.Errorf("%q in place of a question", text)
+					}
+				}
+			}()
+			s.list("s-1", ln.Addr().String(), standin.InService)
+			s.waitLog(`"server":"s-1"`)
+			a := s.client(strings.Replace(open, "d=1500", "d=1700", 1))
+			var asked *ask
+			select {
+			case asked = <-lines:
+			case <-time.After(bound):
+				t.Fatal("nobody is asked")
+			}
+			switch tcp := a.Conn.(*net.TCPConn); how {
+			case "half-close":
+				tcp.CloseWrite()
+			case "reset":
+				tcp.SetLinger(0)
+				tcp.Close()
+			default:
+				tcp.Close()
+			}
+			for end := time.Now().Add(bound); s.counted("left") == 0; {
+				if time.Now().After(end) {
+					t.Fatal("it has not left")
+				}
+			}
+			asked.write("PONG\r\n")
+			ends(t, asked.r, false) // the answer is in
+			if n := s.counted("tries"); n != 0 {
+				t.Fatalf("%d tries", n)
+			}
+		})
+	}
+}
+
 func TestBadFirstLinesAreAnswered(t *testing.T) {
 	s := begin(t, nil, "s-1")
 	for _, text := range []string{
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -202,8 +202,12 @@
 		sleep(ctx, w.start)
 	}
 	for ctx.Err() == nil {
+		asked := time.Now()
 		list, err := w.next(ctx, wait)
 		if err == nil {
+			if w.whole && list.Rev == w.rev && time.Since(asked) < ownLow { // guards against one that waits for no news
+				sleepFor(ctx, ownLow)
+			}
 			w.rev, w.whole, pause = list.Rev, true, 0
 			wait = time.Duration((0.5 + 0.5*rand.Float64()) * float64(w.hold)) // not all in step
 			w.news(list)
@@ -279,9 +283,13 @@
 
 // sleep pauses by chance, up to so long.
 func sleep(ctx context.Context, most time.Duration) {
+	sleepFor(ctx, time.Duration(rand.Int64N(int64(most))))
+}
+
+func sleepFor(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(time.Duration(rand.Int64N(int64(most)))):
+	case <-time.After(d):
 	}
 }
 
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -172,6 +172,37 @@
 	}
 }
 
+// TestADiscoveryThatWaitsForNoNewsIsNotAskedAllTheTime has every watch answered at once. Guards against a call after the other,
+// without a pause between; a change is heard as soon all the same.
+func TestADiscoveryThatWaitsForNoNewsIsNotAskedAllTheTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start, calls, heard := time.Now(), atomic.Int64{}, make(chan time.Duration, 1)
+		w := New("agent", 3, false, func(l List) {
+			if l.Rev == 51 && len(heard) == 0 {
+				heard <- time.Since(start)
+			}
+		}, func(error) {})
+		w.client.Transport = network(func(r *http.Request) (*http.Response, error) {
+			text := `{"rev":50,"all":true,"targets":[]}`
+			if calls.Add(1); time.Since(start) >= time.Second {
+				text = `{"rev":51,"all":true,"targets":[]}`
+			}
+			if calls.Load() > 1000 {
+				<-r.Context().Done() // or virtual time would stand
+			}
+			return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(text))}, nil
+		})
+		go w.Run(t.Context())
+		time.Sleep(time.Second)
+		if n := calls.Load(); n < 20 || n > 60 {
+			t.Errorf("%d calls in a second", n)
+		}
+		if at := <-heard; at > 1100*time.Millisecond {
+			t.Errorf("heard at %v", at)
+		}
+	})
+}
+
 // network stands for it: what a call gets, and when.
 type network func(*http.Request) (*http.Response, error)
 
