A try whose line never went out has not run, and spans of any size are read

Cause, circuit.go: the timer of `call` said timed out ("may have run") for a try whose connection was not up, or whose line waited, when its time was over: a circuit that must not run twice got ERR where it could have been nacked (the test's client: "ERR"). Now it ends as never sent unless `send` was reached; also at the end of a process.

Cause, deployment.go, `us`: a span of 9e15 microseconds and more overflowed to a negative one, a deadline that means "for ever" to one that is over. Spans end at ten years.

Tests of crossings: two of them lost an event of their own under the race detector (a dial's event may come before who dials knows its connection; a list may come in the turn that is looked at). Their order is forced now.

--- a/internal/balancer/circuit.go
+++ b/internal/balancer/circuit.go
@@ -48,7 +48,8 @@
 	until    time.Duration  // the client's outer limit, by the loop's clock
 	tries    int            // made; the newest has this number less one
 	turn     int            // counts tries and their ends, so that what comes late is known as such
-	out      bool           // a try is out
+	out      bool           // a try is out,
+	sent     bool           // and its line may have gone to the server
 	open     bool           // it stands
 	away     bool           // it is to be moved as soon as its connections are a pair
 	standing bool           // it was open before the run and goes to its server without the module
@@ -204,11 +205,11 @@
 // call dials a circuit's server beside the loop.
 func (l *Loop) call(cir *circuit, sv *server) {
 	cir.turn++
-	cir.at = sv
+	cir.at, cir.sent = sv, false
 	turn, within := cir.turn, cir.giveUp-l.now
 	l.after(within, func() {
 		if cir.turn == turn && cir.out {
-			l.tryEnded(cir, policy.TimedOut, nil)
+			l.timeIsUp(cir, nil)
 		}
 	})
 	if cir.held != nil {
@@ -251,6 +252,7 @@
 // send writes the circuit's line beside the loop: a write is most of what a set-up costs. What the loop knows is looked at just
 // before, and what it can't know yet here: an end of the client that nobody has read, and a stall of the process since.
 func (l *Loop) send(cir *circuit, turn int, c *relay.Conn) {
+	cir.sent = true
 	text, looked := cir.ask.Onward(cir.giveUp-l.now), time.Now()
 	then := func(do func()) {
 		l.post(event{of: cir, do: func() {
@@ -280,6 +282,15 @@
 	}()
 }
 
+// timeIsUp ends a setup try whose time is over: one whose line never went to its server has not run.
+func (l *Loop) timeIsUp(cir *circuit, why error) {
+	how := policy.NeverSent
+	if cir.sent {
+		how = policy.TimedOut
+	}
+	l.tryEnded(cir, how, why)
+}
+
 // tryEnded ends a setup try that did not come to stand: its connection is closed before the module hears.
 func (l *Loop) tryEnded(cir *circuit, how policy.Outcome, why error) {
 	if h := cir.held; h != nil && h.tells { // its end is on its way to be told
--- a/internal/balancer/crossing_test.go
+++ b/internal/balancer/crossing_test.go
@@ -158,13 +158,15 @@
 
 // take takes an event out of the inbox.
 func (x *crossing) take(is func(event) bool) bool {
+	if x.up = x.cir.called.conn.Load(); x.up == nil { // it may be up before who dials knows it
+		return false
+	}
 	x.l.mu.Lock()
 	defer x.l.mu.Unlock()
 	for i, ev := range x.l.inbox {
 		if is(ev) {
 			x.l.inbox = append(x.l.inbox[:i], x.l.inbox[i+1:]...)
-			x.up = x.cir.called.conn.Load()
-			return x.up != nil
+			return true
 		}
 	}
 	return false
@@ -294,14 +296,16 @@
 				}, func(err error) {})
 				x.l.start = x.l.start.Add(-2 * time.Second) // stopped for so long, and the try's time is not up
 				x.l.post(event{do: x.see})
-				go x.l.watch.Run(ctx)
 			} else {
 				x.l.Follow(ctx, agent.Addr())
 				x.l.post(event{do: x.see})
 			}
 			x.l.turn()
-			if x.l.Lists.Load() != heard {
-				t.Fatal("discovery was heard before")
+			if x.l.Lists.Load() != heard || len(x.l.unsent) != 1 {
+				t.Fatalf("%d lists heard before, %d lines wait", x.l.Lists.Load()-heard, len(x.l.unsent))
+			}
+			if stalled {
+				go x.l.watch.Run(ctx)
 			}
 			if silent {
 				for end, asked := time.After(crossBound), false; !asked; {
@@ -447,3 +451,21 @@
 		}
 	}
 }
+
+// TestATryThatNeverWentOutHasNotRun has a try's time run out while its line waits to be written: one that must not run twice is
+// nacked, as trying again is harmless.
+func TestATryThatNeverWentOutHasNotRun(t *testing.T) {
+	x := cross(t, policy.Unrepeatable)
+	x.l.hearBy = time.Hour // discovery is waited for
+	x.see()
+	x.l.start = x.l.start.Add(-x.cir.giveUp)
+	x.l.turn()
+	if got := x.settled(); got != "" {
+		t.Errorf("the server was told %q", got)
+	}
+	x.l.turn()
+	x.client.SetReadDeadline(time.Now().Add(crossBound))
+	if got, err := bufio.NewReader(x.client).ReadString('\n'); !strings.HasPrefix(got, "BUSY") {
+		t.Errorf("the client got %q, %v", got, err)
+	}
+}
--- a/internal/balancer/service.go
+++ b/internal/balancer/service.go
@@ -13,7 +13,6 @@
 	"go.uber.org/zap"
 
 	"sabletally/internal/line"
-	"sabletally/policy"
 )
 
 const (
@@ -180,7 +179,7 @@
 		case cir.standing:
 			l.giveUp(cir, line.ErrLine)
 		case cir.out:
-			l.tryEnded(cir, policy.TimedOut, errLeaving)
+			l.timeIsUp(cir, errLeaving)
 		}
 	}
 }
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -70,7 +70,12 @@
 	}
 }
 
-func us(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+// longest is more than any span that settings mean, and far from where a sum of two overflows.
+const longest = 10 * 365 * 24 * time.Hour
+
+func us(n int64) time.Duration {
+	return time.Duration(min(n, int64(longest/time.Microsecond))) * time.Microsecond
+}
 
 // Read turns the settings into a Deployment; errors name the key at fault.
 func Read(text []byte) (*Deployment, error) {
@@ -165,7 +170,7 @@
 			return nil, fmt.Errorf("ServiceGrades[%d].Effect %q is not known", i, *sg.Effect)
 		}
 		if i < len(s.Specifics.MessageAimUs) {
-			row.MessageGoal = us(int64(s.Specifics.MessageAimUs[i]))
+			row.MessageGoal = us(int64(min(s.Specifics.MessageAimUs[i], float64(longest/time.Microsecond))))
 		}
 		p.Grades = append(p.Grades, row)
 		d.OuterLimits = append(d.OuterLimits, us(sg.OuterLimitUs))
