A client for whom there is no room reads its nack and a plain end

Cause, conn.go, `word`, and serve.go, `makeRoom`: the nack was written and the descriptor closed with the client's own line unread, which the kernel makes a reset; the test's client had "BUSY" and "connection reset by peer" on the code before. What has come is read first.

--- a/internal/balancer/conn.go
+++ b/internal/balancer/conn.go
@@ -361,13 +361,17 @@
 // shut closes it beside the caller: netpoll's own goroutine would wait for itself.
 func (c *conn) shut() { go c.nc.Close() }
 
-// word writes a last line past the buffer, as far as the kernel takes it.
+// word writes a last line past the buffer, as far as the kernel takes it, to a client whose connection is closed next. What it has
+// sent is read first: a close with unread bytes is a reset, which may take the line along.
 func (c *conn) word(b []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closed {
-		unix.Write(c.fd(), b)
+	if c.closed {
+		return
 	}
+	var unread [line.Longest]byte
+	unix.Recvfrom(c.fd(), unread[:], unix.MSG_DONTWAIT)
+	unix.Write(c.fd(), b)
 }
 
 func (c *conn) abort() {
--- a/internal/balancer/crossing_test.go
+++ b/internal/balancer/crossing_test.go
@@ -469,3 +469,29 @@
 		t.Errorf("the client got %q, %v", got, err)
 	}
 }
+
+// TestAClientForWhomThereIsNoRoomReadsSo has a client's line lie here before it is accepted, and no descriptor be left that could be
+// shed: it reads its nack and a plain end.
+func TestAClientForWhomThereIsNoRoomReadsSo(t *testing.T) {
+	dep := &deployment.Deployment{Policy: &policy.Deployment{Peers: 1, Grades: []policy.Grade{{}}}}
+	l, err := New(zap.NewNop(), dep, 7, discovery.List{Whole: true}, 1024)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.fds.Store(l.mostFds())
+	door, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", door.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(crossBound))
+	io.WriteString(c, "OPEN 1 2 c=feed,d=20000\r\n")
+	go l.Serve(door)
+	if got, err := io.ReadAll(c); !strings.HasPrefix(string(got), "BUSY") || err != nil {
+		t.Fatalf("%q, %v", got, err)
+	}
+}
