A walk of all pairs of events around a set-up, in each order, with the process's end behind

Twelve things that may happen to a circuit whose line is out (its client ends, resets or says more, five answers, its server ends, resets or drains, its time is up, the process ends), 288 pairs with the effect: one final answer, no second run, nothing left in the loop. What failed on the way were the test's own: a connection that nobody held was closed by the collector, a loop that it no longer turned.

A stall is logged with its length.

--- a/internal/balancer/crossing_test.go
+++ b/internal/balancer/crossing_test.go
@@ -495,3 +495,113 @@
 		t.Fatalf("%q, %v", got, err)
 	}
 }
+
+// TestEachTwoEventsInEachOrder walks all pairs of what may happen to a circuit whose line is out, in both orders, with the end of the
+// process behind them, for a circuit that may run again and one that must not. Whatever crosses: a client that is there gets one
+// final answer and an end; a circuit that must not run twice is asked once where it may have run; a second try comes only once
+// the first connection has ended; and nothing is left in the loop.
+func TestEachTwoEventsInEachOrder(t *testing.T) {
+	type act struct {
+		name string
+		left bool // the client takes no answer any more
+		do   func(x *crossing, server *net.TCPConn)
+	}
+	acts := []act{
+		{"the client ends", true, func(x *crossing, _ *net.TCPConn) { x.client.Close() }},
+		{"the client resets", true, func(x *crossing, _ *net.TCPConn) { x.client.(*net.TCPConn).SetLinger(0); x.client.Close() }},
+		{"the client says more", false, func(x *crossing, _ *net.TCPConn) { io.WriteString(x.client, "M 1\r\n") }},
+		{"up", false, func(_ *crossing, server *net.TCPConn) { io.WriteString(server, "UP 1\r\n") }},
+		{"up and more", false, func(_ *crossing, server *net.TCPConn) { io.WriteString(server, "UP 1\r\nLOAD 1\r\nUP 2\r\n") }},
+		{"turned away", false, func(_ *crossing, server *net.TCPConn) { io.WriteString(server, "BUSY\r\n") }},
+		{"an error", false, func(_ *crossing, server *net.TCPConn) { io.WriteString(server, "ERR\r\n") }},
+		{"the server ends", false, func(_ *crossing, server *net.TCPConn) { server.CloseWrite() }},
+		{"the server resets", false, func(_ *crossing, server *net.TCPConn) { server.SetLinger(0); server.Close() }},
+		{"the server drains", false, func(x *crossing, _ *net.TCPConn) {
+			x.l.post(event{do: func() {
+				x.l.list(discovery.List{Whole: true, Servers: []discovery.Server{{UID: "s-1", Endpoint: x.cir.at.address, Heft: 1, State: policy.Draining}}}, false)
+			}})
+		}},
+		{"the try's time is up", false, func(x *crossing, _ *net.TCPConn) {
+			x.l.post(event{do: func() {
+				if x.l.circuits[x.cir.id] == x.cir && x.cir.out {
+					x.l.timeIsUp(x.cir, nil)
+				}
+			}})
+		}},
+		{"the process is told to end", false, func(x *crossing, _ *net.TCPConn) { x.l.Leave(0, 20*time.Millisecond, func() {}) }},
+	}
+	for _, effect := range []policy.Effect{policy.Idempotent, policy.Unrepeatable} {
+		for _, first := range acts {
+			for _, second := range acts {
+				t.Run(first.name+", "+second.name, func(t *testing.T) {
+					t.Parallel()
+					x := cross(t, effect)
+					x.want <- true
+					x.see()
+					var server *net.TCPConn
+					for end := time.After(crossBound); server == nil; {
+						select {
+						case c := <-x.mine:
+							server = c.(*net.TCPConn)
+						case <-x.l.wake:
+							x.l.turn()
+						case <-end:
+							t.Fatal("the server gets no line")
+						}
+					}
+					defer server.Close() // and not before: one that nobody holds would be closed
+					server.SetDeadline(time.Now().Add(crossBound))
+					x.client.SetDeadline(time.Now().Add(crossBound))
+					asked := len(x.asked)
+					for _, a := range []act{first, second} {
+						if a.do(x, server); !a.left {
+							x.l.turn() // with what is here by now, or the next time
+						}
+					}
+					x.l.Leave(0, 20*time.Millisecond, func() {})
+					var got []byte
+					var err error
+					read := make(chan bool)
+					go func() {
+						defer close(read)
+						if !first.left && !second.left {
+							got, err = io.ReadAll(x.client)
+						}
+					}()
+					for end, over := time.After(crossBound), false; !over || len(x.l.circuits) > 0; {
+						select {
+						case <-x.l.wake:
+						case <-time.After(time.Millisecond): // the loop's own alarm
+						case <-read:
+							over = true
+						case <-end:
+							t.Fatal("a circuit is left, or its client has no end")
+						}
+						x.l.turn()
+					}
+					if n := len(x.asked) - asked; n > 0 && effect == policy.Unrepeatable && first.name != "turned away" && second.name != "turned away" {
+						t.Errorf("asked %d times more, and it may have run", n)
+					}
+					if n := x.l.Panics.Load(); n != 0 || x.l.open != 0 || len(x.l.byAsk) != 0 {
+						t.Errorf("%d panics, %d open, %d ids", n, x.l.open, len(x.l.byAsk))
+					}
+					if first.left || second.left {
+						return
+					}
+					lines := strings.SplitAfter(string(got), "\r\n")
+					// An UP, then what its server says and an end or a MOVE; or one other answer.
+					ok := lines[0] == "UP 1\r\n" || len(lines) == 2 && lines[1] == "" && (strings.HasPrefix(lines[0], "BUSY") || strings.HasPrefix(lines[0], "ERR"))
+					is := func(name string) bool { return first.name == name || second.name == name }
+					if lines[0] == "UP 1\r\n" && !is("the server ends") && !is("the server resets") && !is("the client says more") {
+						ok = strings.HasSuffix(string(got), "\r\nMOVE\r\n")
+					}
+					// A reset goes on as it came, and takes along what was not read; a client that says more before its answer is bad,
+					// and may be reset.
+					if may := is("the server resets") || is("the client says more"); (!may || len(got) > 0) && !ok || !may && err != nil {
+						t.Errorf("the client got %q, %v", got, err)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -224,6 +224,7 @@
 	l.bal.Clock(l.now)
 	if l.now-due > stalledFor {
 		l.Stalls.Add(1)
+		l.log.Warn("stopped, or starved", zap.Duration("for", l.now-due))
 		l.hear()
 	}
 	for _, ev := range batch {
