--- a/internal/balancer/crossing_test.go
+++ b/internal/balancer/crossing_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -156,6 +157,20 @@
 	}
 }
 
+// turns turns the loop, as Run would, until something holds.
+func (x *crossing) turns(what string, is func() bool) {
+	x.t.Helper()
+	for end := time.After(crossBound); !is(); {
+		select {
+		case <-x.l.wake:
+		case <-time.After(time.Millisecond): // the loop's own alarm
+		case <-end:
+			x.t.Fatalf("not so within %v: %s", crossBound, what)
+		}
+		x.l.turn()
+	}
+}
+
 // take takes an event out of the inbox.
 func (x *crossing) take(is func(event) bool) bool {
 	if x.up = x.cir.called.conn.Load(); x.up == nil { // it may be up before who dials knows it
@@ -308,17 +323,7 @@
 				go x.l.watch.Run(ctx)
 			}
 			if silent {
-				for end, asked := time.After(crossBound), false; !asked; {
-					select {
-					case <-x.l.wake:
-					case <-time.After(time.Millisecond): // the loop's own alarm
-					case <-x.asked:
-						asked = true
-					case <-end:
-						t.Fatal("a silent discovery is waited for")
-					}
-					x.l.turn()
-				}
+				x.turns("a silent discovery is waited for no longer", func() bool { return len(x.asked) > 0 })
 				x.client.Close()
 			}
 			if got := x.settled(); (got != "") != silent {
@@ -340,15 +345,7 @@
 	x.l.now = time.Since(x.l.start)
 	x.l.stands(x.cir, line.Decode([]byte("UP 1\r\n")))
 	began := time.Now()
-	for end := time.After(crossBound); len(x.l.circuits) > 0; {
-		select {
-		case <-x.l.wake:
-		case <-time.After(time.Millisecond): // the loop's own alarm
-		case <-end:
-			t.Fatal("it is tried for ever")
-		}
-		x.l.turn()
-	}
+	x.turns("it is tried no more", func() bool { return len(x.l.circuits) == 0 })
 	if took := time.Since(began); took < pairWithin/2 {
 		t.Errorf("given up after %v", took)
 	}
@@ -391,7 +388,9 @@
 			x := cross(t, policy.Idempotent)
 			x.want <- true
 			x.see()
-			server := x.answers(t)
+			x.turns("the server gets its line", func() bool { return len(x.mine) > 0 })
+			server := <-x.mine
+			io.WriteString(server, "UP 1\r\n")
 			conn := x.cir.client
 			conn.mu.Lock() // the hand-over waits for it
 			x.until("it stands", func() bool {
@@ -413,15 +412,7 @@
 				all, _ := io.ReadAll(x.client)
 				got <- string(all)
 			}()
-			for end := time.After(crossBound); len(x.l.circuits) > 0 || x.l.fds.Load() > 0; {
-				select {
-				case <-x.l.wake:
-				case <-time.After(time.Millisecond): // the loop's own alarm
-				case <-end:
-					t.Fatalf("%d circuits and %d descriptors are left", len(x.l.circuits), x.l.fds.Load())
-				}
-				x.l.turn()
-			}
+			x.turns("no circuit and no descriptor is left", func() bool { return len(x.l.circuits) == 0 && x.l.fds.Load() == 0 })
 			if text := <-got; c.after != "?" && c.after != "" && text != c.after {
 				t.Errorf("the client got %q", text)
 			}
@@ -436,22 +427,6 @@
 	}
 }
 
-// answers has the server say that the circuit is up, and hands its connection to the test.
-func (x *crossing) answers(t *testing.T) net.Conn {
-	t.Helper()
-	for end := time.After(crossBound); ; {
-		select {
-		case server := <-x.mine:
-			io.WriteString(server, "UP 1\r\n")
-			return server
-		case <-x.l.wake:
-			x.l.turn()
-		case <-end:
-			t.Fatal("the server gets no line")
-		}
-	}
-}
-
 // TestATryThatNeverWentOutHasNotRun has a try's time run out while its line waits to be written: one that must not run twice is
 // nacked, as trying again is harmless.
 func TestATryThatNeverWentOutHasNotRun(t *testing.T) {
@@ -538,17 +513,8 @@
 					x := cross(t, effect)
 					x.want <- true
 					x.see()
-					var server *net.TCPConn
-					for end := time.After(crossBound); server == nil; {
-						select {
-						case c := <-x.mine:
-							server = c.(*net.TCPConn)
-						case <-x.l.wake:
-							x.l.turn()
-						case <-end:
-							t.Fatal("the server gets no line")
-						}
-					}
+					x.turns("the server gets its line", func() bool { return len(x.mine) > 0 })
+					server := (<-x.mine).(*net.TCPConn)
 					defer server.Close() // and not before: one that nobody holds would be closed
 					server.SetDeadline(time.Now().Add(crossBound))
 					x.client.SetDeadline(time.Now().Add(crossBound))
@@ -561,24 +527,14 @@
 					x.l.Leave(0, 20*time.Millisecond, func() {})
 					var got []byte
 					var err error
-					read := make(chan bool)
+					var over atomic.Bool
 					go func() {
-						defer close(read)
+						defer over.Store(true)
 						if !first.left && !second.left {
 							got, err = io.ReadAll(x.client)
 						}
 					}()
-					for end, over := time.After(crossBound), false; !over || len(x.l.circuits) > 0; {
-						select {
-						case <-x.l.wake:
-						case <-time.After(time.Millisecond): // the loop's own alarm
-						case <-read:
-							over = true
-						case <-end:
-							t.Fatal("a circuit is left, or its client has no end")
-						}
-						x.l.turn()
-					}
+					x.turns("no circuit is left, and its client has an end", func() bool { return over.Load() && len(x.l.circuits) == 0 })
 					if n := len(x.asked) - asked; n > 0 && effect == policy.Unrepeatable && first.name != "turned away" && second.name != "turned away" {
 						t.Errorf("asked %d times more, and it may have run", n)
 					}
