An end that is asked for while a reload reads a file that hangs begins at once

Cause, main.go, `reload`: the file was read in the signals' own loop. A file that does not end (a pipe, a share that is away) kept SIGTERM, and a question for counters, from being heard until the kill. Now the file is read beside, one read at a time; what holds is changed where it was before.

--- a/cmd/sabletally/main.go
+++ b/cmd/sabletally/main.go
@@ -132,12 +132,21 @@
 
 	var exit <-chan time.Time
 	handed := make(chan struct{}) // what is held for others is, by others
+	reading, read := reloads, make(chan reread, 1)
 	for {
 		select {
 		case <-asks:
 			l.Report("asked")
-		case <-reloads:
-			s = reload(ctx, log, l, s)
+		case <-reading:
+			// Read beside this loop: guards against a file that hangs while the end is asked for.
+			reading = nil
+			go func(was *deployment.Station) {
+				now, err := deployment.ReadStation(os.Getenv, was)
+				read <- reread{now, err}
+			}(s)
+		case r := <-read:
+			s = reload(ctx, log, l, s, r)
+			reading = reloads
 		case <-ends:
 			if exit != nil {
 				continue
@@ -219,11 +228,17 @@
 	return g, err
 }
 
-// reload reads the configuration again, has its settings and peers hold and follows the discovery that it names; the
-// rest takes a restart. It answers what holds now. Guards against a file that is bad or half written: what was told
+// reread is the configuration read again, or why it can't be.
+type reread struct {
+	station *deployment.Station
+	err     error
+}
+
+// reload takes the configuration that was read again: has its settings and peers hold and follows the discovery that it names;
+// the rest takes a restart. It answers what holds now. Guards against a file that is bad or half written: what was told
 // before then holds whole.
-func reload(ctx context.Context, log *zap.Logger, l *balancer.Loop, was *deployment.Station) *deployment.Station {
-	s, err := deployment.ReadStation(os.Getenv, was)
+func reload(ctx context.Context, log *zap.Logger, l *balancer.Loop, was *deployment.Station, r reread) *deployment.Station {
+	s, err := r.station, r.err
 	if err == nil {
 		err = l.Reconfigure(s.Deployment, s.Peers)
 	}
--- a/cmd/sabletally/main_test.go
+++ b/cmd/sabletally/main_test.go
@@ -573,8 +573,8 @@
 	}
 }
 
-// TestNoSignalIsLostBehindOthers holds a reload half way, at a file that does not end yet, under a rush of other signals: the end
-// that is asked for then comes all the same.
+// TestNoSignalIsLostBehindOthers holds a reload half way, at a file that does not end, under a rush of other signals: the end that
+// is asked for then begins all the same, and the file is taken in once it ends.
 func TestNoSignalIsLostBehindOthers(t *testing.T) {
 	s := begin(t, nil, "s-1")
 	a, _ := s.up()
@@ -597,6 +597,8 @@
 	}
 	s.child.Signal(syscall.SIGHUP)
 	s.child.Signal(syscall.SIGTERM)
+	s.waitLog(`"leaving"`)
+	a.want("MOVE\r\n")
 	file.Write(text)
 	if again, err := os.CreateTemp(filepath.Dir(s.config), ""); err != nil { // for the second
 		t.Fatal(err)
@@ -606,8 +608,7 @@
 		os.Rename(again.Name(), s.config)
 	}
 	file.Close()
-	s.waitLog(`"leaving"`)
-	a.want("MOVE\r\n")
+	s.waitLog(`"reloaded"`)
 	s.waitLog(`"why":"asked"`)
 }
 
