--- a/internal/balancer/crossing_test.go
+++ b/internal/balancer/crossing_test.go
@@ -83,16 +83,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { ln.Close() })
-	dep := &deployment.Deployment{
-		Policy: &policy.Deployment{Peers: 1, MostTries: 4, FallMultiple: 3, FallFor: time.Second, ColdFrom: 1, ColdFor: time.Second,
-			Grades: []policy.Grade{{SetupGoal: 5 * time.Second, Utility: 1, Effect: effect}}},
-		Grades: map[string]int{"feed": 0}, OuterLimits: []time.Duration{30 * time.Second},
-	}
-	known := discovery.List{Whole: true, Servers: []discovery.Server{{UID: "s-1", Endpoint: ln.Addr().String(), Heft: 1}}}
-	l, err := New(zap.NewNop(), dep, 7, known, 1024)
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := alone(t, ln.Addr().String(), effect)
 	x := &crossing{t: t, l: l, want: make(chan bool, 1), mine: make(chan net.Conn, 1), asked: make(chan string, 4), told: make(chan string, 4)}
 	go func() {
 		for {
--- a/internal/balancer/heir_test.go
+++ b/internal/balancer/heir_test.go
@@ -10,11 +10,8 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
-	"sabletally/internal/deployment"
-	"sabletally/internal/discovery"
 	"sabletally/internal/upgrade"
 	"sabletally/policy"
 )
@@ -53,16 +50,7 @@
 			}
 			oldDir, newDir := t.TempDir(), t.TempDir()
 			process := func(dir string, g *Gate) *Loop {
-				dep := &deployment.Deployment{
-					Policy: &policy.Deployment{Peers: 1, MostTries: 4, FallMultiple: 3, FallFor: time.Second, ColdFrom: 1, ColdFor: time.Second,
-						Grades: []policy.Grade{{SetupGoal: 5 * time.Second, Utility: 1}}},
-					Grades: map[string]int{"feed": 0}, OuterLimits: []time.Duration{30 * time.Second},
-				}
-				known := discovery.List{Whole: true, Servers: []discovery.Server{{UID: "s-1", Endpoint: servers.Addr().String(), Heft: 1}}}
-				l, err := New(zap.NewNop(), dep, 7, known, 1024)
-				if err != nil {
-					t.Fatal(err)
-				}
+				l := alone(t, servers.Addr().String(), policy.Idempotent)
 				ctx, stop := context.WithCancel(context.Background())
 				t.Cleanup(stop)
 				go l.Run(ctx.Done())
--- a/internal/balancer/loop_test.go
+++ b/internal/balancer/loop_test.go
@@ -19,6 +19,22 @@
 	"sabletally/policy"
 )
 
+// alone is a loop with one server in its list and one grade, of an effect, that nobody runs yet.
+func alone(t *testing.T, server string, effect policy.Effect) *Loop {
+	t.Helper()
+	dep := &deployment.Deployment{
+		Policy: &policy.Deployment{Peers: 1, MostTries: 4, FallMultiple: 3, FallFor: time.Second, ColdFrom: 1, ColdFor: time.Second,
+			Grades: []policy.Grade{{SetupGoal: 5 * time.Second, Utility: 1, Effect: effect}}},
+		Grades: map[string]int{"feed": 0}, OuterLimits: []time.Duration{20 * time.Second},
+	}
+	known := discovery.List{Whole: true, Servers: []discovery.Server{{UID: "s-1", Endpoint: server, Heft: 1}}}
+	l, err := New(zap.NewNop(), dep, 7, known, 1024)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
 // TestAPanicCostsOneConnection has the loop fail at one circuit that stands and at one that waits for its
 // answer: a third goes on, and the module holds neither any longer.
 func TestAPanicCostsOneConnection(t *testing.T) {
@@ -42,16 +58,7 @@
 			asked <- c
 		}
 	}()
-	dep := &deployment.Deployment{
-		Policy: &policy.Deployment{Peers: 1, MostTries: 4, FallMultiple: 3, FallFor: time.Second, ColdFrom: 1, ColdFor: time.Second,
-			Grades: []policy.Grade{{SetupGoal: 5 * time.Second, Utility: 1}}},
-		Grades: map[string]int{"feed": 0}, OuterLimits: []time.Duration{20 * time.Second},
-	}
-	known := discovery.List{Whole: true, Servers: []discovery.Server{{UID: "s-1", Endpoint: servers.Addr().String(), Heft: 1}}}
-	l, err := New(zap.NewNop(), dep, 7, known, 1024)
-	if err != nil {
-		t.Fatal(err)
-	}
+	l := alone(t, servers.Addr().String(), policy.Idempotent)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go l.Run(ctx.Done())
