Restarted processes are ready within 10 s: tens of them measured, by each trouble

Term: nine in ten restarted processes are ready within 10 s, also many at once, discovery slow or away, on a small part of a core. No test measured it before; nothing of the program is changed, as it holds.

--- /dev/null
+++ b/cmd/sabletally/ready_test.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sabletally/internal/lab/field"
+	"sabletally/internal/lab/standin"
+)
+
+// These tests restart many processes at once and measure each one's time from its start to its first PONG, as a client at the door
+// sees it. All of them have one of the machine's processors and share it with programs that never rest, so that each starts on a twentieth of
+// one or less.
+
+const (
+	readyBy  = 10 * time.Second // nine in ten are ready by then
+	readyAll = 30 * time.Second // and the last by then
+	askEach  = 20 * time.Millisecond
+	ofEach   = 8  // processes of each kind that are restarted at once
+	listed   = 90 // servers in the list
+)
+
+// keepBusy has programs run on the processor that the balancers are bound to, until the test ends.
+func keepBusy(t *testing.T, programs int) {
+	dir := t.TempDir()
+	for i := range programs {
+		p, err := field.NewProcess(fmt.Sprintf("busy%d", i), []string{"sh", "-c", "while :; do :; done"}, nil, dir, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.CPUs = 1
+		if err := p.Launch(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(p.Kill)
+	}
+}
+
+// spread is how long processes took, the shortest first.
+type spread []time.Duration
+
+// at answers what so many in a hundred took at most.
+func (s spread) at(percent int) time.Duration {
+	return s[(len(s)*percent+99)/100-1].Round(time.Millisecond)
+}
+
+func (s spread) String() string {
+	return fmt.Sprintf("p50 %v, p90 %v, worst %v of %d", s.at(50), s.at(90), s.at(100), len(s))
+}
+
+// startAll starts processes at once and wants nine in ten of each kind to be ready within readyBy.
+func startAll(t *testing.T, procs []*field.Process, kind func(i int) string) {
+	t.Helper()
+	took, faults := make([]time.Duration, len(procs)), make([]error, len(procs))
+	var all sync.WaitGroup
+	for i, p := range procs {
+		p.CPUs = 1
+		all.Go(func() {
+			began := time.Now()
+			if faults[i] = p.Launch(); faults[i] == nil {
+				faults[i] = firstPong(p)
+			}
+			took[i] = time.Since(began)
+		})
+	}
+	all.Wait()
+	if err := errors.Join(faults...); err != nil {
+		t.Fatal(err)
+	}
+	kinds := map[string]spread{}
+	for i, d := range took {
+		kinds[kind(i)] = append(kinds[kind(i)], d)
+	}
+	for _, name := range slices.Sorted(maps.Keys(kinds)) {
+		s := kinds[name]
+		slices.Sort(s)
+		t.Logf("%s: first PONG after %v", name, s)
+		if s.at(90) > readyBy {
+			t.Errorf("%s: nine in ten are not ready within %v", name, readyBy)
+		}
+	}
+}
+
+// firstPong waits for it, as a client that comes again while it is refused or closed.
+func firstPong(p *field.Process) error {
+	for end := time.Now().Add(readyAll); time.Now().Before(end); time.Sleep(askEach) {
+		select {
+		case <-p.Exited():
+			return fmt.Errorf("%s ended at its start: %s", p.Name, p.Tail())
+		default:
+		}
+		c, err := net.Dial("tcp", p.Addr)
+		if err != nil {
+			continue
+		}
+		c.SetDeadline(end)
+		io.WriteString(c, "PING\r\n")
+		text, _ := bufio.NewReader(c).ReadString('\n')
+		c.Close()
+		if text == "PONG\r\n" {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s is not ready within %v: %s", p.Name, readyAll, p.Tail())
+}
+
+// TestManyRestartedAtOnceAreReady kills and restarts processes together for each way in which discovery can be slow, failing or away:
+// such as have an agent of their own and such as share one discovery, with a list known before and without.
+func TestManyRestartedAtOnceAreReady(t *testing.T) {
+	const none = `{"rev":0,"all":true,"targets":[]}`
+	keepBusy(t, 8) // beside 32 balancers
+	script := standin.NewScript(1, 10*time.Minute)
+	t.Cleanup(script.Close)
+	server, err := script.Listen("s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := agent(t)
+	for i := range listed {
+		a.Set(entry(fmt.Sprintf("s-%d", i), server, standin.InService))
+	}
+	known := string(a.Known())
+	kind := func(i int) string {
+		return []string{"own agent", "shared"}[i%2] + []string{", list known", ", none known"}[i/2%2]
+	}
+	dir := t.TempDir()
+	var procs []*field.Process
+	for i := range 4 * ofEach {
+		p, err := field.NewProcess(fmt.Sprintf("n%d", i), []string{os.Args[0]}, []string{"SABLETALLY_CHILD=1"}, dir, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(p.Kill)
+		procs = append(procs, p)
+	}
+	settings := strings.Replace(strings.Replace(settings, `"PeersTotal":1`, `"PeersTotal":300`, 1), `"Probes":false`, `"Probes":true`, 1)
+	for _, c := range []struct {
+		name      string
+		discovery string
+		fault     standin.Fault
+		desk      *standin.Desk
+	}{
+		{"sound", a.Addr(), standin.Sound, nil},
+		{"slow", a.Addr(), standin.Sound, standin.NewDesk(200*time.Millisecond, 2*time.Second)},
+		{"no time", a.Addr(), standin.Sound, standin.NewDesk(time.Hour, 0)},
+		{"silent", a.Addr(), standin.Mute, nil},
+		{"faulty", a.Addr(), standin.Faulty, nil},
+		{"refused", refused(t), standin.Sound, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a.Misbehave(c.fault)
+			a.Book(c.desk)
+			for _, p := range procs {
+				p.Signal(syscall.SIGKILL)
+			}
+			for i, p := range procs {
+				p.Kill()
+				mode, list := []string{"pushed", "on_request"}[i%2], []string{known, none}[i/2%2]
+				if err := p.Write(fmt.Appendf(nil, `{"name":%q,"listen":%q,"discovery":%q,"seed":"%x","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+					"known":%s,"settings":%s}`, p.Name, p.Addr, c.discovery, 1+i, list, strings.Replace(settings, "pushed", mode, 1))); err != nil {
+					t.Fatal(err)
+				}
+			}
+			startAll(t, procs, kind)
+		})
+	}
+}
+
+// TestAFleetRestartedAtOnceIsReady kills all members together and lets them come back: with discovery, without it, and at last cut off from
+// each other, where nobody can tell what operators said last.
+func TestAFleetRestartedAtOnceIsReady(t *testing.T) {
+	a := agent(t)
+	four(t, a, 1)
+	m := enlistNow(t, 9, false, "", a)
+	m.want("every slot has its holders", m.all, repaired)
+	keepBusy(t, 12) // beside nine balancers
+	for _, c := range []struct {
+		name  string
+		fault standin.Fault
+		cut   bool
+	}{{"discovery sound", standin.Sound, false}, {"discovery silent", standin.Mute, false}, {"cut off", standin.Mute, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			a.Misbehave(c.fault)
+			for _, p := range m.procs {
+				p.Signal(syscall.SIGKILL)
+			}
+			for _, p := range m.procs {
+				p.Kill()
+			}
+			m.Ties.Set(func(_, _ int, tie *standin.Tie) { tie.Cut = c.cut })
+			startAll(t, m.procs, func(int) string { return "members" })
+			if alone := "ready without its operators' word"; c.cut {
+				for _, p := range m.procs {
+					m.logsOf(p, alone)
+				}
+			}
+		})
+	}
+}
