Benchmarks of the flat table: what each member and the log's leader do, by members

Cause: what control costs at 4,600 members was one run of numbers without tests behind it. Figures are the processor's time (getrusage), as others use the machine as well.

--- /dev/null
+++ b/internal/fleet/contact/bench_test.go
@@ -0,0 +1,178 @@
+package contact
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+
+	"sabletally/internal/fleet/members"
+	"sabletally/internal/lab/memnet"
+)
+
+// metered begins what is measured; the answer ends it, and tells the processor's time of one operation in ns, garbage collection within:
+// on a machine that others use as well the clock on the wall tells less.
+func metered(b *testing.B) func() float64 {
+	processor := func() time.Duration {
+		var u syscall.Rusage
+		if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+			b.Fatal(err)
+		}
+		return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	}
+	b.ReportAllocs()
+	from := processor()
+	b.ResetTimer()
+	return func() float64 {
+		b.StopTimer()
+		each := float64(processor()-from) / float64(b.N)
+		b.ReportMetric(each, "cpu-ns/op")
+		return each
+	}
+}
+
+// counted is a place in the network that counts what goes over the streams it opens, both ways.
+type counted struct {
+	*memnet.Port
+	bytes atomic.Int64
+}
+
+func (c *counted) DialTimeout(addr string, within time.Duration) (net.Conn, error) {
+	conn, err := c.Port.DialTimeout(addr, within)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{conn, &c.bytes}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// alive words what the library says of a member that is there: type 4, then its fields in msgpack of the older form.
+func alive(m members.Member) []byte {
+	text := []byte{4, 0x86}
+	raw := func(b []byte) {
+		if len(b) < 32 {
+			text = append(text, 0xa0|byte(len(b)))
+		} else {
+			text = append(text, 0xda, byte(len(b)>>8), byte(len(b)))
+		}
+		text = append(text, b...)
+	}
+	ip := m.Addr.Addr().As4()
+	raw([]byte("Incarnation"))
+	text = append(text, 1)
+	raw([]byte("Node"))
+	raw([]byte(m.ID))
+	raw([]byte("Addr"))
+	raw(ip[:])
+	raw([]byte("Port"))
+	text = append(text, 0xcd, byte(m.Addr.Port()>>8), byte(m.Addr.Port()))
+	raw([]byte("Meta"))
+	raw(describe(m))
+	raw([]byte("Vsn"))
+	raw([]byte{memberlist.ProtocolVersionMin, memberlist.ProtocolVersionMax, memberlist.ProtocolVersion2Compatible, 0, 0, 0})
+	return text
+}
+
+// memberAt has an ID as they are drawn: what is worded of members goes over streams compressed.
+func memberAt(i int) members.Member {
+	rng := rand.New(rand.NewPCG(uint64(i), 0x51))
+	return members.Member{ID: fmt.Sprintf("%016x%016x", rng.Uint64(), rng.Uint64()), Name: fmt.Sprintf("b%04d", i), Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 7001),
+		Machine: fmt.Sprintf("m%04d", i), Zone: fmt.Sprintf("zone-%02d", i%11), Site: fmt.Sprintf("region-%d", i%11%3), Life: 1, Speaks: Form, Oldest: Oldest}
+}
+
+// BenchmarkExchange is the library's full exchange between two members that both know all of n, the processor's time of both
+// together: each begins one in each exchange-s seconds, and is called for as many.
+func BenchmarkExchange(b *testing.B) {
+	for _, n := range []int{100, 300, 1000, 2300, 4600} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			network := memnet.New(7, 0)
+			open := func(num int) (*memberlist.Memberlist, *counted) {
+				cfg := memberlist.DefaultLANConfig()
+				Tuned(cfg)
+				cfg.ProbeInterval, cfg.GossipInterval, cfg.PushPullInterval = 0, 0, 0 // nothing but what is measured
+				cfg.TCPTimeout = time.Minute
+				self := memberAt(num)
+				self.Addr = memnet.Addr(num)
+				at := &counted{Port: network.Port(num)}
+				cfg.Name, cfg.Transport = self.ID, at
+				cfg.BindAddr, cfg.BindPort = self.Addr.Addr().String(), int(self.Addr.Port())
+				cfg.AdvertiseAddr, cfg.AdvertisePort = cfg.BindAddr, cfg.BindPort
+				cfg.DNSConfigPath, cfg.Logger = "", log.New(io.Discard, "", 0)
+				cfg.Delegate = &described{self}
+				ml, err := memberlist.Create(cfg)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.Cleanup(func() { ml.Shutdown() })
+				return ml, at
+			}
+			knows := func(ml *memberlist.Memberlist, many int) {
+				for end := time.Now().Add(30 * time.Second); ml.NumMembers() < many; time.Sleep(time.Millisecond) {
+					if time.Now().After(end) {
+						b.Fatalf("%d of %d members are known", ml.NumMembers(), many)
+					}
+				}
+			}
+			first, _ := open(0)
+			second, at := open(1)
+			far := network.Port(2)
+			for i := 2; i < n; i++ {
+				if _, err := far.WriteTo(alive(memberAt(i)), memnet.Addr(0).String()); err != nil {
+					b.Fatal(err)
+				}
+				if i%256 == 0 || i == n-1 { // the library keeps 1,024 words that wait
+					knows(first, i)
+				}
+			}
+			join := func() {
+				if _, err := second.Join([]string{memnet.Addr(0).String()}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			join()
+			knows(first, n)
+			knows(second, n)
+			join()
+			at.bytes.Store(0)
+			done := metered(b)
+			for range b.N {
+				join()
+			}
+			done()
+			b.ReportMetric(float64(at.bytes.Load())/float64(b.N)/2, "packet-B")
+		})
+	}
+}
+
+// described tells the library of a member and takes nothing else.
+type described struct{ self members.Member }
+
+func (d *described) NodeMeta(int) []byte             { return describe(d.self) }
+func (d *described) NotifyMsg([]byte)                {}
+func (d *described) GetBroadcasts(int, int) [][]byte { return nil }
+func (d *described) LocalState(bool) []byte          { return nil }
+func (d *described) MergeRemoteState([]byte, bool)   {}
--- /dev/null
+++ b/internal/fleet/core/bench_test.go
@@ -0,0 +1,133 @@
+package core
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"sabletally/internal/fleet/steer"
+	"sabletally/internal/fleet/views"
+)
+
+// metered begins what is measured; the answer ends it, and tells the processor's time of one operation in ns, garbage collection within:
+// on a machine that others use as well the clock on the wall tells less.
+func metered(b *testing.B) func() float64 {
+	processor := func() time.Duration {
+		var u syscall.Rusage
+		if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+			b.Fatal(err)
+		}
+		return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+	}
+	b.ReportAllocs()
+	from := processor()
+	b.ResetTimer()
+	return func() float64 {
+		b.StopTimer()
+		each := float64(processor()-from) / float64(b.N)
+		b.ReportMetric(each, "cpu-ns/op")
+		return each
+	}
+}
+
+// scales are the fleet sizes at which docs/CAPACITY.md takes its points.
+var scales = []int{100, 300, 1000, 2300, 4600}
+
+func listed(n int) (all []views.Member) {
+	for i := range n {
+		all = append(all, views.Member{ID: fmt.Sprintf("%032x", i+1), Addr: fmt.Sprintf("10.%d.%d.%d:7001", i>>16, i>>8&255, i&255),
+			Machine: fmt.Sprintf("m%04d", i), Zone: fmt.Sprintf("zone-%02d", i%11), Site: fmt.Sprintf("region-%d", i%11%3)})
+	}
+	return all
+}
+
+// follower is a member that has been told of a fleet of n, with a view of each slot; it neither votes nor holds anything.
+func follower(b *testing.B, n int) (*Core, []steer.Seen) {
+	all := listed(n)
+	c, err := New(Config{Self: all[0], Life: 1, Voters: 5, Copies: 3, Evict: 10 * time.Second, Repair: 4, Seed: 7, Keys: 1000, Bytes: 1 << 20, Ops: 100}, Saved{}, 0)
+	if err != nil {
+		b.Fatal(err)
+	}
+	told := Told{Fleet: "f", Version: 2, Epoch: 1, Members: all, Slots: map[int]views.View{}, Leader: all[1].ID, Addr: all[1].Addr}
+	for num := range views.Slots {
+		told.Slots[num] = views.View{Num: 1, Full: views.Pick(num, all[1:], 3)}
+	}
+	if err := c.Step(Packet{From: all[1].ID, To: all[0].ID, Fleet: "f", Told: &told}); err != nil {
+		b.Fatal(err)
+	}
+	if len(c.State().Members) != n {
+		b.Fatal("the list was not taken over")
+	}
+	var seen []steer.Seen
+	for _, m := range all[1:] {
+		seen = append(seen, steer.Seen{Member: m, Here: true, For: time.Hour})
+	}
+	return c, seen
+}
+
+// BenchmarkTold words what a poll is answered with and reads it again: after an epoch, after a change of one slot's view, to a
+// member that knows nothing, and where nothing has changed.
+func BenchmarkTold(b *testing.B) {
+	for _, n := range scales {
+		for _, kind := range []string{"epoch", "slot", "all", "nothing"} {
+			b.Run(fmt.Sprintf("kind=%s/members=%d", kind, n), func(b *testing.B) {
+				c, _ := follower(b, n)
+				from := listed(2)[1].ID
+				since := uint64(2)
+				switch kind {
+				case "epoch":
+					clear(c.changed)
+					since = 1
+				case "slot":
+					clear(c.changed)
+					c.members, c.changed[17], since = 0, 2, 1
+				case "all":
+					since = 0
+				}
+				size := 0
+				done := metered(b)
+				for range b.N {
+					c.Step(Packet{From: from, To: c.cfg.Self.ID, Fleet: "f", Poll: &Poll{Version: since}})
+					text, err := cbor.Marshal(c.out.Packets[0])
+					if err != nil {
+						b.Fatal(err)
+					}
+					c.out.Packets = c.out.Packets[:0]
+					var p Packet
+					if err := cbor.Unmarshal(text, &p); err != nil {
+						b.Fatal(err)
+					}
+					size = len(text)
+				}
+				done()
+				b.ReportMetric(float64(size), "packet-B")
+			})
+		}
+	}
+}
+
+// BenchmarkClock is a turn of a member that neither votes nor holds anything, as it comes at least each 50 ms.
+func BenchmarkClock(b *testing.B) {
+	for _, n := range scales {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			c, seen := follower(b, n)
+			now, packets := time.Duration(0), 0
+			done := metered(b)
+			for range b.N {
+				now += 50 * time.Millisecond
+				c.Clock(now, seen)
+				r, err := c.Ready()
+				if err != nil {
+					b.Fatal(err)
+				}
+				packets += len(r.Packets)
+			}
+			per := done()
+			b.ReportMetric(per/5e7*100, "%core")
+			b.ReportMetric(float64(packets)/now.Seconds(), "packets/s")
+		})
+	}
+}
