--- /dev/null
+++ b/internal/relay/bench_test.go
@@ -0,0 +1,141 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// bare is a pair whose outer ends are two descriptors, so that they take no memory of the program's.
+type bare struct {
+	pair           *Pair
+	client, server int
+}
+
+func (b *bench) bare() bare {
+	b.t.Helper()
+	c, err := b.Dial(b.ln.Addr().String(), nil)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	if err := get(b.t, b.connected); err != nil {
+		b.t.Fatal(err)
+	}
+	far := get(b.t, b.taken)
+	io.WriteString(far, "UP 1\r\n")
+	c.Listen()
+	get(b.t, b.said)
+	near, err := net.Dial("tcp", b.ln.Addr().String())
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	p, err := b.Stand(b.take(), c, []byte("UP 1\r\n"), 7, nil)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	near.SetDeadline(time.Now().Add(bound))
+	if _, err := io.ReadFull(near, make([]byte, 6)); err != nil {
+		b.t.Fatal(err)
+	}
+	return bare{p, b.descriptor(near), b.descriptor(far)}
+}
+
+// descriptor takes a connection's, blocking for a bounded time, and closes the connection.
+func (b *bench) descriptor(c net.Conn) int {
+	b.t.Helper()
+	file, err := c.(*net.TCPConn).File()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	fd, err := unix.Dup(int(file.Fd()))
+	if err == nil {
+		err = unix.SetNonblock(fd, false)
+	}
+	if err == nil {
+		err = unix.SetsockoptTimeval(fd, unix.SOL_SOCKET, unix.SO_RCVTIMEO, &unix.Timeval{Sec: int64(bound / time.Second)})
+	}
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	file.Close()
+	c.Close()
+	return fd
+}
+
+// processor is what the process has used so far, of user and system together.
+func processor(t testing.TB) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkDelivery is one line from a server to its client, to one pair after the other of so many; cpu-ns/op is the whole process's,
+// both outer ends with it. held-B/pair is the heap that a pair holds here, the kernel's buffers beside.
+func BenchmarkDelivery(b *testing.B) {
+	r := begin(b, 2)
+	all := []bare{r.bare()}
+	b.Cleanup(func() {
+		for _, one := range all {
+			one.pair.Abort()
+			one.pair.Close()
+			unix.Close(one.client)
+			unix.Close(one.server)
+		}
+		for end := time.Now().Add(bound); r.fds.Load() > 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				b.Fatalf("%d descriptors are left", r.fds.Load())
+			}
+		}
+	})
+	heap := func() uint64 {
+		var m runtime.MemStats
+		for range 2 { // connections of package net have finalizers
+			runtime.GC()
+		}
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := heap()
+	for _, pairs := range []int{1, 10, 100, 1000, 2000, 4000} {
+		for len(all) <= pairs {
+			all = append(all, r.bare())
+		}
+		held := heap() - before
+		b.Run(fmt.Sprintf("pairs=%d", pairs), func(b *testing.B) {
+			text := []byte("M 123456789 0123456789abcdef\r\n")
+			buf := make([]byte, len(text))
+			b.ReportAllocs()
+			used := processor(b)
+			b.ResetTimer()
+			for i := range b.N {
+				if _, err := unix.Write(all[i%pairs].server, text); err != nil {
+					b.Fatal(err)
+				}
+				for got := 0; got < len(text); {
+					n, err := unix.Read(all[i%pairs].client, buf[got:])
+					if err == unix.EINTR {
+						continue
+					}
+					if err != nil || n == 0 {
+						b.Fatal(n, err)
+					}
+					got += n
+				}
+			}
+			b.StopTimer()
+			b.ReportMetric(float64(processor(b)-used)/float64(b.N), "cpu-ns/op")
+			b.ReportMetric(float64(held)/float64(pairs), "held-B/pair")
+			if n := r.fds.Load(); n != int64(2*pairs+2) {
+				b.Fatalf("%d descriptors for %d pairs", n, pairs+1)
+			}
+		})
+	}
+}
