A poll's length beside a turn's cost

Change: BenchmarkClock of core tells packet-B, so that what a member sends a second follows from one run. Measured: GOMAXPROCS=2 go test ./internal/fleet/core -run '^$' -bench Clock -benchtime 300ms, two plays, a shared machine.

--- a/internal/fleet/core/bench_test.go
+++ b/internal/fleet/core/bench_test.go
@@ -115,6 +115,7 @@
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
 			c, seen := follower(b, n)
 			now, packets := time.Duration(0), 0
+			var newest Packet
 			done := metered(b)
 			for range b.N {
 				now += 50 * time.Millisecond
@@ -123,11 +124,19 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				packets += len(r.Packets)
+				for _, p := range r.Packets {
+					packets++
+					newest = p
+				}
 			}
 			per := done()
 			b.ReportMetric(per/5e7*100, "%core")
+			text, err := cbor.Marshal(newest)
+			if err != nil {
+				b.Fatal(err)
+			}
 			b.ReportMetric(float64(packets)/now.Seconds(), "packets/s")
+			b.ReportMetric(float64(len(text)), "packet-B")
 		})
 	}
 }
