A client that has gone: no dial begins, nor a line behind bytes that hide its end

Cause. circuit.go call -> called.go:82 dialed as soon as a try was decided, without a look at the client: where the loop was late, or its poller, the end of a client stood unread in the kernel and a connection to a server was begun for it, first or further, any time after it had gone. A dial cancelled before its goroutine ran, or while a name was looked up, was begun all the same (relay.go Dial). conn.go hasLeft took a client for there whose end had no room behind more than 32 KiB of unread bytes.

Loop.stays asks the kernel just before a try's connection is begun, after the name's look-up (relay.Dial's new wanted, ErrUnwanted), and as before just before its line is written. conn.hasLeft becomes conn.presence with a third answer: a client that has sent more before its answer, which none may, is given up as such and nothing is sent for it. One recv per dial beside the loop, no goroutine more. relay.Shards.Dial(address, data) -> Dial(address, data, wanted).

TestAServerThatSpeaksFirstIsNoClient gets a real client's socket, as its dial looks at it now; its checks are the same.

--- a/internal/balancer/called.go
+++ b/internal/balancer/called.go
@@ -35,7 +35,8 @@
 	}
 }
 
-// dial starts a connection to a server beside the loop, for the connect time limit or a try's time at most.
+// dial starts a connection to a server beside the loop, for the connect time limit or a try's time at most. None is begun once it
+// is cancelled or its circuit's client has gone.
 func (l *Loop) dial(address string, within time.Duration, cir *circuit, up func(*relay.Conn, error)) *called {
 	if limit := l.dep.ConnectWithin; limit > 0 {
 		within = min(within, limit)
@@ -79,8 +80,16 @@
 			}
 		}
 	}
+	wanted := func() bool { return !a.off.Load() }
+	if cir != nil {
+		turn := cir.turn
+		wanted = func() bool { return l.stays(cir, turn) && !a.off.Load() }
+	}
 	go func() {
-		c, err := l.relays.Dial(address, a)
+		c, err := l.relays.Dial(address, a, wanted)
+		if errors.Is(err, relay.ErrUnwanted) {
+			return
+		}
 		if err != nil {
 			l.post(event{of: cir, do: func() { a.up(nil, err) }})
 			return
--- a/internal/balancer/circuit.go
+++ b/internal/balancer/circuit.go
@@ -249,6 +249,25 @@
 	}
 }
 
+// stays tells whether a circuit's client still waits for its answer, by the kernel's word; where it does not the loop is told, if the
+// try is still out by then. It runs beside the loop, just before a try's connection is begun and just before its line is written.
+// Guards against attempts for a client that has gone while the loop, or who reads the client, was late.
+func (l *Loop) stays(cir *circuit, turn int) bool {
+	do := func() { l.broken(cir.client, &Broken{Stage: Asked, Cause: errEnded}) }
+	switch cir.client.presence() {
+	case isWaiting:
+		return true
+	case hasSpoken:
+		do = func() { l.clientLine(cir) }
+	}
+	l.post(event{of: cir, do: func() {
+		if cir.turn == turn && cir.out {
+			do()
+		}
+	}})
+	return false
+}
+
 // send writes the circuit's line beside the loop: a write is most of what a set-up costs. What the loop knows is looked at just
 // before, and what it can't know yet here: an end of the client that nobody has read, and a stall of the process since.
 func (l *Loop) send(cir *circuit, turn int, c *relay.Conn) {
@@ -265,8 +284,7 @@
 		err := c.Early()
 		switch {
 		case err != nil:
-		case cir.client.hasLeft():
-			then(func() { l.broken(cir.client, &Broken{Stage: Asked, Cause: errEnded}) })
+		case !l.stays(cir, turn):
 			return
 		case time.Since(looked) > lookFresh:
 			then(func() { l.dialed(cir, turn, c, nil) })
--- a/internal/balancer/conn.go
+++ b/internal/balancer/conn.go
@@ -237,22 +237,32 @@
 	return err == nil && n > 0
 }
 
-// hasLeft tells whether the client has ended its connection, by the kernel's word: who reads it may not have come to that yet.
-func (c *conn) hasLeft() bool {
+// presence is what the kernel knows of a client whose circuit waits: who reads its connection may not have come to that yet.
+type presence uint8
+
+const (
+	isWaiting presence = iota
+	hasSpoken          // it has sent more, which no client may before its answer; an end behind that may have had no room to come
+	hasLeft            // it has ended its connection
+)
+
+func (c *conn) presence() presence {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		return true
+		return hasLeft
 	}
 	var b [1]byte
 	switch n, _, err := unix.Recvfrom(c.fd(), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT); {
 	case err == unix.EAGAIN || err == unix.EINTR:
-		return false
-	case n > 0: // behind what it has said more its end may stand
+		return isWaiting
+	case n > 0:
 		info, err := unix.GetsockoptTCPInfo(c.fd(), unix.IPPROTO_TCP, unix.TCP_INFO)
-		return err == nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE)
+		if err != nil || info.State != unix.BPF_TCP_CLOSE_WAIT && info.State != unix.BPF_TCP_CLOSE {
+			return hasSpoken
+		}
 	}
-	return true
+	return hasLeft
 }
 
 // answered tells whether its last line is written: a reset before would take it away.
--- a/internal/balancer/loop_test.go
+++ b/internal/balancer/loop_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cloudwego/netpoll"
 	"go.uber.org/zap"
 
 	"sabletally/internal/deployment"
@@ -134,7 +135,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cir := &circuit{id: 1, client: &conn{}, at: &server{}, ask: &line.Ask{}, out: true, turn: 1, giveUp: time.Hour}
+	_, far := pipe(t)
+	nc, err := netpoll.NewFDConnection(descriptor(t, far))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cir := &circuit{id: 1, client: &conn{nc: nc}, at: &server{}, ask: &line.Ask{}, out: true, turn: 1, giveUp: time.Hour}
 	up := make(chan *relay.Conn, 1)
 	l.dial(ln.Addr().String(), 20*time.Second, cir, func(c *relay.Conn, err error) { up <- c })
 	for len(up) == 0 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -40,6 +40,9 @@
 	ErrPanic   = errors.New("a fault of the program")
 )
 
+// ErrUnwanted is a dial that was not begun.
+var ErrUnwanted = errors.New("not wanted any more")
+
 // Side tells a pair's connections apart.
 type Side uint8
 
@@ -277,8 +280,9 @@
 }
 
 // Dial starts a connection to an address and never a second one by itself; the owner hears how it ended, unless
-// the connection is closed before. data is the owner's. It may take as long as a name takes to be looked up.
-func (s *Shards) Dial(address string, data any) (*Conn, error) {
+// the connection is closed before. data is the owner's. It may take as long as a name takes to be looked up; wanted is asked
+// after that, just before the connection is begun, and ErrUnwanted is its no.
+func (s *Shards) Dial(address string, data any, wanted func() bool) (*Conn, error) {
 	at, err := net.ResolveTCPAddr("tcp", address)
 	if err != nil {
 		return nil, err
@@ -299,6 +303,10 @@
 		return nil, os.NewSyscallError("socket", err)
 	}
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	if !wanted() {
+		unix.Close(fd)
+		return nil, ErrUnwanted
+	}
 	if err := unix.Connect(fd, to); err != nil && err != unix.EINPROGRESS {
 		unix.Close(fd)
 		return nil, os.NewSyscallError("connect", err)
