Descriptors: each use of the program's own has its share, and no dial takes one of them

Cause. loop.go:33 KeptFds = 24 was for all that the program holds, on any number of cores: it alone holds 18 on one core as the program stands idle, and 4 more (a relay and a bell each) would be 30 on 7 cores. called.go/relay.go Dial opened connections without a bound: circuits are counted when taken, their dials later, so 27 clients of one turn of the loop held 54 descriptors of 32 and ate what was kept. probe.go:60 told a probe that found no descriptor as ConnectFailed: the module set a sound server aside because this balancer was full. upgrade.go Listen ended its accept loop for good at the first EMFILE: no next process could link.

Without room a try never ran and a probe says nothing of its server. Listen goes on after a pause of 50 ms. relay.Shards.Dial(address, most, wanted, data).

A spinning accept: netpoll takes its listener out for up to 1 s at EMFILE, net/http waits up to 1 s. Idle callers at the operators' address: bounded and set apart before (mgmt.Conns).

--- /dev/null
+++ b/cmd/sabletally/descriptors_test.go
@@ -0,0 +1,276 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"sabletally/internal/lab/field"
+	"sabletally/internal/lab/standin"
+)
+
+// crowd is clients that connect and say nothing, and come again a little after they are ended.
+type crowd struct {
+	stop chan struct{}
+	over sync.WaitGroup
+	came atomic.Int64
+}
+
+const comesAgain = time.Second
+
+func crowded(t *testing.T, addr string, many int) *crowd {
+	c := &crowd{stop: make(chan struct{})}
+	for range many {
+		c.over.Add(1)
+		go func() {
+			defer c.over.Done()
+			for {
+				if nc, err := net.Dial("tcp", addr); err == nil {
+					c.came.Add(1)
+					ended := make(chan struct{})
+					go func() { io.Copy(io.Discard, nc); close(ended) }()
+					select {
+					case <-ended:
+					case <-c.stop:
+					}
+					nc.Close()
+				}
+				select {
+				case <-time.After(comesAgain):
+				case <-c.stop:
+					return
+				}
+			}
+		}()
+	}
+	t.Cleanup(c.end)
+	return c
+}
+
+func (c *crowd) end() {
+	select {
+	case <-c.stop:
+	default:
+		close(c.stop)
+	}
+	c.over.Wait()
+}
+
+// descriptors is what a process holds now, each by what it is.
+func descriptors(t *testing.T, p *field.Process) []string {
+	t.Helper()
+	dir := fmt.Sprintf("/proc/%d/fd", p.Pid())
+	all, err := os.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var held []string
+	for _, e := range all {
+		if to, err := os.Readlink(dir + "/" + e.Name()); err == nil {
+			held = append(held, to)
+		}
+	}
+	return held
+}
+
+// besieged is a balancer of so many descriptors, by the kernel's limit too, that starts anew while discovery is down.
+type besieged struct {
+	*site
+	files, most    int
+	back           func() // has discovery be there again
+	down           time.Time
+	served, nacked int
+}
+
+const (
+	downFor   = 8 * time.Second
+	heardIn   = 6 * time.Second
+	spentPart = 2  // so-many-th of one processor is the most that is used while clients come all the time,
+	idlePart  = 10 // and once they have gone
+)
+
+// besiege begins with a discovery that refuses connections, or that takes them and says nothing.
+func besiege(t *testing.T, files int, refuses bool) *besieged {
+	ln, err := net.Listen("tcp", standin.Loopback())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	addr, env := ln.Addr().String(), []string{"MGMT", "SHARED", "PROBES=yes", fmt.Sprint("SABLETALLY_FILES=", files)}
+	if refuses {
+		ln.Close()
+		env = append(env, "EDGE_DISCOVERY="+addr)
+	}
+	s := &besieged{files: files, site: begin(t, env, "s-1")}
+	s.allUp()
+	s.child.Kill()
+	if refuses {
+		s.back = func() {
+			ln, err := net.Listen("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { ln.Close() })
+			go pass(ln, s.agent.Addr())
+		}
+	} else {
+		s.agent.Misbehave(standin.Mute)
+		s.back = func() { s.agent.Misbehave(standin.Sound) }
+	}
+	if err := s.child.Start(); err != nil {
+		t.Fatal(err)
+	}
+	s.down = time.Now()
+	return s
+}
+
+// pass passes what comes at a listener to an address.
+func pass(ln net.Listener, to string) {
+	for {
+		near, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer near.Close()
+			far, err := net.Dial("tcp", to)
+			if err != nil {
+				return
+			}
+			defer far.Close()
+			go func() { io.Copy(far, near); far.Close() }()
+			io.Copy(near, far)
+		}()
+	}
+}
+
+// works calls as operators do, and as a client.
+func (s *besieged) works() {
+	s.t.Helper()
+	if code, says := s.call("GET", "/control/ready"); code != 200 {
+		s.t.Errorf("%d, %q", code, says)
+	}
+	a := s.client(open)
+	defer a.Close()
+	switch got := a.line(); {
+	case strings.HasPrefix(got, "UP"):
+		s.served++
+	case strings.HasPrefix(got, "BUSY"):
+		s.nacked++
+	default:
+		s.t.Errorf("a client among the idle got %q", got)
+	}
+	s.most = max(s.most, len(descriptors(s.t, s.child)))
+}
+
+// endure works until discovery is back, then wants it heard, an upgrade's link, and a quiet process once the crowd has gone.
+func (s *besieged) endure(many *crowd) {
+	s.t.Helper()
+	s.serve("s-2") // discovery says so once it is back
+	began, used, came := time.Now(), s.child.CPU(), many.came.Load()
+	for time.Since(s.down) < downFor {
+		s.works()
+		time.Sleep(50 * time.Millisecond)
+	}
+	spent, over := s.child.CPU()-used, time.Since(began)
+	s.back()
+	back := time.Now()
+	s.waitLog(`"server":"s-2"`)
+	heard := time.Since(back)
+	s.works()
+	s.t.Logf("%d served, %d nacked, %d descriptors at most, %d came, %v of processor time in %v; heard %v after its return",
+		s.served, s.nacked, s.most, many.came.Load()-came, spent, over, heard)
+	if s.served+s.nacked == 0 || s.most > s.files || spent > over/spentPart || heard > heardIn {
+		s.t.Error("not as it must be")
+	}
+	began = time.Now()
+	old := s.beside()
+	s.waitLog("beside an old process")
+	linked := time.Since(began)
+	if err := s.child.Yes(); err != nil {
+		s.t.Error(err)
+	}
+	s.works()
+	s.t.Logf("linked %v after the next process began; the two hold %d", linked, len(descriptors(s.t, old))+len(descriptors(s.t, s.child)))
+	old.Signal(syscall.SIGTERM)
+	gone(s.t, old)
+	s.works()
+	many.end()
+	s.mu.Lock()
+	text := s.log.String()
+	s.mu.Unlock()
+	if n := strings.Count(text, "too many open files"); n > 0 {
+		s.t.Errorf("no descriptor was left %d times", n)
+	}
+	used, began = s.child.CPU(), time.Now()
+	time.Sleep(2 * time.Second)
+	spent, over = s.child.CPU()-used, time.Since(began)
+	if s.t.Logf("%v of processor time in %v without anybody", spent, over); spent > over/idlePart {
+		s.t.Error("it spins")
+	}
+}
+
+// TestSilentClientsLeaveEachUseItsDescriptors fills a balancer with silent clients while discovery refuses, at its start and for 8 s.
+// All the while operators are answered and a client is served by the list of before or told to come again; discovery is heard
+// soon after its return, and an upgrade's link comes up. Nothing spins.
+func TestSilentClientsLeaveEachUseItsDescriptors(t *testing.T) {
+	for _, files := range []int{64, 1024} {
+		t.Run(fmt.Sprint(files), func(t *testing.T) {
+			s := besiege(t, files, true)
+			many := crowded(t, s.child.Addr, 3*files)
+			for began := time.Now(); many.came.Load() < int64(3*files); time.Sleep(time.Millisecond) {
+				if time.Since(began) > bound {
+					t.Fatalf("%d have come", many.came.Load())
+				}
+			}
+			s.endure(many)
+			if s.served == 0 {
+				t.Error("nobody was served")
+			}
+		})
+	}
+}
+
+// TestIdleCircuitsLeaveEachUseItsDescriptors does so with circuits that come all at once and stand, as many as are taken, and with silent
+// clients behind them, while discovery says nothing.
+func TestIdleCircuitsLeaveEachUseItsDescriptors(t *testing.T) {
+	for _, files := range []int{64, 1024} {
+		t.Run(fmt.Sprint(files), func(t *testing.T) {
+			s := besiege(t, files, false)
+			answers := make(chan string, files)
+			for range files {
+				a := s.client(strings.Replace(open, "d=1500", "d=4000", 1))
+				go func() {
+					text, err := a.r.ReadString('\n')
+					if err != nil {
+						text = err.Error()
+					}
+					answers <- text
+				}()
+			}
+			up, busy := 0, 0
+			for range files {
+				switch got := <-answers; {
+				case strings.HasPrefix(got, "UP"):
+					up++
+				case strings.HasPrefix(got, "BUSY"):
+					busy++
+				default:
+					t.Errorf("%q", got)
+				}
+				s.most = max(s.most, len(descriptors(t, s.child)))
+			}
+			if t.Logf("%d up, %d busy", up, busy); up < 8 || busy == 0 {
+				t.Error("it is not full")
+			}
+			s.endure(crowded(t, s.child.Addr, files))
+		})
+	}
+}
--- a/cmd/sabletally/main.go
+++ b/cmd/sabletally/main.go
@@ -64,7 +64,7 @@
 	// which the runtime takes away only after up to ten milliseconds. Guards against a loop that waits for it on one core.
 	runtime.GOMAXPROCS(2*cores + 1)
 	debug.SetMemoryLimit(int64(s.MemoryMB) << 20 * 3 / 4)
-	netpoll.Configure(netpoll.Config{PollerNum: (cores + 7) / 8, BufferSize: 4096, LoggerOutput: aside{log, "netpoll"},
+	netpoll.Configure(netpoll.Config{PollerNum: balancer.Pollers(cores), BufferSize: 4096, LoggerOutput: aside{log, "netpoll"},
 		// Guards against senders at full speed: what the poller has read is taken in before it reads on.
 		Runner: func(_ context.Context, f func()) { go f(); runtime.Gosched() }})
 
@@ -106,7 +106,7 @@
 	l.Follow(ctx, s.Discovery)
 	go l.Run(ctx.Done())
 	if gate.Shared() {
-		if err := l.Succeed(gate, os.Getenv("TMPDIR"), s.Name, int64(s.MemoryMB)<<20, s.Sockets-sockets+balancer.KeptFds); err != nil {
+		if err := l.Succeed(gate, os.Getenv("TMPDIR"), s.Name, int64(s.MemoryMB)<<20, s.Sockets-sockets+balancer.KeptFds(cores)); err != nil {
 			log.Warn("alone: an upgrade will have clients moved", zap.Error(err))
 		}
 	}
--- a/internal/balancer/called.go
+++ b/internal/balancer/called.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,6 +17,11 @@
 
 var errConnect = errors.New("not up in time")
 
+// noRoom tells whether a dial failed for want of a descriptor, which is no fault of its server's.
+func noRoom(err error) bool {
+	return errors.Is(err, relay.ErrNoRoom) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
 // called is one dial: a setup try's, or a probe's.
 type called struct {
 	cir   *circuit // nil for a probe
@@ -85,8 +91,13 @@
 		turn := cir.turn
 		wanted = func() bool { return l.stays(cir, turn) && !a.off.Load() }
 	}
+	// Not less what the other process of an upgrade holds: what is taken in is not given up for what is passed between them.
+	most := l.most
+	if cir == nil {
+		most += probeFds
+	}
 	go func() {
-		c, err := l.relays.Dial(address, a, wanted)
+		c, err := l.relays.Dial(address, most, wanted, a)
 		if errors.Is(err, relay.ErrUnwanted) {
 			return
 		}
@@ -101,31 +112,31 @@
 	return a
 }
 
-// relays takes what relays say; it posts.
-type relays struct{ l *Loop }
+// told takes what relays say; it posts.
+type told struct{ l *Loop }
 
-func (r relays) Connected(c *relay.Conn, err error) {
+func (r told) Connected(c *relay.Conn, err error) {
 	a := c.Data.(*called)
 	r.l.post(event{of: a.cir, do: func() { a.up(c, err) }})
 }
 
-func (r relays) Said(c *relay.Conn, raw []byte) {
+func (r told) Said(c *relay.Conn, raw []byte) {
 	a := c.Data.(*called)
 	ln := line.Decode(raw)
 	r.l.post(event{of: a.cir, do: func() { a.said(c, ln) }})
 }
 
-func (r relays) Gone(c *relay.Conn, _ bool, why error) {
+func (r told) Gone(c *relay.Conn, _ bool, why error) {
 	a := c.Data.(*called)
 	r.l.post(event{of: a.cir, do: func() { a.gone(c, why) }})
 }
 
-func (r relays) Ended(p *relay.Pair, by relay.Side, abrupt bool, why error) {
+func (r told) Ended(p *relay.Pair, by relay.Side, abrupt bool, why error) {
 	cir := p.Data.(*circuit)
 	r.l.post(event{of: cir, do: func() { r.l.pairEnded(cir, p, by, abrupt, why) }})
 }
 
-func (r relays) Loads(all []relay.Load) {
+func (r told) Loads(all []relay.Load) {
 	r.l.post(event{do: func() {
 		for _, one := range all {
 			cir := one.Pair.Data.(*circuit)
@@ -137,7 +148,7 @@
 	}})
 }
 
-func (r relays) Panicked(at string, what any, stack []byte) {
+func (r told) Panicked(at string, what any, stack []byte) {
 	r.l.Panics.Add(1)
 	r.l.log.Error("panic", zap.String("at", at), zap.Any("what", what), zap.ByteString("stack", stack))
 }
--- a/internal/balancer/circuit.go
+++ b/internal/balancer/circuit.go
@@ -5,10 +5,8 @@
 package balancer
 
 import (
-	"errors"
 	"maps"
 	"slices"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -229,7 +227,7 @@
 	cir.called = nil
 	cir.server = c
 	switch {
-	case err != nil && (errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)):
+	case noRoom(err):
 		l.NoRoom.Add(1)
 		l.tryEnded(cir, policy.NeverSent, err)
 	case err != nil:
--- /dev/null
+++ b/internal/balancer/descriptors_test.go
@@ -0,0 +1,110 @@
+package balancer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"go.uber.org/zap"
+
+	"sabletally/internal/deployment"
+	"sabletally/internal/discovery"
+	"sabletally/internal/line"
+	"sabletally/policy"
+)
+
+// full is a loop of 64 descriptors that the test turns, before one server that answers nothing.
+func full(t *testing.T) (*leaver, *Loop) {
+	t.Helper()
+	s := count(t, "")
+	dep := &deployment.Deployment{
+		Policy: &policy.Deployment{Peers: 1, MostTries: 4, FallMultiple: 3, FallFor: time.Second, ColdFrom: 1, ColdFor: time.Second, MayProbe: true,
+			Grades: []policy.Grade{{SetupGoal: time.Second, Utility: 1, Effect: policy.Idempotent}}},
+		Grades: map[string]int{"feed": 0}, OuterLimits: []time.Duration{20 * time.Second},
+	}
+	known := discovery.List{Whole: true, Servers: []discovery.Server{{UID: "s-1", Endpoint: s.ln.Addr().String(), Heft: 1}}}
+	l, err := New(zap.NewNop(), dep, 7, known, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &leaver{crossing: &crossing{t: t, l: l}, s: s}, l
+}
+
+// arrive has a client connect and the loop hear of its line, but not decide.
+func (y *leaver) arrive(id int) {
+	y.t.Helper()
+	near, far := pipe(y.t)
+	nc, err := netpoll.NewFDConnection(descriptor(y.t, far))
+	if err != nil {
+		y.t.Fatal(err)
+	}
+	y.l.fds.Add(1)
+	y.client, y.c = near, adopt(nc, y.l, &y.l.fds)
+	y.c.door = y.l.door
+	nc.SetOnRequest(y.c.onRequest)
+	ln := line.Decode(fmt.Appendf(nil, asks, id))
+	y.c.phase.Store(waiting)
+	y.l.now = time.Since(y.l.start)
+	y.l.bal.Clock(y.l.now)
+	y.l.happened(event{conn: y.c, lines: []line.Line{ln}})
+}
+
+// TestCircuitsTakenAtOnceLeaveWhatIsKept has as many circuits taken before the first of them is dialed as there is room for: what they
+// dial holds none of the descriptors that the program keeps, and none of them hangs.
+func TestCircuitsTakenAtOnceLeaveWhatIsKept(t *testing.T) {
+	y, l := full(t)
+	l.dep.Policy.MayProbe = false
+	l.bal.Reconfigure(onSockets(l.dep), []int{0}, nil)
+	many := int(l.most-l.most/spareFds) - 1
+	for i := range many {
+		y.arrive(i + 1)
+	}
+	if n := len(l.circuits); n != many || int(l.fds.Load()) != many {
+		t.Fatalf("%d circuits of %d, %d descriptors", n, many, l.fds.Load())
+	}
+	room, most := int(l.most)-many, int64(0)
+	y.turns("each is sent or answered", func() bool {
+		most = max(most, l.fds.Load())
+		return y.s.told()+int(l.Nacked.Load()+l.BrokenOff.Load()) == many
+	})
+	if n := y.s.attempts(); n > room || n == 0 || most > l.most {
+		t.Errorf("%d dials with room for %d, %d descriptors of %d", n, room, most, l.most)
+	}
+	if n := l.BrokenOff.Load(); n != 0 {
+		t.Errorf("%d broken off that never ran", n)
+	}
+}
+
+// TestAProbeWithoutADescriptorSaysNothingOfItsServer has no descriptor left for a probe: its server is not set aside for that.
+func TestAProbeWithoutADescriptorSaysNothingOfItsServer(t *testing.T) {
+	y, l := full(t)
+	y.arrive(1)
+	l.fds.Add(64)
+	y.turns("the probe is over, and the circuit is answered", func() bool { return l.Probes.Load() == 1 && len(l.circuits) == 0 })
+	if n := y.s.attempts(); n != 0 {
+		t.Fatalf("%d dials without a descriptor", n)
+	}
+	l.fds.Add(-64)
+	for i := range 4 {
+		y.arrive(i + 2)
+	}
+	before := l.Nacked.Load()
+	y.turns("the server is sent all of them", func() bool { return y.s.told() >= 4 || l.Nacked.Load() > before })
+	if l.Nacked.Load() > before {
+		t.Error("the server is set aside")
+	}
+}
+
+// TestProbesHaveAShareOfTheirOwn has connections hold all that they may: a probe is dialed all the same, and no more of them than the share.
+func TestProbesHaveAShareOfTheirOwn(t *testing.T) {
+	y, l := full(t)
+	l.fds.Store(l.most)
+	for range probeFds + 3 {
+		l.ask(policy.ServerID(line.Hash("s-1")))
+	}
+	y.turns("the probes within the share are there, and the others are over", func() bool { return y.s.told() == probeFds && l.NoRoom.Load() == 3 })
+	if n := y.s.attempts(); n != probeFds {
+		t.Errorf("%d probes with a share of %d", n, probeFds)
+	}
+}
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -30,7 +30,6 @@
 	readyWithin = 2 * time.Second        // ready after that without a list
 	readySoon   = 250 * time.Millisecond // and after that with the one known at the start: what is newer comes at once
 	stalledFor  = 300 * time.Millisecond // a turn that comes so late had the process stopped, or starved
-	KeptFds     = 24                     // descriptors for the program itself
 	spareFds    = 8                      // so-many-th of the rest, kept for clients that are only told to come again
 )
 
@@ -121,16 +120,17 @@
 
 // New makes a balancer from what it was told at its start; sockets is the most descriptors it may hold.
 func New(log *zap.Logger, dep *deployment.Deployment, seed uint64, known discovery.List, sockets int) (*Loop, error) {
+	shards := (runtime.GOMAXPROCS(0) - 1) / 2
 	l := &Loop{
 		log: log, bal: policy.New(onSockets(dep), seed), start: time.Now(),
-		wake: make(chan struct{}, 1), most: int64(max(sockets-KeptFds, 2)),
+		wake: make(chan struct{}, 1), most: int64(max(sockets-KeptFds(shards), 2)),
 		servers: map[policy.ServerID]*server{}, byUID: map[string]*server{},
 		circuits: map[policy.CircuitID]*circuit{}, byAsk: map[uint64]*circuit{}, door: newDoor(),
 		known: known, welcomed: make(chan struct{}),
 	}
 	l.settings(dep)
 	var err error
-	if l.relays, err = relay.New((runtime.GOMAXPROCS(0)-1)/2, relays{l}, &l.fds); err != nil {
+	if l.relays, err = relay.New(shards, told{l}, &l.fds); err != nil {
 		return nil, err
 	}
 	l.list(known, true)
--- a/internal/balancer/probe.go
+++ b/internal/balancer/probe.go
@@ -54,7 +54,12 @@
 		}
 		return
 	}
-	if p.conn = c; err != nil {
+	if p.conn = c; noRoom(err) { // guards against servers set aside because this balancer is full
+		l.NoRoom.Add(1)
+		l.probed(p, policy.NeverSent, nil)
+		return
+	}
+	if err != nil {
 		l.probed(p, policy.ConnectFailed, nil)
 		return
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -40,8 +40,11 @@
 	ErrPanic   = errors.New("a fault of the program")
 )
 
-// ErrUnwanted is a dial that was not begun.
-var ErrUnwanted = errors.New("not wanted any more")
+// What a dial is not begun for.
+var (
+	ErrUnwanted = errors.New("not wanted any more")
+	ErrNoRoom   = errors.New("no descriptor is left for it")
+)
 
 // Side tells a pair's connections apart.
 type Side uint8
@@ -280,9 +283,10 @@
 }
 
 // Dial starts a connection to an address and never a second one by itself; the owner hears how it ended, unless
-// the connection is closed before. data is the owner's. It may take as long as a name takes to be looked up; wanted is asked
-// after that, just before the connection is begun, and ErrUnwanted is its no.
-func (s *Shards) Dial(address string, data any, wanted func() bool) (*Conn, error) {
+// the connection is closed before. data is the owner's. ErrNoRoom: it would be one more than so many descriptors of connections.
+// It may take as long as a name takes to be looked up; wanted is asked after that, just before the connection is begun, and
+// ErrUnwanted is its no.
+func (s *Shards) Dial(address string, most int64, wanted func() bool, data any) (c *Conn, err error) {
 	at, err := net.ResolveTCPAddr("tcp", address)
 	if err != nil {
 		return nil, err
@@ -298,6 +302,15 @@
 		copy(v6.Addr[:], at.IP.To16())
 		family, to = unix.AF_INET6, v6
 	}
+	if s.fds.Add(1) > most { // counted before it is opened: many are dialed at once
+		s.fds.Add(-1)
+		return nil, ErrNoRoom
+	}
+	defer func() {
+		if c == nil {
+			s.fds.Add(-1)
+		}
+	}()
 	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return nil, os.NewSyscallError("socket", err)
@@ -311,17 +324,23 @@
 		unix.Close(fd)
 		return nil, os.NewSyscallError("connect", err)
 	}
-	c := s.adopt(s.all[int(s.next.Add(1))%len(s.all)], fd, dialing, data)
-	if err := c.register(unix.EPOLLOUT | unix.EPOLLONESHOT); err != nil {
-		c.Close()
+	dialed := s.place(s.all[int(s.next.Add(1))%len(s.all)], fd, dialing, data)
+	if err := dialed.register(unix.EPOLLOUT | unix.EPOLLONESHOT); err != nil {
+		dialed.Close()
+		s.fds.Add(1) // Close has counted it
 		return nil, err
 	}
-	return c, nil
+	return dialed, nil
 }
 
 func (s *Shards) adopt(sh *shard, fd int, st state, data any) *Conn {
-	c := &Conn{sh: sh, fd: fd, state: st, Data: data}
 	s.fds.Add(1)
+	return s.place(sh, fd, st, data)
+}
+
+// place makes a connection of a descriptor that is counted.
+func (s *Shards) place(sh *shard, fd int, st state, data any) *Conn {
+	c := &Conn{sh: sh, fd: fd, state: st, Data: data}
 	sh.put(c)
 	return c
 }
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -27,6 +27,8 @@
 	onTheWay   = 16                     // messages with descriptors that are not taken yet: the kernel counts those too
 	takeFor    = 700 * time.Millisecond // a message that is not taken by then ends the link: lines may be held for a second
 	sendBuffer = 512 << 10
+
+	acceptPause = 50 * time.Millisecond // after a link could not be taken
 )
 
 // Kind tells messages apart.
@@ -130,9 +132,13 @@
 	go func() {
 		for {
 			c, err := ln.AcceptUnix()
-			if err != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return
 			}
+			if err != nil { // no descriptor is left for now: guards against a balancer that no next process reaches ever after
+				time.Sleep(acceptPause)
+				continue
+			}
 			if l, err := start(c, heed, gone); err == nil {
 				accepted(l)
 			}
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -202,3 +202,45 @@
 		}
 	}
 }
+
+// TestALinkComesUpOnceADescriptorIsFree has a next process come while this one has no descriptor left.
+func TestALinkComesUpOnceADescriptorIsFree(t *testing.T) {
+	path, err := Path(t.TempDir(), "n0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	old := newSide()
+	if err := Listen(path, func(l *Link) { old.link <- l }, old.heed, old.ended); err != nil {
+		t.Fatal(err)
+	}
+	next, err := unix.Socket(unix.AF_UNIX, unix.SOCK_SEQPACKET|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Close(next)
+	var was unix.Rlimit
+	if err := unix.Prlimit(0, unix.RLIMIT_NOFILE, nil, &was); err != nil {
+		t.Fatal(err)
+	}
+	none := was
+	none.Cur = 3 // input, output and errors have these: what others close meanwhile makes no room
+	if err := unix.Prlimit(0, unix.RLIMIT_NOFILE, &none, nil); err != nil {
+		t.Fatal(err)
+	}
+	free := func() { unix.Prlimit(0, unix.RLIMIT_NOFILE, &was, nil) }
+	defer free()
+	if fd, err := unix.Dup(next); err != unix.EMFILE {
+		unix.Close(fd)
+		t.Fatalf("%d, %v: a descriptor is left", fd, err)
+	}
+	if err := unix.Connect(next, &unix.SockaddrUnix{Name: path}); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-old.link:
+		t.Fatal("taken without a descriptor")
+	case <-time.After(3 * acceptPause): // tried, and tried again
+	}
+	free()
+	get(t, old.link).Close()
+}
