Cold servers bear what all processes send: two roots of N are all that is left to chance

The rule leaves 2 x root of N + 2 for chance now, 3 x root of N + 3 before. Processes share nothing, so their parts of N only add up on the mean.

Cause, policy/policy.go as it was: - 682: a part was paid out anew each span of the balancer's own and spent at any time in it: at the end of one and the start of the next, two parts in one span of the server's. - 683: each payout drew its rounding anew, so a warm-up had the chances of all its spans to be the unlucky one, and max(1, ...) gave each balancer one however small its part. - 690, 691: where the part is under one the chance was bounded by all that one server holds (1.0 times it; the test of groups that come home has 1.6), with nothing taken off for the error of the sum; and by a dozen over all with few balancers. - 678: what is held this moment counted: a balancer that took over a dead one's clients sent its new part beside what the dead one had sent, and a new process spent again what the one before it had.

Change: tries there within the last span are counted (`spent`). The fraction of a part is drawn once for each start of the server; a part under one is less twice the error of the sum of all, 1 + 2 x root of (1 - part) / N. By that draw alone goes whoever holds over 0.6 connections a server; with fewer the chance lies in the key as before, for 1.6 times what one server holds. What is held counts by the least of now and a while ago (`calm`); a process sends nothing to cold servers in its first span, by the clock of its own start, which all hosts give.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,6 +44,8 @@
 	coldFill     = 3.0                    // so-many-th of the warm-up in which a cold server may fill
 	fillEach     = 4 * time.Second        // how often a circuit may go home to a cold server
 	coldLeast    = 12.0                   // connections that a server is thought to hold, over all balancers
+	leastWarm    = 5.4                    // and warm ones where none has come until then
+	homeMost     = 1.6                    // so many times what it holds comes home to a cold server at once
 	evenMost     = 2.0                    // so many times an even share of the load a server takes unproven,
 	evenTold     = 1.2                    // and where the others tell what they hold
 	evenLeast    = 4.0                    // connections that an even share is taken for, at the least
@@ -125,7 +127,7 @@
 	usualOf            []float64       // the same by grade
 	good, bad, late    float64         // setup tries that came to stand lately, that failed, that stood late
 	wanted, colds      float64         // circuits that came to a cold server lately; what those draw together
-	turn               time.Duration   // nothing is tried so long after a first time-out, 0 for few balancers
+	turn, hush         time.Duration   // no try so long after a time-out, 0 for few; none at cold ones till then
 	shut, shutTill     time.Duration   // the newest such wait, and its end
 	leaveFrom, leaveBy time.Duration   // all that is held is moved between these, never while it stays
 	tellAt             time.Duration   // when the others are told next, never where they are not,
@@ -143,14 +145,14 @@
 	held             [][]*circuit // connections and setup tries out
 	load, fails      []float64    // load of the connections held; failures, less what successes took off
 	aside, probing   []bool
-	span, probeAt    []time.Duration // how long it is set aside before the next probe, and when that is due
-	answers          []int           // answered probes in a row
-	delay, delayAt   []time.Duration // what a message takes, by the newest note, and when that came
-	asked, budget    []float64       // load over capacity, by the newest report; tries left while it is cold
-	paidAt, sentAt   []time.Duration // the budget was paid out, the newest setup try went there,
-	askedAt, movedAt []time.Duration // when that report came; a move away from it was last considered
-	room, shown      []float64       // load of own connections: before it is crowded; with room told since
-	others           []float64       // load of connections that the other balancers told of
+	span, probeAt    []time.Duration   // how long it is set aside before the next probe, and when that is due
+	answers          []int             // answered probes in a row
+	delay, delayAt   []time.Duration   // what a message takes, by the newest note, and when that came
+	asked, others    []float64         // load over capacity, by the newest report; what other balancers hold
+	askedAt, movedAt []time.Duration   // when that report came; a move away from it was last considered
+	sentAt           []time.Duration   // when the newest setup try went there,
+	spent            [][]time.Duration // and all within one span while it is cold
+	room, shown      []float64         // load of own connections: before it is crowded; with room told since
 
 	untrue map[[2]int]time.Duration // by zone and cell: until then reports tell of no room
 	reach  int                      // how far down the ranking a circuit may go, so that its group is not spread
@@ -164,7 +166,7 @@
 		index: map[ServerID]int{}, circuit: map[CircuitID]*circuit{}, group: map[uint64]int{}, leaveBy: never,
 	}
 	b.Reconfigure(dep, nil, nil)
-	b.roundAt = time.Duration(b.random() * float64(roundEvery))
+	b.roundAt, b.hush = time.Duration(b.random()*float64(roundEvery)), dep.FallFor // as Spent
 	return b
 }
 
@@ -246,7 +248,7 @@
 	b.probing, b.answers, b.probeAt = append(b.probing, false), append(b.answers, 0), append(b.probeAt, 0)
 	b.delay, b.delayAt, b.load = append(b.delay, 0), append(b.delayAt, 0), append(b.load, 0)
 	b.asked, b.askedAt, b.shown = append(b.asked, 0), append(b.askedAt, 0), append(b.shown, 0)
-	b.budget, b.paidAt, b.others = append(b.budget, 0), append(b.paidAt, 0), append(b.others, 0)
+	b.spent, b.others = append(b.spent, nil), append(b.others, 0)
 	b.movedAt, b.room, b.sentAt = append(b.movedAt, -never), append(b.room, 0), append(b.sentAt, -never)
 	b.fresh(i)
 	b.probeAt[i] = b.now + time.Duration(b.random()*float64(b.dep.Peers)*float64(firstAsk))
@@ -256,7 +258,7 @@
 // fresh forgets what was known of a server's earlier process.
 func (b *Balancer) fresh(i int) {
 	b.fails[i], b.aside[i], b.span[i], b.shown[i] = 0, false, asideFirst, 0
-	b.delayAt[i], b.askedAt[i], b.paidAt[i], b.room[i] = -never, -never, -never, never.Seconds()
+	b.delayAt[i], b.askedAt[i], b.spent[i], b.room[i] = -never, -never, nil, never.Seconds()
 }
 
 // Weighed tells the heft of a server as it shows.
@@ -307,11 +309,7 @@
 func (b *Balancer) Stay()                        { b.leaveBy = never }
 
 // Spent has cold servers get nothing for one span: another process of this balancer may have spent its part.
-func (b *Balancer) Spent() {
-	for i := range b.id {
-		b.budget[i], b.paidAt[i] = 0, b.now
-	}
-}
+func (b *Balancer) Spent() { b.hush = b.now + b.dep.FallFor }
 
 func (b *Balancer) take(a Arrival) *circuit {
 	a.Grade, a.Tenant = min(a.Grade, len(b.dep.Grades)-1), min(a.Tenant, len(b.dep.Tenants))
@@ -669,26 +667,26 @@
 		c.grade.Effect == Deduplicated && c.grade.Scope == ScopeAll && b.now < c.ranAt+c.grade.Window
 }
 
-// mayWarm tells whether a circuit may go to a cold server. All balancers together may send it, each span in
-// which it could fall, as many connections as servers hold on the mean, times the multiple and cut to its
-// warmth, over a part of the warm-up. A part far under one here is a chance: dealt out before it is lost.
+// mayWarm tells whether a circuit may go to a cold server. All balancers may send it, in any span in which it
+// could fall, what servers hold times the multiple and its warmth, over a part of the warm-up. A part under
+// one is a chance, less twice its sum's error; drawn once for each start, as of many draws one is unlucky.
 func (b *Balancer) mayWarm(c *circuit, i int) bool {
-	mean, least := float64(b.total)/float64(max(len(b.newest().servers), 1)), coldLeast/float64(b.dep.Peers)
-	mean = max(math.Sqrt(mean*max(mean, b.warmMean)), least) // warm ones hold more, maybe too much
-	spans := max(float64(b.dep.ColdFor)/coldFill/float64(max(b.dep.FallFor, 1)), 1)
-	part := b.dep.FallMultiple * b.warmth(i) * mean / spans
-	if b.now-b.paidAt[i] >= b.dep.FallFor { // what is not used is lost, or all would spend it at once
-		b.budget[i], b.paidAt[i] = max(1, math.Floor(part+b.random())), b.now
-	}
+	// What came just now counts later: whoever held it until then may have spent its part.
+	mean, warmth := min(float64(b.total), b.calm)/float64(max(len(b.newest().servers), 1)), b.warmth(i)
+	mean = max(math.Sqrt(mean*max(mean, b.warmMean)), min(coldLeast, leastWarm/warmth)/float64(b.dep.Peers))
+	part := b.dep.FallMultiple * warmth * mean / max(float64(b.dep.ColdFor)/coldFill/float64(b.dep.FallFor), 1)
+	part /= 1 + 2*math.Sqrt(max(0, 1-part)/part/float64(b.dep.Peers))
+	b.spent[i] = slices.DeleteFunc(b.spent[i], func(at time.Duration) bool { return at <= b.now-b.dep.FallFor })
 	if !c.wanted {
 		c.wanted, b.wanted = true, b.wanted+1
 	}
-	draws := b.heft[i] * min(1, coolMore*b.warmth(i)) // circuits of its zone, against other cold servers
-	// The chance lies in the key, for a while: drawn anew at each report and move it left cold servers empty.
-	draw := unit(mix(mix(c.key, uint64(b.id[i])), uint64((b.now-b.started[i])/fillEach)))
-	// Guards against all members of a few groups that come home at once: as if all that one server holds came.
-	most := max(b.dep.FallMultiple*b.warmth(i)/spans, least)
-	return b.budget[i] >= 1 && (part >= 1 || draw < min(most, part*b.colds/draws/max(b.wanted, 1)))
+	whole := math.Floor(part + unit(mix(b.seed, uint64(b.id[i])^uint64(b.started[i]))))
+	if home := homeMost * mean; home < 1 { // not even one each comes home: dealt out before it is lost
+		// The chance lies in the key, for a while: drawn anew at each report and move it left cold servers empty.
+		draw := unit(mix(mix(c.key, uint64(b.id[i])), uint64((b.now-b.started[i])/fillEach)))
+		whole = math.Ceil(min(part/home, part*b.colds/b.heft[i]/min(1, coolMore*warmth)/max(b.wanted, 1)) - draw)
+	}
+	return b.now >= b.hush && float64(len(b.spent[i])) < whole
 }
 
 func mix(a, z uint64) uint64 {
@@ -912,7 +910,9 @@
 		return Decision{Do: Probe, Server: b.id[i]}, !asked
 	}
 	b.hold(c, i)
-	b.budget[i]-- // counts while the server is cold
+	if b.warmth(i) < 1 {
+		b.spent[i] = append(b.spent[i], b.now)
+	}
 	c.tried, c.out, c.sentAt, b.sentAt[i] = append(c.tried, i), true, b.now, b.now
 	c.tries++
 	b.trying++
