--- /dev/null
+++ b/internal/fleet/feed/follower.go
@@ -0,0 +1,824 @@
+package feed
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"sabletally/internal/fleet/views"
+)
+
+const (
+	relaysWanted = 2
+	relaysMost   = 3   // connections at once, while one takes another's place
+	listMost     = 256 // relays that are known, seeds among them; further ones are not looked at
+	asksMost     = 8   // renewals whose answers are waited for; the oldest is forgotten first
+	claimsKept   = 4   // answers for versions that are still to come, for each relay
+	ackEach      = 64 << 10
+	backFirst    = time.Second // a relay that failed is passed over for so long, twice as long each time that it fails again,
+	backMost     = 30 * time.Second
+	backAlone    = 2 * time.Second        // but so long where no relay is left, all by chance from a half to one and a half
+	dialAlone    = 200 * time.Millisecond // between two dials then
+	soundAfter   = 10 * time.Second       // a relay that served so long has failed no time before
+	returnFrom   = 20 * time.Second       // until a better ranked relay takes a worse one's place, by chance up to twice as long more
+	seededFrom   = 2 * time.Second        // the same where the worse one was found by a seed
+	oddFor       = time.Minute            // a relay of another history, or another fleet, is passed over
+	elsewhereMin = time.Second
+	elsewhereMax = 5 * time.Minute
+	suspectFor   = 10 * time.Second // a site where relays of two zones failed within it comes after the others
+	snapshotIn   = time.Minute      // one message may take so long while bytes of it come
+)
+
+// FollowerConfig is what a follower begins with.
+type FollowerConfig struct {
+	ID, Name            string
+	Life                uint64 // grows with each start
+	Machine, Zone, Site string
+	Fleet               string   // empty where it is not known yet
+	Seeds               []string // addresses of relays, used while none is known, and after those that are
+	Lease               time.Duration
+	Seed                uint64
+}
+
+// FollowerSend is one message to one relay.
+type FollowerSend struct {
+	Addr string
+	Msg  Msg
+}
+
+// Applied is one step of the state: the items that changed, or, Whole, all that there are.
+type Applied struct {
+	Version uint64
+	Items   []Item
+	Whole   bool
+}
+
+// FollowerReady is what is to be done, in this order.
+type FollowerReady struct {
+	Applied []Applied
+	Hang    []string // these connections, or dials, end; nothing more is told of them
+	Sends   []FollowerSend
+	Dial    []string // each ends in Opened, Failed or, by this side, Hang
+	Lines   []Line
+}
+
+// FollowerCount counts what a follower did.
+type FollowerCount struct {
+	Changes, Snapshots uint64 // taken
+	Had                uint64 // that were known already, from the other relay or older
+	Gaps               uint64
+	Mismatches         uint64
+	Conflicts          uint64
+	Refused            uint64
+	Lapses             uint64 // times that knowledge was no longer current
+	Wants              uint64
+	Dials, Fails       uint64
+	Elsewhere          uint64
+}
+
+// Follower is one balancer's side of the feed. It is one goroutine's.
+//
+// A beat and a message cost the same whatever the size of the fleet, but for the relays' list, which is gone through.
+type Follower struct {
+	cfg   FollowerConfig
+	rng   *rand.Rand
+	now   time.Duration
+	state *State
+
+	asOf   time.Duration // at that time nothing newer was agreed than what is here
+	known  bool          // it was ever heard
+	stands bool          // it is told that it is not current
+
+	ways     map[string]*way // by address
+	ranked   []*way          // those that are listed, the best first
+	listed   map[string]views.Member
+	mismatch bool
+	returnAt time.Duration // 0: no better one is waited for
+	dialAt   time.Duration // not before, where no relay is left
+	order    uint64
+
+	ready FollowerReady
+	Count FollowerCount
+}
+
+type wayState uint8
+
+const (
+	idle wayState = iota
+	dialing
+	open
+)
+
+// way is what a follower knows of one relay, by its address.
+type way struct {
+	addr       string
+	id         string
+	zone, site string
+	score      uint64
+	listed     bool
+	seed       bool // it was dialed as a seed, its zone unknown
+
+	state    wayState
+	began    time.Duration // dialing, or open
+	order    uint64
+	heard    time.Duration // the newest message, or bytes of one
+	answered time.Duration // the newest Renewed
+	midway   bool          // bytes have come since the newest message
+	proved   bool          // it has answered, with an age within the lease
+	synced   bool          // it had nothing newer than what is here, once
+	parked   bool
+	number   uint64
+	read     uint64
+	asks     []ask
+	claims   []asOf
+	renewAt  time.Duration
+	wanted   uint64 // answers up to this number say nothing of what is to be asked for again
+	unacked  int
+
+	fails    int
+	failedAt time.Duration
+	failed   bool
+	pass     time.Duration // passed over until then
+	told     bool          // by its own word
+}
+
+type ask struct {
+	number uint64
+	at     time.Duration
+}
+
+// NewFollower begins knowing nothing, with its seeds.
+func NewFollower(cfg FollowerConfig, now time.Duration) *Follower {
+	if cfg.Lease <= 0 {
+		cfg.Lease = Lease
+	}
+	f := &Follower{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0xf0110)), now: now, state: NewState(), ways: map[string]*way{},
+		listed: map[string]views.Member{}, stands: true, dialAt: now}
+	f.rank()
+	return f
+}
+
+// State is the newest that is known, not to be changed.
+func (f *Follower) State() *State { return f.state }
+
+// Age is how long ago nothing newer was agreed than what is here, for as much as is known; false where nothing was ever heard.
+func (f *Follower) Age(now time.Duration) (time.Duration, bool) { return now - f.asOf, f.known }
+
+// Current tells whether what is here may be taken for all there is, by the clock as it is now: it is read anew for each use.
+func (f *Follower) Current(now time.Duration) bool {
+	return f.known && now-f.asOf <= f.cfg.Lease
+}
+
+// Relays are the addresses of those that are followed, in the order in which they were opened.
+func (f *Follower) Relays() []string {
+	var all []string
+	for _, w := range f.inUse() {
+		if w.state == open {
+			all = append(all, w.addr)
+		}
+	}
+	return all
+}
+
+// Ready hands out what is to be done, once.
+func (f *Follower) Ready() FollowerReady {
+	out := f.ready
+	f.ready = FollowerReady{}
+	return out
+}
+
+// ---- What comes in.
+
+// Clock is a beat, some ten of them a second. A time that is taken for the one of a question must not be later than when it goes
+// out: the time of the newest Clock is.
+func (f *Follower) Clock(now time.Duration) {
+	gap := now - f.now
+	f.now = max(f.now, now)
+	use := f.inUse()
+	if gap > stallFrom { // what the relays said meanwhile lies in buffers: their silence is this process's own
+		f.line(Line{Kind: Woke, For: gap})
+		for _, w := range use {
+			w.heard, w.answered, w.renewAt = f.now, f.now, f.now
+			if w.state == dialing {
+				w.began = f.now
+			}
+		}
+	}
+	for _, w := range use {
+		if why := f.dead(w); why != "" {
+			f.leave(w, why)
+		} else if w.state == open && w.renewAt <= f.now {
+			f.renew(w)
+		}
+	}
+	f.settle()
+	f.decide()
+}
+
+// dead tells why a relay is to be left, empty where it is not.
+func (f *Follower) dead(w *way) string {
+	half := f.cfg.Lease / 2
+	switch {
+	case w.state == dialing && f.now-w.began >= f.cfg.Lease/5:
+		return "it does not answer"
+	case w.state != open:
+	case f.now-w.heard >= half:
+		return fmt.Sprintf("silent for %v", f.now-w.heard)
+	case f.now-w.answered >= half && !w.midway:
+		return fmt.Sprintf("no answer for %v", f.now-w.answered)
+	case f.now-w.answered >= snapshotIn:
+		return fmt.Sprintf("no answer for %v", f.now-w.answered)
+	}
+	return ""
+}
+
+// Opened tells that a dial has come through.
+func (f *Follower) Opened(addr string) {
+	w := f.ways[addr]
+	if w == nil || w.state != dialing {
+		f.ready.Hang = append(f.ready.Hang, addr)
+		return
+	}
+	f.order++
+	w.state, w.began, w.heard, w.answered, w.order = open, f.now, f.now, f.now, f.order
+	w.midway, w.proved, w.synced, w.number, w.read, w.wanted, w.unacked = false, false, false, 0, 0, 0, 0
+	w.asks, w.claims = nil, nil
+	w.parked = false
+	for _, o := range f.inUse() {
+		if o != w && o.state == open && !o.synced && !o.parked {
+			w.parked = true
+		}
+	}
+	f.send(w, Msg{Hello: &Hello{Fleet: cmp.Or(f.state.Fleet(), f.cfg.Fleet), Form: Form, ID: f.cfg.ID, Name: f.cfg.Name, Life: f.cfg.Life, Machine: f.cfg.Machine,
+		Zone: f.cfg.Zone, Site: f.cfg.Site, Version: f.state.Version(), Digest: f.state.Digest(), Park: w.parked}})
+	f.line(Line{Kind: Follows, Peer: w.id, Addr: addr})
+	f.renew(w)
+}
+
+// Failed tells that a dial has not come through.
+func (f *Follower) Failed(addr string) {
+	if w := f.ways[addr]; w != nil && w.state == dialing {
+		f.Count.Fails++
+		f.over(w)
+		f.decide()
+	}
+}
+
+// Closed tells that a connection has ended, not by this side.
+func (f *Follower) Closed(addr string) {
+	if w := f.ways[addr]; w != nil && w.state == open {
+		f.line(Line{Kind: Leaves, Addr: addr, Text: "its connection has ended"})
+		f.over(w)
+		f.decide()
+	}
+}
+
+// Progress tells that bytes of a message have come that is not whole yet: a relay is not silent that sends a large one slowly.
+func (f *Follower) Progress(addr string) {
+	if w := f.ways[addr]; w != nil && w.state == open {
+		w.heard, w.midway = f.now, true
+	}
+}
+
+// Leave says goodbye to all relays: this process ends.
+func (f *Follower) Leave() {
+	for _, w := range f.inUse() {
+		if w.state == open {
+			f.send(w, Msg{Bye: &Bye{}})
+		}
+	}
+}
+
+// Step takes a message. An error tells what was wrong with it; what follows from it is done already.
+func (f *Follower) Step(addr string, m Msg) error {
+	w := f.ways[addr]
+	if w == nil || w.state != open {
+		return nil // hung up meanwhile
+	}
+	w.heard, w.midway = f.now, false
+	switch {
+	case m.Change != nil:
+		return f.change(w, m.Change)
+	case m.Snapshot != nil:
+		return f.snapshot(w, m.Snapshot)
+	case m.Renewed != nil:
+		return f.renewed(w, m.Renewed)
+	case m.Elsewhere != nil:
+		f.Count.Elsewhere++
+		f.leave(w, "sent elsewhere: "+m.Elsewhere.Why)
+		w.fails, w.told = 0, true
+		w.pass = f.now + min(max(m.Elsewhere.Wait, elsewhereMin), elsewhereMax)
+		f.decide()
+	case m.Op != nil, m.Result != nil, m.Put != nil, m.PutDone != nil:
+	default:
+		f.Count.Refused++
+		err := fmt.Errorf("%w: nothing in it that this process knows", ErrMessage)
+		f.refuse(w, err)
+		return err
+	}
+	return nil
+}
+
+// ---- The feed.
+
+func (f *Follower) change(w *way, c *Change) error {
+	err := f.state.Apply(*c)
+	if err == nil {
+		f.Count.Changes++
+		w.unacked += c.Size()
+		f.took(Applied{Version: c.Version, Items: c.Items})
+		if w.unacked >= ackEach {
+			f.ack(w)
+		}
+		return nil
+	}
+	return f.refused(w, c.Version, err)
+}
+
+func (f *Follower) snapshot(w *way, s *Snapshot) error {
+	was := f.state.Version()
+	if f.cfg.Fleet != "" && s.Fleet != "" && s.Fleet != f.cfg.Fleet {
+		return f.refused(w, s.Version, fmt.Errorf("%w: %q, this one is %q", ErrFleet, s.Fleet, f.cfg.Fleet))
+	}
+	if err := f.state.Install(*s); err != nil {
+		return f.refused(w, s.Version, err)
+	}
+	if f.state.Version() == was {
+		f.Count.Had++
+		return nil
+	}
+	f.Count.Snapshots++
+	f.mismatch = false
+	f.took(Applied{Version: s.Version, Items: s.Items, Whole: true})
+	f.ack(w)
+	return nil
+}
+
+// refused does what follows from a change or snapshot that is not taken.
+func (f *Follower) refused(w *way, version uint64, err error) error {
+	switch {
+	case errors.Is(err, ErrOrder) && version <= f.state.Version():
+		f.Count.Had++
+		return nil
+	case errors.Is(err, ErrOrder):
+		f.Count.Gaps++
+		f.want(w, false)
+	case errors.Is(err, ErrDigest):
+		f.Count.Mismatches++
+		if !f.mismatch {
+			f.mismatch = true
+			f.line(Line{Kind: Mismatch, Addr: w.addr, Version: f.state.Version(), Text: err.Error()})
+		}
+		f.want(w, true)
+	case errors.Is(err, ErrConflict):
+		f.conflict(w, err)
+	default:
+		f.Count.Refused++
+		f.refuse(w, err)
+	}
+	return err
+}
+
+// conflict leaves a relay that has another history.
+func (f *Follower) conflict(w *way, err error) {
+	f.Count.Conflicts++
+	f.line(Line{Kind: Conflict, Peer: w.id, Addr: w.addr, Version: f.state.Version(), Text: err.Error()})
+	f.leave(w, "it has another history")
+	w.pass = f.now + f.about(oddFor)
+	f.decide()
+}
+
+// refuse leaves a relay that sends what can't be taken.
+func (f *Follower) refuse(w *way, err error) {
+	kind := Refused
+	if errors.Is(err, ErrFleet) {
+		kind = Stranger
+	}
+	f.line(Line{Kind: kind, Peer: w.id, Addr: w.addr, Text: err.Error()})
+	f.leave(w, "what it sends can't be taken")
+	w.pass = f.now + f.about(oddFor)
+	f.decide()
+}
+
+// took notes what was applied, and what is known by it.
+func (f *Follower) took(a Applied) {
+	f.ready.Applied = append(f.ready.Applied, a)
+	ranks := a.Whole
+	for _, i := range a.Items {
+		ranks = ranks || strings.HasPrefix(i.Key, MemberPrefix)
+	}
+	if ranks {
+		f.relist(a)
+	}
+	for _, w := range f.inUse() {
+		f.claim(w)
+	}
+	f.settle()
+}
+
+// renewed takes a relay's answer: what it knew as of the time of the question, less the age that it says, is true for this
+// follower once it has that version.
+func (f *Follower) renewed(w *way, r *Renewed) error {
+	i := slices.IndexFunc(w.asks, func(a ask) bool { return a.number == r.Number })
+	if i < 0 {
+		return nil // never asked, answered before, or given up
+	}
+	at := w.asks[i].at
+	w.asks = slices.Delete(w.asks, 0, i+1)
+	w.answered, w.read = f.now, max(w.read, r.Number)
+	v := f.state.Version()
+	if r.Version == v && r.Digest != f.state.Digest() {
+		err := fmt.Errorf("%w: version %d with digest %016x, here %016x", ErrConflict, v, r.Digest, f.state.Digest())
+		f.conflict(w, err)
+		return err
+	}
+	if !r.Known || r.Age > f.cfg.Lease || r.Age < 0 {
+		if w.pass <= f.now { // it stays until another one does better
+			f.fail(w)
+		}
+	} else {
+		w.proved = true
+		if f.now-w.began >= soundAfter {
+			w.fails, w.failed = 0, false
+		}
+		if len(w.claims) < claimsKept {
+			w.claims = append(w.claims, asOf{at: at - r.Age, version: r.Version, digest: r.Digest})
+		}
+	}
+	f.claim(w)
+	if r.Version <= v {
+		f.sync(w)
+	}
+	if r.Sent > v && r.Number > w.wanted && !w.parked {
+		f.Count.Gaps++
+		f.want(w, f.mismatch)
+	}
+	f.settle()
+	f.decide()
+	return nil
+}
+
+// claim takes over what a relay has said, as far as its version has come.
+func (f *Follower) claim(w *way) {
+	w.claims = slices.DeleteFunc(w.claims, func(c asOf) bool {
+		if c.version > f.state.Version() {
+			return f.now-c.at > f.cfg.Lease
+		}
+		if !f.known || c.at > f.asOf {
+			f.known, f.asOf = true, c.at
+		}
+		return true
+	})
+}
+
+// sync notes that a relay has nothing newer; those that were told to wait for that go on from here.
+func (f *Follower) sync(w *way) {
+	if w.synced {
+		return
+	}
+	w.synced = true
+	for _, o := range f.inUse() {
+		if o.state == open && o.parked {
+			f.want(o, false)
+		}
+	}
+}
+
+func (f *Follower) want(w *way, whole bool) {
+	f.Count.Wants++
+	w.parked, w.wanted, w.unacked = false, w.number, 0
+	f.send(w, Msg{Want: &Want{Version: f.state.Version(), Digest: f.state.Digest(), Whole: whole}})
+}
+
+func (f *Follower) ack(w *way) {
+	w.unacked = 0
+	f.send(w, Msg{Ack: &Ack{Version: f.state.Version(), Digest: f.state.Digest()}})
+}
+
+func (f *Follower) renew(w *way) {
+	w.number++
+	w.renewAt = f.now + RenewEach*3/4 + time.Duration(f.rng.Float64()*float64(RenewEach)/2)
+	if len(w.asks) >= asksMost {
+		w.asks = slices.Delete(w.asks, 0, 1)
+	}
+	w.asks = append(w.asks, ask{w.number, f.now})
+	w.unacked = 0
+	f.send(w, Msg{Renew: &Renew{Number: w.number, Heard: w.read, Version: f.state.Version(), Digest: f.state.Digest()}})
+}
+
+// settle tells once when knowledge is no longer current, and when it is again.
+func (f *Follower) settle() {
+	if current := f.Current(f.now); current == f.stands {
+		f.stands = !current
+		if current {
+			f.line(Line{Kind: Again, Version: f.state.Version()})
+		} else {
+			f.Count.Lapses++
+			f.line(Line{Kind: Stands, Version: f.state.Version(), For: f.now - f.asOf})
+		}
+	}
+}
+
+// ---- Whom to follow.
+
+// relist takes the relays from the items that name them.
+func (f *Follower) relist(a Applied) {
+	if a.Whole {
+		clear(f.listed)
+	}
+	for _, i := range a.Items {
+		id, is := strings.CutPrefix(i.Key, MemberPrefix)
+		if !is {
+			continue
+		}
+		delete(f.listed, id)
+		var m views.Member
+		if i.Gone {
+			continue
+		}
+		if err := json.Unmarshal(i.Value, &m); err != nil || m.ID != id || m.Addr == "" {
+			f.line(Line{Kind: Refused, Addr: i.Key, Text: "it names no relay"})
+			continue
+		}
+		f.listed[id] = m
+	}
+	f.rank()
+}
+
+// rank sorts the relays for this follower: those of its own site first, then by hash; seeds that are none of those last.
+func (f *Follower) rank() {
+	for _, w := range f.ways {
+		w.listed = false
+	}
+	ids := make([]string, 0, len(f.listed))
+	for id := range f.listed {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(-cmp.Compare(score(f.cfg.ID, a), score(f.cfg.ID, b)), cmp.Compare(a, b))
+	})
+	f.ranked = f.ranked[:0]
+	add := func(m views.Member, key string) {
+		w := f.ways[m.Addr]
+		if w == nil {
+			w = &way{addr: m.Addr}
+			f.ways[m.Addr] = w
+		}
+		if w.listed || len(f.ranked) >= listMost {
+			return
+		}
+		w.listed, w.id, w.zone, w.site, w.score = true, m.ID, m.Zone, m.Site, score(f.cfg.ID, key)
+		f.ranked = append(f.ranked, w)
+	}
+	for _, id := range ids {
+		add(f.listed[id], id)
+	}
+	for _, s := range f.cfg.Seeds {
+		add(views.Member{Addr: s}, s)
+	}
+	slices.SortStableFunc(f.ranked, func(a, b *way) int {
+		return cmp.Or(cmp.Compare(f.tier(a), f.tier(b)), -cmp.Compare(a.score, b.score), cmp.Compare(a.addr, b.addr))
+	})
+	for addr, w := range f.ways {
+		if !w.listed && w.state == idle {
+			delete(f.ways, addr)
+		}
+	}
+}
+
+func (f *Follower) tier(w *way) int {
+	switch {
+	case w.id == "":
+		return 2
+	case w.site != f.cfg.Site:
+		return 1
+	}
+	return 0
+}
+
+// inUse are the relays that are dialed or open, in that order of theirs; three at most.
+func (f *Follower) inUse() []*way {
+	var use [relaysMost + 1]*way
+	all := use[:0]
+	for _, w := range f.ways {
+		if w.state != idle {
+			all = append(all, w)
+		}
+	}
+	slices.SortFunc(all, func(a, b *way) int { return cmp.Compare(a.order, b.order) })
+	return all
+}
+
+// choose is whom to follow now: the best ranked that is not passed over, and the next of another zone; where there is no other
+// zone, the next.
+func (f *Follower) choose(alone bool) []*way {
+	var bySite [8]struct {
+		site, zone string
+		suspect    bool
+	}
+	sites := bySite[:0]
+	for _, w := range f.ranked {
+		if !w.failed || f.now-w.failedAt > suspectFor || w.id == "" {
+			continue
+		}
+		i := slices.IndexFunc(sites, func(s struct {
+			site, zone string
+			suspect    bool
+		}) bool {
+			return s.site == w.site
+		})
+		switch {
+		case i >= 0:
+			sites[i].suspect = sites[i].suspect || sites[i].zone != w.zone
+		case len(sites) < cap(sites):
+			sites = append(sites, struct {
+				site, zone string
+				suspect    bool
+			}{w.site, w.zone, false})
+		}
+	}
+	suspect := func(w *way) bool {
+		for _, s := range sites {
+			if s.site == w.site && w.id != "" {
+				return s.suspect
+			}
+		}
+		return false
+	}
+	var picked []*way
+	for _, further := range []bool{true, false} {
+		for _, late := range []bool{false, true} {
+			for _, w := range f.ranked {
+				if len(picked) == relaysWanted {
+					return picked
+				}
+				if suspect(w) != late || !f.may(w, alone) || slices.Contains(picked, w) {
+					continue
+				}
+				if further && len(picked) == 1 && w.id != "" && w.zone == picked[0].zone && w.site == picked[0].site {
+					continue
+				}
+				picked = append(picked, w)
+			}
+		}
+	}
+	return picked
+}
+
+// may tells whether a relay is not passed over.
+func (f *Follower) may(w *way, alone bool) bool {
+	if alone && !w.told && w.failed {
+		return f.now >= min(w.pass, w.failedAt+backAlone/2+time.Duration(w.score%uint64(backAlone)))
+	}
+	return f.now >= w.pass
+}
+
+// decide dials and hangs up as it follows from whom to follow.
+func (f *Follower) decide() {
+	use := f.inUse()
+	opened, bad, pending, seeded := 0, false, false, false
+	for _, w := range use {
+		if w.state == open {
+			opened++
+		}
+		bad = bad || w.pass > f.now
+		pending = pending || w.state == dialing || !w.proved && w.pass <= f.now
+		seeded = seeded || w.seed
+	}
+	wanted := f.choose(opened == 0)
+	if len(use) > relaysWanted {
+		if !pending {
+			f.spare(use, wanted)
+		}
+		return
+	}
+	for _, w := range wanted {
+		if w.state != idle {
+			continue
+		}
+		if len(use) < relaysWanted {
+			if opened == 0 && w.failed {
+				if f.now < f.dialAt {
+					return
+				}
+				f.dialAt = f.now + f.about(dialAlone)
+			}
+			f.dial(w)
+			use = append(use, w)
+			continue
+		}
+		switch { // one at a time takes another's place
+		case pending:
+		case f.returnAt == 0 && bad:
+			f.returnAt = f.now + f.about(time.Second)
+		case f.returnAt == 0 && seeded:
+			f.returnAt = f.now + f.about(seededFrom)
+		case f.returnAt == 0:
+			f.returnAt = f.now + returnFrom + time.Duration(f.rng.Float64()*float64(2*returnFrom))
+		case f.now >= f.returnAt:
+			f.returnAt = 0
+			f.dial(w)
+		case bad && f.returnAt > f.now+2*time.Second:
+			f.returnAt = f.now + f.about(time.Second)
+		}
+		return
+	}
+	f.returnAt = 0
+}
+
+// spare hangs up the one too many.
+func (f *Follower) spare(use, wanted []*way) {
+	worth := func(w *way) int {
+		n := 0
+		if w.proved && w.pass <= f.now {
+			n += 4
+		}
+		if slices.Contains(wanted, w) {
+			n += 2
+		}
+		if w.listed {
+			n++
+		}
+		return n
+	}
+	worst := use[0]
+	for _, w := range use[1:] {
+		if worth(w) < worth(worst) || worth(w) == worth(worst) && w.pass > f.now {
+			worst = w
+		}
+	}
+	f.line(Line{Kind: Leaves, Addr: worst.addr, Text: "a better ranked one is there"})
+	if worst.state == open {
+		f.send(worst, Msg{Bye: &Bye{}})
+	}
+	f.hang(worst)
+}
+
+func (f *Follower) dial(w *way) {
+	f.Count.Dials++
+	f.order++
+	w.state, w.began, w.order, w.told, w.seed, w.proved = dialing, f.now, f.order, false, w.id == "", false
+	f.ready.Dial = append(f.ready.Dial, w.addr)
+}
+
+// leave hangs up on a relay and passes it over.
+func (f *Follower) leave(w *way, why string) {
+	f.line(Line{Kind: Leaves, Addr: w.addr, Text: why})
+	f.fail(w)
+	f.hang(w)
+}
+
+// over is the end of a connection that others ended.
+func (f *Follower) over(w *way) {
+	f.fail(w)
+	f.closed(w)
+}
+
+func (f *Follower) hang(w *way) {
+	f.ready.Hang = append(f.ready.Hang, w.addr)
+	f.closed(w)
+}
+
+func (f *Follower) closed(w *way) {
+	feeding := w.state == open && !w.parked && !w.synced
+	w.state, w.asks, w.claims, w.proved = idle, nil, nil, false
+	if !w.listed {
+		delete(f.ways, w.addr)
+	}
+	if !feeding {
+		return
+	}
+	for _, o := range f.inUse() { // somebody else brings this follower up to date
+		if o.state == open && o.parked {
+			f.want(o, false)
+			return
+		}
+	}
+}
+
+// fail passes a relay over for a while that doubles.
+func (f *Follower) fail(w *way) {
+	w.failed, w.failedAt = true, f.now
+	w.pass = max(w.pass, f.now+f.about(min(backFirst<<min(w.fails, 10), backMost)))
+	w.fails++
+}
+
+// about draws a span near one, so that those that began together do not go on together.
+func (f *Follower) about(d time.Duration) time.Duration {
+	return d/2 + time.Duration(f.rng.Float64()*float64(d))
+}
+
+func (f *Follower) send(w *way, m Msg) {
+	f.ready.Sends = append(f.ready.Sends, FollowerSend{w.addr, m})
+}
+
+func (f *Follower) line(l Line) {
+	if len(f.ready.Lines) < linesMost {
+		f.ready.Lines = append(f.ready.Lines, l)
+	}
+}
