--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -31,7 +31,8 @@
 	elsewhereMin = time.Second
 	elsewhereMax = 5 * time.Minute
 	suspectFor   = 10 * time.Second // a site where relays of two zones failed within it comes after the others
-	snapshotIn   = time.Minute      // one message may take so long while bytes of it come
+	sitesMost    = 16
+	snapshotIn   = time.Minute // one message may take so long while bytes of it come
 )
 
 // FollowerConfig is what a follower begins with.
@@ -61,8 +62,8 @@
 // FollowerReady is what is to be done, in this order.
 type FollowerReady struct {
 	Applied []Applied
-	Hang    []string // these connections, or dials, end; nothing more is told of them
 	Sends   []FollowerSend
+	Hang    []string // these connections, or dials, end after what was sent; nothing more is told of them
 	Dial    []string // each ends in Opened, Failed or, by this side, Hang
 	Lines   []Line
 }
@@ -95,12 +96,15 @@
 	stands bool          // it is told that it is not current
 
 	ways     map[string]*way // by address
+	use      []*way          // those that are dialed or open, in that order of theirs; three at most
 	ranked   []*way          // those that are listed, the best first
 	listed   map[string]views.Member
 	mismatch bool
 	returnAt time.Duration // 0: no better one is waited for
+	hastens  bool          // it was set as one in use does badly
 	dialAt   time.Duration // not before, where no relay is left
-	order    uint64
+	seeks    int           // times in a row that another one was looked for, as one in use does badly
+	stoodAt  time.Duration
 
 	ready FollowerReady
 	Count FollowerCount
@@ -125,7 +129,6 @@
 
 	state    wayState
 	began    time.Duration // dialing, or open
-	order    uint64
 	heard    time.Duration // the newest message, or bytes of one
 	answered time.Duration // the newest Renewed
 	midway   bool          // bytes have come since the newest message
@@ -137,7 +140,10 @@
 	asks     []ask
 	claims   []asOf
 	renewAt  time.Duration
-	wanted   uint64 // answers up to this number say nothing of what is to be asked for again
+	wants    bool   // a Want is out,
+	wanted   uint64 // and answers up to this number say nothing of what came of it
+	wantedAt uint64 // of this version
+	whole    bool
 	unacked  int
 
 	fails    int
@@ -158,7 +164,7 @@
 		cfg.Lease = Lease
 	}
 	f := &Follower{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0xf0110)), now: now, state: NewState(), ways: map[string]*way{},
-		listed: map[string]views.Member{}, stands: true, dialAt: now}
+		listed: map[string]views.Member{}, stands: true, stoodAt: now, dialAt: now}
 	f.rank()
 	return f
 }
@@ -177,7 +183,7 @@
 // Relays are the addresses of those that are followed, in the order in which they were opened.
 func (f *Follower) Relays() []string {
 	var all []string
-	for _, w := range f.inUse() {
+	for _, w := range f.use {
 		if w.state == open {
 			all = append(all, w.addr)
 		}
@@ -199,7 +205,7 @@
 func (f *Follower) Clock(now time.Duration) {
 	gap := now - f.now
 	f.now = max(f.now, now)
-	use := f.inUse()
+	use := slices.Clone(f.use)
 	if gap > stallFrom { // what the relays said meanwhile lies in buffers: their silence is this process's own
 		f.line(Line{Kind: Woke, For: gap})
 		for _, w := range use {
@@ -212,9 +218,14 @@
 	for _, w := range use {
 		if why := f.dead(w); why != "" {
 			f.leave(w, why)
-		} else if w.state == open && w.renewAt <= f.now {
+			continue
+		}
+		if w.state == open && w.renewAt <= f.now {
 			f.renew(w)
 		}
+		if w.state == open && w.parked && f.now-w.began > f.cfg.Lease { // the other one is slow
+			f.want(w, false)
+		}
 	}
 	f.settle()
 	f.decide()
@@ -244,12 +255,9 @@
 		f.ready.Hang = append(f.ready.Hang, addr)
 		return
 	}
-	f.order++
-	w.state, w.began, w.heard, w.answered, w.order = open, f.now, f.now, f.now, f.order
-	w.midway, w.proved, w.synced, w.number, w.read, w.wanted, w.unacked = false, false, false, 0, 0, 0, 0
-	w.asks, w.claims = nil, nil
-	w.parked = false
-	for _, o := range f.inUse() {
+	w.state, w.began, w.heard, w.answered = open, f.now, f.now, f.now
+	w.midway, w.proved, w.synced, w.parked, w.wants, w.number, w.read, w.wanted, w.unacked = false, false, false, false, false, 0, 0, 0, 0
+	for _, o := range f.use {
 		if o != w && o.state == open && !o.synced && !o.parked {
 			w.parked = true
 		}
@@ -287,7 +295,7 @@
 
 // Leave says goodbye to all relays: this process ends.
 func (f *Follower) Leave() {
-	for _, w := range f.inUse() {
+	for _, w := range f.use {
 		if w.state == open {
 			f.send(w, Msg{Bye: &Bye{}})
 		}
@@ -311,7 +319,7 @@
 	case m.Elsewhere != nil:
 		f.Count.Elsewhere++
 		f.leave(w, "sent elsewhere: "+m.Elsewhere.Why)
-		w.fails, w.told = 0, true
+		w.fails, w.failed, w.told = 0, false, true
 		w.pass = f.now + min(max(m.Elsewhere.Wait, elsewhereMin), elsewhereMax)
 		f.decide()
 	case m.Op != nil, m.Result != nil, m.Put != nil, m.PutDone != nil:
@@ -415,7 +423,7 @@
 	if ranks {
 		f.relist(a)
 	}
-	for _, w := range f.inUse() {
+	for _, w := range f.use {
 		f.claim(w)
 	}
 	f.settle()
@@ -442,7 +450,7 @@
 			f.fail(w)
 		}
 	} else {
-		w.proved = true
+		w.proved, w.pass = true, 0
 		if f.now-w.began >= soundAfter {
 			w.fails, w.failed = 0, false
 		}
@@ -454,7 +462,8 @@
 	if r.Version <= v {
 		f.sync(w)
 	}
-	if r.Sent > v && r.Number > w.wanted && !w.parked {
+	w.wants = w.wants && r.Number <= w.wanted
+	if r.Sent > v && !w.wants && !w.parked {
 		f.Count.Gaps++
 		f.want(w, f.mismatch)
 	}
@@ -482,7 +491,7 @@
 		return
 	}
 	w.synced = true
-	for _, o := range f.inUse() {
+	for _, o := range f.use {
 		if o.state == open && o.parked {
 			f.want(o, false)
 		}
@@ -490,9 +499,12 @@
 }
 
 func (f *Follower) want(w *way, whole bool) {
+	if w.wants && w.wantedAt == f.state.Version() && (w.whole || !whole) {
+		return
+	}
 	f.Count.Wants++
-	w.parked, w.wanted, w.unacked = false, w.number, 0
-	f.send(w, Msg{Want: &Want{Version: f.state.Version(), Digest: f.state.Digest(), Whole: whole}})
+	w.wants, w.parked, w.wanted, w.wantedAt, w.whole, w.unacked = true, false, w.number, f.state.Version(), whole, 0
+	f.send(w, Msg{Want: &Want{Heard: w.read, Version: f.state.Version(), Digest: f.state.Digest(), Whole: whole}})
 }
 
 func (f *Follower) ack(w *way) {
@@ -516,8 +528,9 @@
 	if current := f.Current(f.now); current == f.stands {
 		f.stands = !current
 		if current {
-			f.line(Line{Kind: Again, Version: f.state.Version()})
+			f.line(Line{Kind: Again, Version: f.state.Version(), For: f.now - f.stoodAt})
 		} else {
+			f.stoodAt = f.now
 			f.Count.Lapses++
 			f.line(Line{Kind: Stands, Version: f.state.Version(), For: f.now - f.asOf})
 		}
@@ -601,54 +614,29 @@
 	return 0
 }
 
-// inUse are the relays that are dialed or open, in that order of theirs; three at most.
-func (f *Follower) inUse() []*way {
-	var use [relaysMost + 1]*way
-	all := use[:0]
-	for _, w := range f.ways {
-		if w.state != idle {
-			all = append(all, w)
-		}
-	}
-	slices.SortFunc(all, func(a, b *way) int { return cmp.Compare(a.order, b.order) })
-	return all
+// failedSite is a site where a relay failed of late, and in which zone, or in more than one.
+type failedSite struct {
+	site, zone string
+	more       bool
 }
 
 // choose is whom to follow now: the best ranked that is not passed over, and the next of another zone; where there is no other
 // zone, the next.
 func (f *Follower) choose(alone bool) []*way {
-	var bySite [8]struct {
-		site, zone string
-		suspect    bool
-	}
-	sites := bySite[:0]
+	var sites []failedSite
 	for _, w := range f.ranked {
 		if !w.failed || f.now-w.failedAt > suspectFor || w.id == "" {
 			continue
 		}
-		i := slices.IndexFunc(sites, func(s struct {
-			site, zone string
-			suspect    bool
-		}) bool {
-			return s.site == w.site
-		})
-		switch {
-		case i >= 0:
-			sites[i].suspect = sites[i].suspect || sites[i].zone != w.zone
-		case len(sites) < cap(sites):
-			sites = append(sites, struct {
-				site, zone string
-				suspect    bool
-			}{w.site, w.zone, false})
+		i := slices.IndexFunc(sites, func(s failedSite) bool { return s.site == w.site })
+		if i >= 0 {
+			sites[i].more = sites[i].more || sites[i].zone != w.zone
+		} else if len(sites) < sitesMost {
+			sites = append(sites, failedSite{site: w.site, zone: w.zone})
 		}
 	}
 	suspect := func(w *way) bool {
-		for _, s := range sites {
-			if s.site == w.site && w.id != "" {
-				return s.suspect
-			}
-		}
-		return false
+		return w.id != "" && slices.ContainsFunc(sites, func(s failedSite) bool { return s.more && s.site == w.site })
 	}
 	var picked []*way
 	for _, further := range []bool{true, false} {
@@ -680,9 +668,8 @@
 
 // decide dials and hangs up as it follows from whom to follow.
 func (f *Follower) decide() {
-	use := f.inUse()
 	opened, bad, pending, seeded := 0, false, false, false
-	for _, w := range use {
+	for _, w := range f.use {
 		if w.state == open {
 			opened++
 		}
@@ -691,9 +678,9 @@
 		seeded = seeded || w.seed
 	}
 	wanted := f.choose(opened == 0)
-	if len(use) > relaysWanted {
+	if len(f.use) > relaysWanted {
 		if !pending {
-			f.spare(use, wanted)
+			f.spare(wanted)
 		}
 		return
 	}
@@ -701,7 +688,7 @@
 		if w.state != idle {
 			continue
 		}
-		if len(use) < relaysWanted {
+		if len(f.use) < relaysWanted {
 			if opened == 0 && w.failed {
 				if f.now < f.dialAt {
 					return
@@ -709,30 +696,43 @@
 				f.dialAt = f.now + f.about(dialAlone)
 			}
 			f.dial(w)
-			use = append(use, w)
 			continue
 		}
-		switch { // one at a time takes another's place
-		case pending:
-		case f.returnAt == 0 && bad:
-			f.returnAt = f.now + f.about(time.Second)
-		case f.returnAt == 0 && seeded:
-			f.returnAt = f.now + f.about(seededFrom)
-		case f.returnAt == 0:
-			f.returnAt = f.now + returnFrom + time.Duration(f.rng.Float64()*float64(2*returnFrom))
-		case f.now >= f.returnAt:
-			f.returnAt = 0
-			f.dial(w)
-		case bad && f.returnAt > f.now+2*time.Second:
-			f.returnAt = f.now + f.about(time.Second)
-		}
+		f.instead(w, bad, pending, seeded)
 		return
 	}
 	f.returnAt = 0
+	if !bad && !pending {
+		f.seeks = 0
+	}
+}
+
+// instead has a better one take another's place, after a pause by chance, one at a time: soon where one in use does badly, but
+// not sooner each time when none is found that does better.
+func (f *Follower) instead(w *way, bad, pending, seeded bool) {
+	switch {
+	case pending:
+	case f.returnAt != 0 && f.now >= f.returnAt:
+		f.returnAt = 0
+		if bad {
+			f.seeks++
+		}
+		f.dial(w)
+	case bad && !f.hastens:
+		f.returnAt, f.hastens = f.now+f.about(min(backFirst<<min(f.seeks, 10), backMost)), true
+		return
+	case f.returnAt != 0:
+		return
+	case seeded:
+		f.returnAt = f.now + f.about(seededFrom)
+	default:
+		f.returnAt = f.now + returnFrom + time.Duration(f.rng.Float64()*float64(2*returnFrom))
+	}
+	f.hastens = false
 }
 
 // spare hangs up the one too many.
-func (f *Follower) spare(use, wanted []*way) {
+func (f *Follower) spare(wanted []*way) {
 	worth := func(w *way) int {
 		n := 0
 		if w.proved && w.pass <= f.now {
@@ -746,8 +746,8 @@
 		}
 		return n
 	}
-	worst := use[0]
-	for _, w := range use[1:] {
+	worst := f.use[0]
+	for _, w := range f.use[1:] {
 		if worth(w) < worth(worst) || worth(w) == worth(worst) && w.pass > f.now {
 			worst = w
 		}
@@ -761,8 +761,8 @@
 
 func (f *Follower) dial(w *way) {
 	f.Count.Dials++
-	f.order++
-	w.state, w.began, w.order, w.told, w.seed, w.proved = dialing, f.now, f.order, false, w.id == "", false
+	w.state, w.began, w.told, w.seed, w.proved, w.pass = dialing, f.now, false, w.id == "", false, 0
+	f.use = append(f.use, w)
 	f.ready.Dial = append(f.ready.Dial, w.addr)
 }
 
@@ -787,13 +787,14 @@
 func (f *Follower) closed(w *way) {
 	feeding := w.state == open && !w.parked && !w.synced
 	w.state, w.asks, w.claims, w.proved = idle, nil, nil, false
+	f.use = slices.DeleteFunc(f.use, func(o *way) bool { return o == w })
 	if !w.listed {
 		delete(f.ways, w.addr)
 	}
 	if !feeding {
 		return
 	}
-	for _, o := range f.inUse() { // somebody else brings this follower up to date
+	for _, o := range f.use { // somebody else brings this follower up to date
 		if o.state == open && o.parked {
 			f.want(o, false)
 			return
--- a/internal/fleet/feed/msg.go
+++ b/internal/fleet/feed/msg.go
@@ -82,6 +82,7 @@
 	Version uint64 `cbor:"1,keyasint,omitempty"`
 	Digest  uint64 `cbor:"2,keyasint,omitempty"`
 	Whole   bool   `cbor:"3,keyasint,omitempty"`
+	Heard   uint64 `cbor:"4,keyasint,omitempty"` // as in Renew
 }
 
 // Elsewhere tells a follower to follow somebody else, and when it may come again. The connection ends.
--- a/internal/fleet/feed/relay.go
+++ b/internal/fleet/feed/relay.go
@@ -324,6 +324,7 @@
 	case m.Ack != nil:
 		r.has(p, m.Ack.Version, m.Ack.Digest)
 	case m.Want != nil:
+		p.heardOf(m.Want.Heard)
 		if p.asked && !p.parked {
 			return nil // it has not read yet what came of the one before: its next renewal tells whether it still wants it
 		}
