The agreed state carries operators' items, and tells its changes in order with their age

Cause: views.State had no place for what operators put, core.Told sent all that changed without saying how old it was (core.go tell, told), and nobody knew up to when the log's leader was confirmed by a majority.

--- a/internal/fleet/agree/agree.go
+++ b/internal/fleet/agree/agree.go
@@ -4,6 +4,7 @@
 package agree
 
 import (
+	"encoding/binary"
 	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
@@ -14,6 +15,7 @@
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 
+	"sabletally/internal/fleet/feed"
 	"sabletally/internal/fleet/views"
 )
 
@@ -25,6 +27,8 @@
 	keepEntries = 512         // in the log, before it is cut behind a snapshot
 	tailEntries = 64          // kept behind one for voters that are a little late
 	bytesMost   = 1 << 20     // of entries in one message, and of those not agreed yet
+	confirmEach = 500 * time.Millisecond
+	confirmMost = 4 // questions to a majority that are out: the library keeps each until it is answered
 )
 
 // Saved is what is on disk; empty at a member that has never been a voter.
@@ -47,7 +51,15 @@
 type Ready struct {
 	Write   Write
 	Msgs    []Msg
-	Changed bool // the state is another
+	Changes []Change     // of the state, in order; Whole: before them it was replaced
+	Whole   bool         // the state was replaced by a snapshot: State is all there is, Changes are none
+	Puts    []views.Done // how operators' puts ended, of entries that came to be agreed
+}
+
+// Change is what one entry did to the state.
+type Change struct {
+	Version uint64
+	Items   []feed.Item
 }
 
 // Msg is a message to a voter, by its number.
@@ -70,8 +82,26 @@
 	applied, cut uint64
 	state        *views.State
 	write        Write
-	changed      bool
+	changes      []Change
+	whole        bool
+	puts         []views.Done
 	voted        bool // who votes has changed: a snapshot has to say so, or who begins to vote can't be sent one
+
+	confirm time.Duration // the next question
+	asked   []question    // that a majority is to answer, the oldest first
+	term    uint64        // that they are of
+	number  uint64
+	asOf    time.Duration
+	known   bool
+}
+
+// question asks a majority whether this member leads yet. Once it is answered, what the log's index was when it was asked, it knows
+// that nothing beyond had been agreed by then.
+type question struct {
+	number   uint64
+	at       time.Duration
+	index    uint64 // that has to be applied
+	answered bool
 }
 
 // Number is a member's in the log: the first half of its ID.
@@ -147,7 +177,6 @@
 	}
 	n.write.Hard, _ = proto.Marshal(&pb.HardState{Term: &one, Commit: &one})
 	n.write.Snapshot, n.write.Upto = marshal(snap), 1
-	n.changed = true
 	if err := n.start(); err != nil {
 		return err
 	}
@@ -169,6 +198,10 @@
 // Voters are the numbers of those that vote.
 func (n *Node) Voters() []uint64 { return n.conf.GetVoters() }
 
+// AsOf is the time up to which this member knows that nothing was agreed but what its state has: it led and asked a majority then.
+// False where it never did.
+func (n *Node) AsOf() (time.Duration, bool) { return n.asOf, n.known }
+
 // Clock tells of the time. The library's own clock runs at leaders alone, as the chance within it can't be handed in.
 func (n *Node) Clock(now time.Duration) {
 	n.now = now
@@ -178,6 +211,7 @@
 			n.rn.Tick()
 		}
 	}
+	n.ask()
 	if now >= n.elect {
 		n.later()
 		if !n.Leads() && slices.Contains(n.Voters(), n.id) {
@@ -186,6 +220,44 @@
 	}
 }
 
+// ask begins a question to a majority: raft's read index, which is safe without leaning on anybody's clock.
+func (n *Node) ask() {
+	if term := n.Term(); term != n.term || !n.Leads() { // the library forgets them with a leadership
+		n.asked, n.term = nil, term
+	}
+	if !n.Leads() || n.now < n.confirm || len(n.asked) >= confirmMost {
+		return
+	}
+	n.confirm = n.now + confirmEach
+	n.number++
+	n.asked = append(n.asked, question{number: n.number, at: n.now})
+	n.rn.ReadIndex(binary.BigEndian.AppendUint64(nil, n.number))
+}
+
+// answered takes a majority's answer, which holds for the questions before it as well.
+func (n *Node) answered(r raft.ReadState) {
+	if len(r.RequestCtx) != 8 {
+		return
+	}
+	number := binary.BigEndian.Uint64(r.RequestCtx)
+	for i := range n.asked {
+		if n.asked[i].number == number {
+			n.asked[i].answered, n.asked[i].index = true, r.Index
+		}
+	}
+}
+
+// confirmed counts the answers whose index is applied.
+func (n *Node) confirmed() {
+	for i, q := range slices.Backward(n.asked) {
+		if q.answered && q.index <= n.applied {
+			n.asOf, n.known = max(n.asOf, q.at), true
+			n.asked = slices.Delete(n.asked, 0, i+1)
+			return
+		}
+	}
+}
+
 func (n *Node) later() {
 	n.elect = n.now + electFrom + time.Duration(n.rng.Float64()*float64(electFrom))
 }
@@ -252,7 +324,6 @@
 			}
 			n.write.Snapshot, n.write.Upto = marshal(rd.Snapshot), rd.Snapshot.GetMetadata().GetIndex()
 			n.write.Entries, n.write.First = nil, 0
-			n.changed = true
 		}
 		if len(rd.Entries) > 0 {
 			if err := n.store.Append(rd.Entries); err != nil {
@@ -270,8 +341,12 @@
 				return r, err
 			}
 		}
+		for _, one := range rd.ReadStates {
+			n.answered(one)
+		}
 		n.rn.Advance(rd)
 	}
+	n.confirmed()
 	if err := n.compact(); err != nil {
 		return r, err
 	}
@@ -281,8 +356,8 @@
 			n.rn.ReportSnapshot(m.GetTo(), raft.SnapshotFinish)
 		}
 	}
-	r.Write, r.Changed = n.write, n.changed
-	n.write, n.changed = Write{}, false
+	r.Write, r.Changes, r.Whole, r.Puts = n.write, n.changes, n.whole, n.puts
+	n.write, n.changes, n.whole, n.puts = Write{}, nil, false, nil
 	return r, nil
 }
 
@@ -319,7 +394,7 @@
 			change = cc
 		}
 		n.conf = n.rn.ApplyConfChange(change)
-		n.changed, n.voted = true, true
+		n.voted = true
 	case pb.EntryNormal:
 		if len(e.GetData()) == 0 {
 			return nil // a leader's first
@@ -328,19 +403,32 @@
 		if err != nil {
 			return fmt.Errorf("agree: entry %d: %w", e.GetIndex(), err)
 		}
-		if slots, epoch := n.state.Apply(entry); len(slots) > 0 || epoch {
-			n.changed = true
+		did := n.state.Apply(entry)
+		n.puts = append(n.puts, did.Puts...)
+		if len(did.Keys) > 0 {
+			n.changes = append(n.changes, Change{n.state.Version, Items(n.state, did.Keys)})
 		}
 	}
 	return nil
 }
 
+// Items are the values of a state under keys; a key that has none is gone.
+func Items(st *views.State, keys []string) []feed.Item {
+	items := make([]feed.Item, 0, len(keys))
+	for _, k := range keys {
+		v, is := st.Value(k)
+		items = append(items, feed.Item{Key: k, Value: v, Gone: !is})
+	}
+	return items
+}
+
 func (n *Node) restore(snap *pb.Snapshot) error {
 	state, err := views.Restore(snap.GetData())
 	if err != nil {
 		return fmt.Errorf("agree: the snapshot: %w", err)
 	}
 	n.state, n.conf = state, snap.GetMetadata().GetConfState()
+	n.changes, n.whole = nil, true
 	n.applied = snap.GetMetadata().GetIndex()
 	n.cut = n.applied
 	return nil
--- a/internal/fleet/contact/meta.go
+++ b/internal/fleet/contact/meta.go
@@ -7,11 +7,13 @@
 
 	"github.com/hashicorp/memberlist"
 
+	"sabletally/internal/fleet/core"
 	"sabletally/internal/fleet/members"
 )
 
 // Form is the newest form of words between members, and Oldest the oldest that is understood.
-const Form, Oldest = 1, 1
+// From 2 on members tell each other changes of the agreed state (core.Form).
+const Form, Oldest = core.Form, 1
 
 // meta is what goes with a member's address through the fleet: 512 bytes at most, which names of 64 keep to.
 type meta struct {
--- a/internal/fleet/contact/wire.go
+++ b/internal/fleet/contact/wire.go
@@ -17,6 +17,7 @@
 	packetsMost = 512 // datagrams that wait to be read; more are dropped, as the network drops them
 	streamsMost = 32  // streams that others hold open; one more is closed
 	linksMost   = 1024
+	comingMost  = 256             // streams more that may be open unsorted where followers are taken: many come at once when others are lost
 	firstIn     = 3 * time.Second // the first byte of a stream
 	longest     = 65536
 	bufferKiB   = 256 // of the kernel, for datagrams: a member that was stopped finds so much of what came meanwhile
@@ -30,8 +31,10 @@
 	tcp               *net.TCPListener
 	packets           chan *memberlist.Packet
 	streams           chan net.Conn
-	links             chan net.Conn
+	links, follows    chan net.Conn
+	followers         int64 // most
 	held, linked      atomic.Int64
+	followed          atomic.Int64
 	all               sync.WaitGroup
 	done              context.Context
 	end               context.CancelFunc
@@ -40,10 +43,10 @@
 	Dropped, Unopened atomic.Int64 // datagrams, and streams, that found no room
 }
 
-// Listen opens an address for both.
-func Listen(listen, advertise netip.AddrPort) (*Wire, error) {
+// Listen opens an address for both; followers is how many streams of those are taken, 0 for none.
+func Listen(listen, advertise netip.AddrPort, followers int) (*Wire, error) {
 	w := &Wire{listen: listen, advertise: advertise, packets: make(chan *memberlist.Packet, packetsMost), streams: make(chan net.Conn),
-		links: make(chan net.Conn)}
+		links: make(chan net.Conn), follows: make(chan net.Conn), followers: int64(followers)}
 	w.done, w.end = context.WithCancel(context.Background())
 	var err error
 	if w.tcp, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(listen)); err != nil {
@@ -96,7 +99,11 @@
 			}
 			continue
 		}
-		if w.held.Add(1) > streamsMost {
+		most := int64(streamsMost)
+		if w.followers > 0 {
+			most += comingMost
+		}
+		if w.held.Add(1) > most {
 			w.held.Add(-1)
 			w.Unopened.Add(1)
 			c.Close()
@@ -108,8 +115,9 @@
 	}
 }
 
-// LinkMark is the first byte of a stream that is a link between members; the library's begin with another.
-const LinkMark = 's'
+// LinkMark is the first byte of a stream that is a link between members, FollowMark that of a follower's; the library's begin with
+// others.
+const LinkMark, FollowMark = 's', 'f'
 
 // sort hands a stream to whom it is for, by its first byte.
 func (w *Wire) sort(s *stream) {
@@ -117,15 +125,14 @@
 	n, err := io.ReadFull(s.Conn, s.first[:])
 	s.SetReadDeadline(time.Time{})
 	to := w.streams
-	if err == nil && s.first[0] == LinkMark {
-		if w.linked.Add(1) > linksMost {
-			w.linked.Add(-1)
-			err = net.ErrClosed
-			w.Unopened.Add(1)
-		} else {
-			w.held.Add(-1)
-			s.counts = &w.linked
+	if err == nil {
+		switch s.first[0] {
+		case LinkMark:
+			err = w.move(s, &w.linked, linksMost)
 			to = w.links
+		case FollowMark:
+			err = w.move(s, &w.followed, w.followers)
+			to = w.follows
 		}
 	}
 	if err != nil {
@@ -140,6 +147,18 @@
 	}
 }
 
+// move counts a stream among others of its kind, of which there may be so many.
+func (w *Wire) move(s *stream, to *atomic.Int64, most int64) error {
+	if to.Add(1) > most {
+		to.Add(-1)
+		w.Unopened.Add(1)
+		return net.ErrClosed
+	}
+	w.held.Add(-1)
+	s.counts = to
+	return nil
+}
+
 // stream ends with the wire, and one that others opened gives its place back.
 type stream struct {
 	net.Conn
@@ -212,6 +231,9 @@
 // Links is where links that other members opened are taken from, their first byte still to be read.
 func (w *Wire) Links() <-chan net.Conn { return w.links }
 
+// Follows is the same for followers' streams.
+func (w *Wire) Follows() <-chan net.Conn { return w.follows }
+
 // Done is closed with the wire.
 func (w *Wire) Done() <-chan struct{} { return w.done.Done() }
 
--- a/internal/fleet/core/core.go
+++ b/internal/fleet/core/core.go
@@ -4,7 +4,6 @@
 package core
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -12,6 +11,7 @@
 
 	"sabletally/internal/fleet/agree"
 	"sabletally/internal/fleet/copies"
+	"sabletally/internal/fleet/feed"
 	"sabletally/internal/fleet/steer"
 	"sabletally/internal/fleet/views"
 )
@@ -65,12 +65,24 @@
 	Complaint *copies.Complaint
 	Poll      *Poll
 	Told      *Told
+	Put       *views.Put  // to the log's leader
+	Done      *views.Done // back
 }
 
+// Form is the form of words from which on members tell each other changes of the agreed state, and may agree on operators' items. An
+// older one would count versions otherwise.
+const Form = 2
+
 // Poll asks what is agreed since a version.
-type Poll struct{ Version uint64 }
+type Poll struct {
+	Version uint64
+	Digest  uint64
+	Form    int    // 0: of a member that knows only the older form
+	Number  uint64 // comes back with the answer
+}
 
-// Told answers a poll: all that has changed since.
+// Told answers a poll: all that has changed since. One of the newer form is answered with Changes or, where those can't be had,
+// with Snapshot; an older one with Epoch, Members and Slots.
 type Told struct {
 	Fleet   string
 	Since   uint64 // the version that was asked from; what changed before it is not told
@@ -80,6 +92,14 @@
 	Slots   map[int]views.View
 	Leader  string // who leads the log, as far as is known
 	Addr    string // of who answers
+
+	Form     int
+	Number   uint64
+	Digest   uint64
+	Known    bool          // Age is known
+	Age      time.Duration // so long ago nothing newer than Version was agreed, at the moment of the answer
+	Changes  []*feed.Change
+	Snapshot *feed.Snapshot
 }
 
 // Ready is what is to be done: Fleet, Agree and Slots are to be on disk before the packets go out and the results are told.
@@ -89,14 +109,20 @@
 	Slots   []copies.Write
 	Packets []Packet
 	Results []copies.Result
+	Puts    []views.Done // how puts ended that were asked for here
 	Lines   []Line
+
+	Installed *feed.Snapshot // the agreed state was replaced by this; before Changes
+	Changes   []*feed.Change
 }
 
 // Line is one thing for operators.
 type Line struct {
-	What  string
-	Epoch uint64
-	Text  string
+	What    string
+	Epoch   uint64
+	Version uint64
+	Text    string
+	Bad     bool // it is for the pager
 }
 
 // Core is one member's. It is one goroutine's.
@@ -109,7 +135,8 @@
 	steer *steer.Steerer
 	term  uint64 // of the leadership that steer belongs to
 
-	known   *views.State // the newest that is known, from the log or from others
+	feed    *feed.Log    // the newest that is known, from the log or from others, as a map, and its newest changes
+	known   *views.State // the same, but for operators' items
 	changed []uint64     // by slot: the version with which this member heard of its view
 	members uint64       // and of the list of members
 	leader  string
@@ -120,6 +147,16 @@
 	vote  time.Duration
 	fresh map[string]time.Duration // seeds, by address, that know of no fleet
 
+	polls  polls
+	asOf   time.Duration // up to then nothing was agreed but what is known here
+	asKnow bool
+	split  bool // two histories were told of
+	oddly  map[string]bool
+	moved  time.Duration // who votes was changed then
+
+	puts    map[string]*put     // that were asked for here, by operation
+	propose map[string]*propose // that this member, which leads, has put before the others
+
 	leaves bool
 
 	said string // the fleet's ID, as it was written
@@ -133,7 +170,8 @@
 		return nil, err
 	}
 	c := &Core{cfg: cfg, now: now, rng: rand.New(rand.NewPCG(cfg.Seed, 0xc02e)), log: log, known: views.New(), changed: make([]uint64, views.Slots),
-		fresh: map[string]time.Duration{}, poll: now, found: now, vote: now, said: saved.Fleet}
+		fresh: map[string]time.Duration{}, poll: now, found: now, vote: now, said: saved.Fleet, feed: feed.NewLog(feed.LogConfig{Most: changesMost, Bytes: changesBytes}),
+		polls: polls{}, puts: map[string]*put{}, propose: map[string]*propose{}}
 	c.known.Fleet = saved.Fleet
 	c.held = copies.New(copies.Config{ID: cfg.Self.ID, Life: cfg.Life, Least: min(2, cfg.Copies), MostKeys: cfg.Keys, MostBytes: cfg.Bytes,
 		MostOps: cfg.Ops, Keeps: cfg.Keeps}, now)
@@ -171,6 +209,7 @@
 	c.held.Clock(now)
 	c.begin()
 	c.lead()
+	c.push()
 	if now >= c.poll {
 		c.poll = now + pollEach/2 + time.Duration(c.rng.Float64()*float64(pollEach))
 		c.ask()
@@ -208,6 +247,10 @@
 		c.tell(p)
 	case p.Told != nil:
 		c.told(p)
+	case p.Put != nil:
+		c.asked(p.From, *p.Put)
+	case p.Done != nil:
+		c.done(*p.Done)
 	default:
 		for _, m := range p.Copies {
 			c.held.Step(m)
@@ -234,13 +277,20 @@
 	if slices.Contains(ids, c.leader) && c.rng.IntN(2) == 0 {
 		to = c.leader
 	}
-	c.send(Packet{To: to, Poll: &Poll{Version: c.known.Version}})
+	c.send(Packet{To: to, Poll: &Poll{Version: c.known.Version, Digest: c.feed.Digest(), Form: Form, Number: c.polls.sent(c.now)}})
 }
 
 // tell answers a poll.
 func (c *Core) tell(p Packet) {
-	t := &Told{Fleet: c.known.Fleet, Since: p.Poll.Version, Version: c.known.Version, Epoch: c.known.Epoch, Slots: map[int]views.View{}, Leader: c.leader, Addr: c.cfg.Self.Addr}
-	if since := p.Poll.Version; since < c.known.Version {
+	t := &Told{Fleet: c.known.Fleet, Since: p.Poll.Version, Version: c.known.Version, Epoch: c.known.Epoch, Leader: c.leader, Addr: c.cfg.Self.Addr,
+		Form: Form, Number: p.Poll.Number, Digest: c.feed.Digest()}
+	if asOf, known := c.AsOf(); known {
+		t.Known, t.Age = true, c.now-asOf
+	}
+	since := p.Poll.Version
+	if p.Poll.Form >= Form {
+		c.since(p.Poll, t)
+	} else if t.Slots = map[int]views.View{}; since < c.known.Version {
 		if c.members > since {
 			t.Members = c.known.Members
 		}
@@ -265,8 +315,13 @@
 	if t.Leader != "" {
 		c.leader = t.Leader
 	}
-	// An answer to a process before this one, which knew more, leaves out what this one lacks.
-	if t.Version <= c.known.Version || t.Since > c.known.Version {
+	if t.Form >= Form {
+		c.toldChanges(t)
+		return
+	}
+	// An answer to a process before this one, which knew more, leaves out what this one lacks. So does one of an older program that came
+	// back to a fleet that has operators' items already.
+	if t.Version <= c.known.Version || t.Since > c.known.Version || len(c.feed.State().All(views.Config)) > 0 {
 		return
 	}
 	if c.known.Fleet == "" {
@@ -282,6 +337,7 @@
 			c.view(num, v, t.Version)
 		}
 	}
+	c.replace(feed.NewSnapshot(c.known.Fleet, c.known.Version, agree.Items(c.known, c.known.Keys())))
 	c.wrote(epoch)
 }
 
@@ -299,25 +355,6 @@
 	c.held.View(num, v)
 }
 
-// heard takes over what the log has come to.
-func (c *Core) heard() {
-	st := c.log.State()
-	if st.Version <= c.known.Version {
-		return
-	}
-	epoch := st.Epoch > c.known.Epoch || c.known.Fleet == ""
-	c.known.Fleet, c.known.Version = st.Fleet, st.Version
-	if st.Epoch > c.known.Epoch {
-		c.known.Epoch, c.known.Members, c.members = st.Epoch, st.Members, st.Version
-	}
-	for num, v := range st.Views {
-		if v.Num > c.known.Views[num].Num {
-			c.view(num, v, st.Version)
-		}
-	}
-	c.wrote(epoch)
-}
-
 // wrote notes the fleet's ID for the disk, and tells of an epoch.
 func (c *Core) wrote(epoch bool) {
 	if c.known.Fleet != c.said {
@@ -360,14 +397,14 @@
 		c.out.Lines = append(c.out.Lines, Line{What: "not founded", Text: err.Error()})
 		return
 	}
-	c.heard()
-	c.out.Lines = append(c.out.Lines, Line{What: "founded", Text: c.known.Fleet})
+	c.out.Lines = append(c.out.Lines, Line{What: "founded", Text: c.cfg.Found})
 }
 
 // lead does what the log's leader does: views, and who votes.
 func (c *Core) lead() {
 	if !c.log.Leads() {
 		c.steer = nil
+		clear(c.propose)
 		return
 	}
 	c.leader = c.cfg.Self.ID
@@ -394,43 +431,6 @@
 	}
 }
 
-// voters has members on further machines begin to vote: as many as are lacking, all at once, or one in place of one that is no
-// member any more. Two voters are never made: both would be needed then, and the second one may be gone already, unnoticed.
-func (c *Core) voters(seen []steer.Seen) {
-	st, voters := c.log.State(), c.log.Voters()
-	member := map[uint64]views.Member{}
-	for _, m := range st.Members {
-		member[agree.Number(m.ID)] = m
-	}
-	stops := uint64(0)
-	machines := map[string]bool{}
-	for _, id := range voters {
-		if m, is := member[id]; is {
-			machines[m.Machine] = true
-		} else if stops == 0 && id != agree.Number(c.cfg.Self.ID) {
-			stops = id
-		}
-	}
-	lacking := 1
-	if len(voters) < c.cfg.Voters {
-		lacking, stops = c.cfg.Voters-len(voters), 0
-	} else if stops == 0 {
-		return
-	}
-	slices.SortFunc(seen, func(a, b steer.Seen) int { return cmp.Compare(a.ID, b.ID) })
-	var begin []uint64
-	for _, m := range seen {
-		id := agree.Number(m.ID)
-		if len(begin) < lacking && m.Here && !m.Going && m.For >= soundFor && member[id].ID == m.ID && !slices.Contains(voters, id) && !machines[m.Machine] {
-			begin = append(begin, id)
-			machines[m.Machine] = true
-		}
-	}
-	if len(begin) == lacking {
-		c.log.Vote(begin, stops)
-	}
-}
-
 // ---- What goes out.
 
 func (c *Core) send(p Packet) {
@@ -444,7 +444,7 @@
 	if err != nil {
 		return Ready{}, err
 	}
-	c.heard()
+	c.heard(log)
 	c.out.Agree = log.Write
 	for _, m := range log.Msgs {
 		if to := c.numbered(m.To); to != "" {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return fmt.Errorf("data: %w", err)
 	}
-	w, err := contact.Listen(f.file.Listen, f.file.Advertise)
+	w, err := contact.Listen(f.file.Listen, f.file.Advertise, f.file.Followers)
 	if err != nil {
 		s.Close()
 		return fmt.Errorf("listen: %w", err)
--- a/internal/fleet/hold/hold.go
+++ b/internal/fleet/hold/hold.go
@@ -12,9 +12,11 @@
 
 	"go.uber.org/zap"
 
+	"sabletally/internal/fleet/agree"
 	"sabletally/internal/fleet/contact"
 	"sabletally/internal/fleet/copies"
 	"sabletally/internal/fleet/core"
+	"sabletally/internal/fleet/feed"
 	"sabletally/internal/fleet/members"
 	"sabletally/internal/fleet/steer"
 	"sabletally/internal/fleet/store"
@@ -36,6 +38,15 @@
 	Touch *contact.Contact
 	Now   func() time.Duration
 	Log   *zap.Logger
+	Feed  Feed // nil where nobody follows this member
+}
+
+// Feed is told of the agreed state, by one goroutine. Its methods must not wait.
+type Feed interface {
+	// Changed tells that the state was replaced, if whole is not nil, and of the changes after that.
+	Changed(whole *feed.Snapshot, changes []*feed.Change)
+	// Fresh tells the time up to which nothing was agreed but what was told.
+	Fresh(asOf time.Duration)
 }
 
 // Status is what is known at one moment.
@@ -55,6 +66,12 @@
 	Dropped     int64
 	Odd         int64
 	Writes      int64
+	Version     uint64 // of what is agreed,
+	Digest      uint64
+	Changes     int           // of it that are kept,
+	Known       bool          // and whether it is known
+	AsOf        time.Duration // that nothing newer was agreed up to then
+	VotersAt    []string      // sites of the voters
 }
 
 // Hold is one member's.
@@ -67,6 +84,7 @@
 	mu      sync.Mutex
 	packets []core.Packet
 	asks    []ask
+	puts    []putAsk
 	over    bool
 	leaving bool
 	wake    chan struct{}
@@ -75,6 +93,7 @@
 	once    sync.Once
 
 	waiting map[string]func(copies.Result) // the core's goroutine's
+	putting map[string][]func(views.Done)  // as well
 	broken  error
 	status  atomic.Pointer[Status]
 	told    time.Duration // the status was published then
@@ -87,6 +106,12 @@
 	done   func(copies.Result)
 }
 
+type putAsk struct {
+	put    views.Put
+	within time.Duration
+	done   func(views.Done)
+}
+
 // Open reads the disk and begins.
 func Open(opt Options) (*Hold, error) {
 	s, saved, err := store.Open(opt.Dir)
@@ -98,7 +123,8 @@
 		s.Close()
 		return nil, err
 	}
-	h := &Hold{opt: opt, core: c, store: s, wake: make(chan struct{}, 1), done: make(chan struct{}), waiting: map[string]func(copies.Result){}}
+	h := &Hold{opt: opt, core: c, store: s, wake: make(chan struct{}, 1), done: make(chan struct{}), waiting: map[string]func(copies.Result){},
+		putting: map[string][]func(views.Done){}}
 	h.links = &links{fleet: opt.Fleet, self: opt.Core.Self.ID, wire: opt.Wire, heard: h.heard, to: map[string]*link{}}
 	h.publish()
 	h.all.Add(1)
@@ -124,6 +150,22 @@
 	h.poke()
 }
 
+// Put has an operators' item changed, wherever the log's leader is. done is called as with Ask; Refused says why where it was not
+// done, or is not known to be. Asked again with the same operation it is answered with the same version.
+func (h *Hold) Put(p views.Put, within time.Duration, done func(views.Done)) {
+	h.mu.Lock()
+	over := h.over || len(h.puts) >= inboxMost
+	if !over {
+		h.puts = append(h.puts, putAsk{p, within, done})
+	}
+	h.mu.Unlock()
+	if over {
+		done(views.Done{Op: p.Op, Refused: "busy: too many wait, or this process ends"})
+		return
+	}
+	h.poke()
+}
+
 // Leave has what lies here be copied to others, as this member will go.
 func (h *Hold) Leave() {
 	h.mu.Lock()
@@ -183,9 +225,17 @@
 func (h *Hold) end() {
 	h.mu.Lock()
 	h.over = true
-	asks := h.asks
-	h.asks = nil
+	asks, puts := h.asks, h.puts
+	h.asks, h.puts = nil, nil
 	h.mu.Unlock()
+	for _, p := range puts {
+		p.done(views.Done{Op: p.put.Op, Refused: "this process ends"})
+	}
+	for op, all := range h.putting {
+		for _, done := range all {
+			done(views.Done{Op: op, Refused: "this process ends: it is not known whether it took hold"})
+		}
+	}
 	for _, a := range asks {
 		a.done(copies.Result{Op: a.op.ID, Outcome: copies.Refused, Why: copies.Busy})
 	}
@@ -197,8 +247,8 @@
 // turn takes in all that is there, and carries out what follows: first to disk, all of it together, then out.
 func (h *Hold) turn() {
 	h.mu.Lock()
-	packets, asks, leaving := h.packets, h.asks, h.leaving
-	h.packets, h.asks = nil, nil
+	packets, asks, puts, leaving := h.packets, h.asks, h.puts, h.leaving
+	h.packets, h.asks, h.puts = nil, nil, nil
 	h.mu.Unlock()
 	if leaving {
 		h.core.Leave()
@@ -216,6 +266,10 @@
 		h.waiting[a.op.ID] = a.done
 		h.core.Ask(a.op, a.within)
 	}
+	for _, p := range puts {
+		h.putting[p.put.Op] = append(h.putting[p.put.Op], p.done)
+		h.core.Put(p.put, p.within)
+	}
 	r, err := h.core.Ready()
 	if err == nil && h.opt.Touch.Status().Standing == members.Doubled {
 		err = errors.New("another process has a copy of the directory")
@@ -233,8 +287,19 @@
 		for i := range r.Results {
 			r.Results[i] = copies.Result{Op: r.Results[i].Op, Outcome: copies.Unknown, Why: copies.Disk}
 		}
+		for i := range r.Puts {
+			r.Puts[i] = views.Done{Op: r.Puts[i].Op, Refused: "this member's disk has failed: it is not known whether it took hold"}
+		}
 	}
 	h.out(r, at)
+	if h.opt.Feed != nil && h.broken == nil {
+		if r.Installed != nil || len(r.Changes) > 0 {
+			h.opt.Feed.Changed(r.Installed, r.Changes)
+		}
+		if asOf, known := h.core.AsOf(); known {
+			h.opt.Feed.Fresh(asOf)
+		}
+	}
 	if now := h.opt.Now(); now-h.told >= tellEach {
 		h.told = now
 		h.publish()
@@ -243,7 +308,18 @@
 
 func (h *Hold) out(r core.Ready, at []steer.Seen) {
 	for _, l := range r.Lines {
-		h.opt.Log.Info("fleet: "+l.What, zap.Uint64("epoch", l.Epoch), zap.String("is", l.Text))
+		if l.Bad {
+			h.opt.Log.Error("fleet: "+l.What, zap.Uint64("version", l.Version), zap.String("is", l.Text))
+		} else {
+			h.opt.Log.Info("fleet: "+l.What, zap.Uint64("epoch", l.Epoch), zap.String("is", l.Text))
+		}
+	}
+	for _, d := range r.Puts {
+		all := h.putting[d.Op]
+		delete(h.putting, d.Op)
+		for _, done := range all {
+			done(d)
+		}
 	}
 	addr := map[string]string{}
 	for _, m := range h.core.State().Members {
@@ -275,7 +351,7 @@
 	var all []steer.Seen
 	for _, k := range s.Others {
 		all = append(all, steer.Seen{Member: Member(k.Member), Left: k.State == members.Left, Going: k.Leaving, For: now - k.Since,
-			Here: k.State == members.Here})
+			Here: k.State == members.Here, Speaks: k.Speaks})
 	}
 	return all
 }
@@ -289,7 +365,16 @@
 	st := h.core.State()
 	s := Status{Fleet: st.Fleet, Epoch: st.Epoch, Members: len(st.Members), Leads: h.core.Leads(), Voters: len(h.core.Voters()),
 		Slots: map[int]int{}, Refusals: map[string]int{}, File: h.store.Size(), Sent: h.links.sent.Load(), Got: h.links.got.Load(),
-		Dropped: h.links.dropped.Load() + h.dropped.Load(), Odd: h.links.odd.Load(), Writes: h.store.Writes}
+		Dropped: h.links.dropped.Load() + h.dropped.Load(), Odd: h.links.odd.Load(), Writes: h.store.Writes,
+		Version: h.core.Feed().Version(), Digest: h.core.Feed().Digest(), Changes: h.core.Changes()}
+	s.AsOf, s.Known = h.core.AsOf()
+	for _, id := range h.core.Voters() {
+		for _, m := range st.Members {
+			if agree.Number(m.ID) == id {
+				s.VotersAt = append(s.VotersAt, m.Site)
+			}
+		}
+	}
 	s.Keys, s.Bytes = h.core.Held().Held()
 	for _, v := range st.Views {
 		s.Slots[len(v.Full)]++
--- a/internal/fleet/steer/steer.go
+++ b/internal/fleet/steer/steer.go
@@ -23,10 +23,11 @@
 // Seen is how the leading member sees another one.
 type Seen struct {
 	views.Member
-	Here  bool
-	Left  bool          // it said so
-	Going bool          // it will leave, and is still here
-	For   time.Duration // so long it has been as it is
+	Here   bool
+	Left   bool          // it said so
+	Going  bool          // it will leave, and is still here
+	For    time.Duration // so long it has been as it is
+	Speaks int           // the newest form of words that it knows
 }
 
 // Config is what a steerer goes by.
--- a/internal/fleet/views/views.go
+++ b/internal/fleet/views/views.go
@@ -50,7 +50,10 @@
 	Epoch   uint64   `json:"epoch"`
 	Members []Member `json:"members"` // by ID
 	Views   []View   `json:"views"`   // by slot
-	Version uint64   `json:"version"` // changes with each entry that took hold
+	Version uint64   `json:"version"` // one more with each entry that took hold
+
+	Items map[string]Held `json:"items,omitempty"` // what operators put, by key
+	Ops   []Done          `json:"ops,omitempty"`   // the newest puts, the newest last
 }
 
 // Entry is one change. Its parts hold or not each by itself.
@@ -59,6 +62,7 @@
 	Epoch   uint64   `json:"epoch,omitempty"` // the number that Members is made of: the one in force, or it is refused
 	Members []Member `json:"members,omitempty"`
 	Slots   []Slot   `json:"slots,omitempty"`
+	Put     []Put    `json:"put,omitempty"`
 }
 
 // Slot is a change of one slot's view; Of is the number that it is made of.
@@ -73,16 +77,27 @@
 // New is the state before anything is agreed.
 func New() *State { return &State{Views: make([]View, Slots)} }
 
-// Apply takes an entry and answers which slots have another view, and whether the epoch is another. An entry, or a part of one,
-// that was made of another state leaves that part as it was.
-func (s *State) Apply(e Entry) (slots []int, epoch bool) {
+// Applied is what an entry did.
+type Applied struct {
+	Slots []int    // that have another view
+	Epoch bool     // the epoch, or the fleet's ID, is another
+	Keys  []string // of the state as a map, whose values are others or gone: nothing where the entry did not take hold
+	Puts  []Done   // how each put ended, in their order
+}
+
+// Apply takes an entry. One, or a part of one, that was made of another state leaves that part as it was.
+func (s *State) Apply(e Entry) (a Applied) {
+	version := s.Version + 1
 	if e.Found != "" && s.Fleet == "" {
-		s.Fleet, epoch = e.Found, true
+		s.Fleet, a.Epoch = e.Found, true
+		a.Keys = append(a.Keys, KeyFleet)
 	}
 	if len(e.Members) > 0 && e.Epoch == s.Epoch && s.Fleet != "" {
+		was := s.Members
 		s.Epoch++
-		s.Members, epoch = slices.Clone(e.Members), true
+		s.Members, a.Epoch = slices.Clone(e.Members), true
 		slices.SortFunc(s.Members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+		a.Keys = append(append(a.Keys, KeyEpoch), differ(was, s.Members)...)
 	}
 	for _, c := range e.Slots {
 		if c.Slot < 0 || c.Slot >= len(s.Views) || s.Views[c.Slot].Num != c.Of || !s.may(c) {
@@ -93,12 +108,40 @@
 			v.Lost++
 		}
 		s.Views[c.Slot] = v
-		slots = append(slots, c.Slot)
+		a.Slots = append(a.Slots, c.Slot)
+		a.Keys = append(a.Keys, keyView(c.Slot))
+	}
+	for _, p := range e.Put {
+		done, changed := s.put(p, version)
+		a.Puts = append(a.Puts, done)
+		if changed && !slices.Contains(a.Keys, p.Key) {
+			a.Keys = append(a.Keys, p.Key)
+		}
+	}
+	if len(a.Keys) > 0 {
+		s.Version = version
 	}
-	if epoch || len(slots) > 0 {
-		s.Version++
+	return a
+}
+
+// differ are the keys of members that are in one list and not, or not the same, in the other.
+func differ(was, is []Member) (keys []string) {
+	old := make(map[string]Member, len(was))
+	for _, m := range was {
+		old[m.ID] = m
+	}
+	for _, m := range is {
+		if o, known := old[m.ID]; !known || o != m {
+			keys = append(keys, keyMember+m.ID)
+		}
+		delete(old, m.ID)
+	}
+	for _, m := range was {
+		if _, gone := old[m.ID]; gone {
+			keys = append(keys, keyMember+m.ID)
+		}
 	}
-	return slots, epoch
+	return keys
 }
 
 // may tells whether a view can follow the one in force. What was promised is with each of the old one's, so the new one begins with
--- a/internal/lab/fleetworld/world.go
+++ b/internal/lab/fleetworld/world.go
@@ -379,7 +379,7 @@
 			s.here, s.since = is, w.now
 		}
 		n.seen[o.num] = s
-		all = append(all, steer.Seen{Member: o.self, Here: s.here, Going: o.going, For: w.now - s.since})
+		all = append(all, steer.Seen{Member: o.self, Here: s.here, Going: o.going, For: w.now - s.since, Speaks: core.Form})
 	}
 	n.looked = all
 	return all
