A control process's side of followers' connections; role and followers in the fleet's file

Change: internal/fleet/publish puts a feed.Relay on sockets: one goroutine reads a connection, one writes from a bounded queue, each message is worded once; operations and puts of followers are bounded for each and in all and answered Busy. internal/fleet/stream is the form of words on it. config: role, followers; a file without a role is read as before.

--- a/internal/fleet/config/config.go
+++ b/internal/fleet/config/config.go
@@ -22,10 +22,19 @@
 	mostGrades  = 64
 	mostCopies  = 7
 	longestName = 64 // bytes; names go with every word about a member
+	mostFollows = 10000
+)
+
+// Roles.
+const (
+	Member   = ""         // a balancer that is a full member: a file without a role
+	Control  = "control"  // a process set aside, which balancers follow
+	Balancer = "balancer" // a balancer that follows control processes, and is no member
 )
 
 // File is what one member is told.
 type File struct {
+	Role      string
 	Fleet     string         // whose words are heard; those of any other fleet are a stranger's
 	Listen    netip.AddrPort // TCP and UDP, members only
 	Advertise netip.AddrPort // where the others reach it; Listen where the file tells none
@@ -42,6 +51,7 @@
 	Voters    int           // members that agree on who holds what
 	Records   int           // held here at most,
 	Bytes     int           // and of keys and values together
+	Followers int           // that a control process takes at most
 	Intents   []Grade       // grades whose circuits are held for others before they go to a server
 }
 
@@ -85,6 +95,9 @@
 		f.read(r, in)
 	}
 	for _, in := range top.In["hold"] {
+		if f.Role == Control {
+			r.At(in.DefRange, "hold: role %q runs no circuits", Control)
+		}
 		if in.Labels[0] != "intents" {
 			r.At(in.LabelRanges[0], "hold %q is none; there is \"intents\"", in.Labels[0])
 			continue
@@ -106,8 +119,15 @@
 }
 
 func (f *File) read(r *blocks.Reader, in *hcl.Block) {
-	b := r.Open("fleet", in.Body, in.DefRange, "listen advertise seeds data copies machine zone site gone_after repair_after voters records megabytes list_young list_old")
-	b.Must("listen", "seeds", "data", "machine", "zone", "site")
+	b := r.Open("fleet", in.Body, in.DefRange, "role listen advertise seeds data copies machine zone site gone_after repair_after voters records megabytes list_young list_old followers")
+	f.Role = b.Text("role", Member, Control, Balancer)
+	b.Must("seeds", "data", "machine", "zone", "site")
+	for _, what := range notIn[f.Role] {
+		if b.Has(what) {
+			r.At(b.At(what), "%s: %s", what, map[string]string{Member: `only role "control" has it`, Control: `role "control" has no list of servers`,
+				Balancer: `role "balancer" has none: the control processes' files say it`}[f.Role])
+		}
+	}
 	name := func(what, text string, at hcl.Range) string {
 		if at.Empty() {
 			return text
@@ -125,6 +145,9 @@
 	}
 	f.Fleet = name("fleet", in.Labels[0], in.LabelRanges[0])
 	f.Machine, f.Zone, f.Site = told("machine"), told("zone"), told("site")
+	if f.Role != Balancer {
+		b.Must("listen")
+	}
 	f.Listen = address(r, "listen", b.Text("listen", ""), b.At("listen"), b.Has("listen"))
 	f.Advertise = f.Listen
 	if b.Has("advertise") {
@@ -148,13 +171,25 @@
 		r.At(b.At("list_old"), "list_old: %v is less than list_young, %v", f.Old, f.Young)
 	}
 	f.Repair = b.Span("repair_after", 10*time.Second, time.Second, time.Hour)
-	if f.Voters = b.Whole("voters", 3, 1, 7); f.Voters%2 == 0 {
+	voters := 3
+	if f.Role == Control {
+		voters = 5
+		f.Followers = b.Whole("followers", 1000, 1, mostFollows)
+	}
+	if f.Voters = b.Whole("voters", voters, 1, 7); f.Voters%2 == 0 {
 		r.At(b.At("voters"), "voters: %d is even: it stands no more losses than %d", f.Voters, f.Voters-1)
 	}
 	f.Records = b.Whole("records", 50000, 1, 1000000)
 	f.Bytes = b.Whole("megabytes", 64, 1, 4096) << 20
 }
 
+// notIn are what a role has none of.
+var notIn = map[string][]string{
+	Member:   {"followers"},
+	Control:  {"list_young", "list_old"},
+	Balancer: {"listen", "advertise", "copies", "gone_after", "repair_after", "voters", "records", "megabytes", "followers"},
+}
+
 // address reads an IP address with a port. Names are refused: a look-up that hangs would hang the start with it.
 func address(r *blocks.Reader, what, text string, at hcl.Range, told bool) netip.AddrPort {
 	if !told {
--- a/internal/fleet/config/config_test.go
+++ b/internal/fleet/config/config_test.go
@@ -29,6 +29,31 @@
 	}
 }
 
+// TestRoles reads a file of each role. Guards against one without a role that is read as anything but what it was.
+func TestRoles(t *testing.T) {
+	for _, c := range []struct {
+		old, new, role    string
+		voters, followers int
+	}{
+		{"", "", Member, 3, 0},
+		{`copies  = 3`, `role = "control"`, Control, 5, 1000},
+		{`copies  = 3`, "role = \"control\"\n voters = 3\n followers = 300", Control, 3, 300},
+		{"  listen  = \"127.0.0.1:7001\"\n", "", Balancer, 3, 0},
+	} {
+		text := strings.Replace(whole, c.old, c.new, 1)
+		if c.role == Balancer {
+			text = strings.Replace(text, `copies  = 3`, `role = "balancer"`, 1)
+		}
+		f, err := Parse([]byte(text), "f.hcl")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if f.Role != c.role || f.Voters != c.voters || f.Followers != c.followers {
+			t.Errorf("%q: %+v", c.new, f)
+		}
+	}
+}
+
 // TestFaultsAreNamedWhereTheyStand changes one thing at a time.
 func TestFaultsAreNamedWhereTheyStand(t *testing.T) {
 	for _, c := range []struct{ old, new, want string }{
@@ -48,6 +73,14 @@
 		{"}\n", "}\nfleet \"b\" {}\n", `f.hcl:10:1: a second block "fleet"; the first is in line 1`},
 		{"}\n", "}\nhold \"intent\" {}\n", `f.hcl:10:6: hold "intent" is none`},
 		{"}\n", "}\nhold \"intents\" {}\n", `f.hcl:10:1: hold wants "grades"`},
+		{`copies  = 3`, "role = \"relay\"\n  copies  = 3", `f.hcl:5:10: role: "relay" is none of control, balancer`},
+		{`copies  = 3`, "copies  = 3\n  followers = 4", `f.hcl:6:15: followers: only role "control" has it`},
+		{`copies  = 3`, "role = \"control\"\n  followers = 0", `f.hcl:6:15: followers: 0 lies outside 1 to 10000`},
+		{`copies  = 3`, "role = \"control\"\n  list_old = \"1h\"", `f.hcl:6:14: list_old: role "control" has no list of servers`},
+		{`copies  = 3`, "role = \"balancer\"\n  voters = 3", `f.hcl:6:12: voters: role "balancer" has none`},
+		{`copies  = 3`, "role = \"balancer\"", `f.hcl:2:13: listen: role "balancer" has none`},
+		{`  listen  = "127.0.0.1:7001"` + "\n", "  role = \"control\"\n", `f.hcl:1:1: fleet wants "listen"`},
+		{"}\n", "  role = \"control\"\n}\nhold \"intents\" { grades = [\"pay\"] }\n", `f.hcl:11:1: hold: role "control" runs no circuits`},
 		{`copies  = 3`, `copies  =`, `f.hcl:5:12: Invalid expression`},
 	} {
 		_, err := Parse([]byte(strings.Replace(whole, c.old, c.new, 1)), "f.hcl")
--- /dev/null
+++ b/internal/fleet/publish/conn.go
@@ -0,0 +1,221 @@
+package publish
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sabletally/internal/fleet/copies"
+	"sabletally/internal/fleet/feed"
+	"sabletally/internal/fleet/stream"
+)
+
+const (
+	helloIn    = 3 * time.Second
+	quietMost  = 2 * feed.Lease   // the relay ends who says nothing for a lease; this ends what the relay does not know
+	writeIn    = 30 * time.Second // of what is written at once; the relay ends who takes nothing for so long
+	endIn      = 2 * time.Second  // for the last words
+	readMost   = 1 << 20          // bytes of one word of a follower's
+	queueMost  = 4096             // words that wait for one, and their bytes beside the largest word that there is
+	queueBytes = 8 << 20
+	withinMost = 10 * time.Second // of an operation
+	putWithin  = 5 * time.Second
+)
+
+// conn is one follower's connection: one goroutine reads, one writes.
+type conn struct {
+	of  *Publisher
+	id  uint64
+	c   net.Conn
+	ops atomic.Int64
+
+	mu    sync.Mutex
+	queue [][]byte
+	bytes int
+	last  bool // nothing more is taken: what waits is written, and it ends
+	wake  chan struct{}
+
+	written chan struct{} // closed when nothing is written any more
+}
+
+// put has a word written; it never waits. A connection whose queue is full ends.
+func (c *conn) put(body []byte) {
+	c.mu.Lock()
+	full := len(c.queue) >= queueMost || c.bytes > queueBytes
+	if !full && !c.last {
+		c.queue = append(c.queue, body)
+		c.bytes += len(body)
+	}
+	c.mu.Unlock()
+	if full {
+		c.of.overflow.Add(1)
+		c.c.Close()
+		return
+	}
+	c.poke()
+}
+
+// end has the connection end after what waits.
+func (c *conn) end() {
+	c.mu.Lock()
+	c.last = true
+	c.mu.Unlock()
+	c.poke()
+}
+
+func (c *conn) poke() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (c *conn) result(number uint64, r copies.Result) {
+	c.put(feed.Encode(&feed.Msg{Result: &feed.Opaque{Number: number, Body: stream.Encode(r)}}))
+}
+
+// write is the writing goroutine; over is closed when the reading one ends.
+func (c *conn) write(over <-chan struct{}) {
+	defer c.of.all.Done()
+	defer close(c.written)
+	defer c.c.Close()
+	var out net.Buffers
+	for {
+		c.mu.Lock()
+		queue, last := c.queue, c.last
+		c.queue, c.bytes = nil, 0
+		c.mu.Unlock()
+		if len(queue) == 0 {
+			if last {
+				return
+			}
+			select {
+			case <-over:
+				return
+			case <-c.wake:
+			}
+			continue
+		}
+		size := int64(0)
+		out = out[:0]
+		for _, body := range queue {
+			out = append(out, stream.Header(body), body)
+			size += int64(stream.Head + len(body))
+		}
+		within := writeIn
+		if last {
+			within = endIn
+		}
+		c.c.SetWriteDeadline(time.Now().Add(within))
+		// WriteTo takes from its own list: guards against one that holds on to what was written.
+		left := out
+		if _, err := left.WriteTo(c.c); err != nil {
+			return
+		}
+		clear(out)
+		c.of.sent.Add(size)
+	}
+}
+
+// serve is the reading goroutine.
+func (p *Publisher) serve(nc net.Conn) error {
+	defer nc.Close()
+	r := bufio.NewReaderSize(nc, 4<<10)
+	nc.SetReadDeadline(time.Now().Add(helloIn))
+	if _, err := r.Discard(1); err != nil { // the mark
+		return err
+	}
+	read := func(most int) ([]byte, error) {
+		body, err := stream.Read(r, most)
+		p.got.Add(int64(stream.Head + len(body)))
+		return body, err
+	}
+	body, err := read(4 << 10)
+	if err != nil {
+		return err
+	}
+	var g stream.Greeting
+	if err := stream.Decode(body, &g); err != nil {
+		return err
+	}
+	if g.Fleet != p.opt.Fleet {
+		return fmt.Errorf("a follower of fleet %q at %v", g.Fleet, nc.RemoteAddr())
+	}
+	if body, err = read(readMost); err != nil {
+		return err
+	}
+	m, err := feed.Decode(body)
+	if err != nil {
+		return err
+	}
+	if m.Hello == nil {
+		return fmt.Errorf("%w: no hello", feed.ErrMessage)
+	}
+	c, over := &conn{of: p, c: nc, wake: make(chan struct{}, 1), written: make(chan struct{})}, make(chan struct{})
+	defer close(over)
+	if err := p.open(c, *m.Hello, over); err != nil {
+		<-c.written // its last words
+		return err
+	}
+	defer p.close(c)
+	for {
+		nc.SetReadDeadline(time.Now().Add(quietMost))
+		if body, err = read(readMost); err != nil {
+			return err
+		}
+		if m, err = feed.Decode(body); err != nil {
+			return err
+		}
+		p.mu.Lock()
+		err = p.relay.Step(p.opt.Now(), c.id, m)
+		p.carryOut()
+		p.mu.Unlock()
+		if err != nil {
+			return err
+		}
+		switch {
+		case m.Op != nil:
+			var a stream.Ask
+			if err := stream.Decode(m.Op.Body, &a); err != nil {
+				return err
+			}
+			p.ask(c, m.Op.Number, a.Op, min(a.Within, withinMost))
+		case m.Put != nil:
+			p.change(c, m.Put)
+		}
+	}
+}
+
+// open tells the relay of a follower. What the relay says to one that it does not take is written before the connection ends.
+func (p *Publisher) open(c *conn, h feed.Hello, over <-chan struct{}) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.done:
+		return net.ErrClosed
+	default:
+	}
+	p.last++
+	c.id = p.last
+	p.conns[c.id] = c
+	p.all.Add(1)
+	go c.write(over)
+	err := p.relay.Opened(p.opt.Now(), c.id, h)
+	p.carryOut()
+	if err != nil {
+		c.end()
+		delete(p.conns, c.id)
+	}
+	return err
+}
+
+func (p *Publisher) close(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c.id)
+	p.relay.Closed(c.id)
+	p.carryOut()
+}
--- /dev/null
+++ b/internal/fleet/publish/publish.go
@@ -0,0 +1,364 @@
+// Package publish is a control process's side of the connections that balancers follow it by: it owns their goroutines, what waits to
+// be written to each, and the operations that they have asked. It must never wait for a slow follower, and never be waited for by
+// the member's own core.
+package publish
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sabletally/internal/fleet/copies"
+	"sabletally/internal/fleet/feed"
+	"sabletally/internal/fleet/views"
+)
+
+const (
+	beat     = 100 * time.Millisecond
+	tellEach = 200 * time.Millisecond
+
+	window        = 256 << 10 // bytes that are out unacknowledged to one follower
+	snapshotBytes = 32 << 20  // a second, to all of them
+	changesMost   = 4096      // of the newest changes that are kept, and their bytes
+	changesBytes  = 16 << 20
+
+	opsEach = 256  // operations of one follower that are under way, its puts among them
+	opsAll  = 8192 // of all together
+	leaveIn = 500 * time.Millisecond
+)
+
+// Holder is where operations and puts are asked.
+type Holder interface {
+	Ask(op copies.Op, within time.Duration, done func(copies.Result))
+	Put(p views.Put, within time.Duration, done func(views.Done))
+}
+
+// Wire is where followers' streams come from.
+type Wire interface {
+	Follows() <-chan net.Conn
+	Done() <-chan struct{}
+}
+
+// Options is what it begins with.
+type Options struct {
+	ID    string // this member's
+	Fleet string // its name in the files
+	Most  int    // followers
+	Seed  uint64
+	Wire  Wire
+	Now   func() time.Duration // a clock that goes on while the process is stopped
+	Log   *zap.Logger
+}
+
+// Status is what was known at the newest turn.
+type Status struct {
+	Followers  feed.RelayFollowers
+	Count      feed.RelayCount
+	Version    uint64
+	Digest     uint64
+	Age        time.Duration // of what is published, at the moment of the call
+	Known      bool          // whether it is known
+	Sent, Got  int64         // bytes
+	Ops, Busy  int64         // operations and puts that were asked, and that found no room
+	Overflowed int64         // connections whose queue was full
+}
+
+// Publisher is one control process's.
+type Publisher struct {
+	opt  Options
+	hold Holder
+
+	news   sync.Mutex // what the member's core has told
+	whole  *feed.Snapshot
+	fresh  []*feed.Change
+	asOf   time.Duration
+	isAsOf bool
+	wake   chan struct{}
+
+	mu    sync.Mutex // the relay and what belongs to it
+	log   *feed.Log
+	relay *feed.Relay
+	conns map[uint64]*conn
+	last  uint64 // connection's number
+	ops   map[string]asked
+	told  time.Duration
+
+	sent, got, asks, busy, overflow atomic.Int64
+	status                          atomic.Pointer[published]
+	done                            chan struct{}
+	once                            sync.Once
+	all                             sync.WaitGroup
+}
+
+// published is a status, with when its state was all there was.
+type published struct {
+	Status
+	asOf time.Duration
+}
+
+// asked is who has an operation under way, and under which number.
+type asked struct {
+	conn   *conn
+	number uint64
+}
+
+// New makes one. It takes what the member's core tells from the first moment on, and followers from Serve on.
+func New(opt Options) *Publisher {
+	p := &Publisher{opt: opt, wake: make(chan struct{}, 1), conns: map[uint64]*conn{}, ops: map[string]asked{}, done: make(chan struct{})}
+	p.log = feed.NewLog(feed.LogConfig{Most: changesMost, Bytes: changesBytes})
+	p.relay = feed.NewRelay(feed.RelayConfig{ID: opt.ID, Most: opt.Most, Window: window, SnapshotBytes: snapshotBytes, Lease: feed.Lease, Seed: opt.Seed},
+		p.log, opt.Now())
+	p.status.Store(&published{})
+	return p
+}
+
+// Serve takes followers, beside the caller, until the wire ends or Close.
+func (p *Publisher) Serve(h Holder) {
+	p.hold = h
+	p.all.Add(2)
+	go p.run()
+	go p.accept()
+}
+
+// Changed takes what the member's core tells of the agreed state; it never waits.
+func (p *Publisher) Changed(whole *feed.Snapshot, changes []*feed.Change) {
+	p.news.Lock()
+	if whole != nil {
+		p.whole, p.fresh = whole, nil
+	}
+	p.fresh = append(p.fresh, changes...)
+	p.news.Unlock()
+	p.poke()
+}
+
+// Fresh takes the time up to which nothing was agreed but what Changed has told; it never waits.
+func (p *Publisher) Fresh(asOf time.Duration) {
+	p.news.Lock()
+	news := !p.isAsOf || asOf > p.asOf
+	p.asOf, p.isAsOf = asOf, true
+	p.news.Unlock()
+	if news {
+		p.poke()
+	}
+}
+
+func (p *Publisher) poke() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Status is what was known at the newest turn; the age is of this moment.
+func (p *Publisher) Status() Status {
+	s := p.status.Load()
+	out := s.Status
+	out.Age = p.opt.Now() - s.asOf
+	out.Sent, out.Got, out.Ops, out.Busy, out.Overflowed = p.sent.Load(), p.got.Load(), p.asks.Load(), p.busy.Load(), p.overflow.Load()
+	return out
+}
+
+// Leave sends all followers elsewhere and takes no more; it waits until they are told, leaveIn at most.
+func (p *Publisher) Leave() {
+	p.mu.Lock()
+	p.relay.Leave()
+	p.carryOut()
+	p.mu.Unlock()
+	for end := time.Now().Add(leaveIn); time.Now().Before(end); time.Sleep(beat / 10) {
+		p.mu.Lock()
+		left := len(p.conns)
+		p.mu.Unlock()
+		if left == 0 {
+			return
+		}
+	}
+}
+
+// Close ends it; the wire has to be closed before.
+func (p *Publisher) Close() {
+	p.once.Do(func() {
+		close(p.done)
+		p.mu.Lock()
+		for _, c := range p.conns {
+			c.c.Close()
+		}
+		p.mu.Unlock()
+		p.all.Wait()
+	})
+}
+
+// ---- The relay.
+
+func (p *Publisher) run() {
+	defer p.all.Done()
+	tick := time.NewTicker(beat)
+	defer tick.Stop()
+	for {
+		select {
+		case <-p.done:
+			return
+		case <-p.wake:
+			p.turn(false)
+		case <-tick.C:
+			p.turn(true)
+		}
+	}
+}
+
+func (p *Publisher) turn(ticks bool) {
+	p.news.Lock()
+	whole, changes, asOf, known := p.whole, p.fresh, p.asOf, p.isAsOf
+	p.whole, p.fresh = nil, nil
+	p.news.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.opt.Now()
+	if ticks {
+		p.relay.Clock(now)
+	}
+	if whole != nil || len(changes) > 0 {
+		p.take(whole, changes)
+		p.relay.Published()
+	}
+	if known {
+		p.relay.Fresh(asOf, p.log.Version())
+	}
+	p.carryOut()
+	if now-p.told >= tellEach || p.told == 0 {
+		p.told = now
+		s := &published{Status: Status{Followers: p.relay.Followers(), Count: p.relay.Count, Version: p.log.Version(), Digest: p.log.Digest()}}
+		var age time.Duration
+		age, s.Known = p.relay.Age(now)
+		s.asOf = now - age
+		p.status.Store(s)
+	}
+}
+
+// take follows the core's state. What does not fit is told, and leaves the state as it was: nothing is published then but what was.
+func (p *Publisher) take(whole *feed.Snapshot, changes []*feed.Change) {
+	if whole != nil {
+		if err := p.log.Install(*whole); err != nil {
+			p.opt.Log.Error("fleet: the agreed state is not published", zap.Uint64("version", whole.Version), zap.Error(err))
+		}
+	}
+	for _, one := range changes {
+		if err := p.log.Apply(*one); err != nil {
+			p.opt.Log.Error("fleet: the agreed state is not published", zap.Uint64("version", one.Version), zap.Error(err))
+		}
+	}
+}
+
+// carryOut does what the relay asks for. mu is held.
+func (p *Publisher) carryOut() {
+	r := p.relay.Ready()
+	for _, s := range r.Sends {
+		if c := p.conns[s.Conn]; c != nil {
+			c.put(s.Out.Text())
+		}
+	}
+	for _, id := range r.Close {
+		if c := p.conns[id]; c != nil {
+			c.end()
+		}
+	}
+	for _, l := range r.Lines {
+		say(p.opt.Log, l)
+	}
+}
+
+func say(log *zap.Logger, l feed.Line) {
+	fields := []zap.Field{zap.String("follower", l.Peer), zap.Duration("for", l.For), zap.String("is", l.Text)}
+	switch l.Kind {
+	case feed.Woke:
+		log.Warn("fleet: this process was stopped: followers are given time anew", fields...)
+	case feed.Lapsed:
+		log.Warn("fleet: follower is not heard any more", fields...)
+	case feed.TooSlow:
+		log.Warn("fleet: follower takes nothing", fields...)
+	case feed.Stranger:
+		log.Warn("fleet: follower of another fleet", fields...)
+	case feed.NewerForm:
+		log.Warn("fleet: follower of a newer program", fields...)
+	default:
+		log.Warn("fleet: follower's words can't be read", append(fields, zap.Stringer("said", l))...)
+	}
+}
+
+// ---- Connections.
+
+func (p *Publisher) accept() {
+	defer p.all.Done()
+	for {
+		select {
+		case <-p.opt.Wire.Done():
+			return
+		case <-p.done:
+			return
+		case nc := <-p.opt.Wire.Follows():
+			p.all.Add(1)
+			go func() {
+				defer p.all.Done()
+				err := p.serve(nc)
+				if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+					p.opt.Log.Debug("fleet: a follower's connection", zap.Error(err))
+				}
+			}()
+		}
+	}
+}
+
+// ---- Operations.
+
+// ask has a follower's operation done where this member's are. One that is asked for again while it is under way is answered to who
+// asked last.
+func (p *Publisher) ask(c *conn, number uint64, op copies.Op, within time.Duration) {
+	p.mu.Lock()
+	_, again := p.ops[op.ID]
+	full := !again && (c.ops.Load() >= opsEach || len(p.ops) >= opsAll)
+	if !full {
+		if was := p.ops[op.ID].conn; was != nil {
+			was.ops.Add(-1)
+		}
+		p.ops[op.ID] = asked{c, number}
+		c.ops.Add(1)
+	}
+	p.mu.Unlock()
+	p.asks.Add(1)
+	switch {
+	case full:
+		p.busy.Add(1)
+		c.result(number, copies.Result{Op: op.ID, Outcome: copies.Refused, Why: copies.Busy})
+	case !again:
+		p.hold.Ask(op, within, func(r copies.Result) {
+			p.mu.Lock()
+			a := p.ops[op.ID]
+			delete(p.ops, op.ID)
+			p.mu.Unlock()
+			a.conn.ops.Add(-1)
+			a.conn.result(a.number, r)
+		})
+	}
+}
+
+// change passes a put on to the log's leader.
+func (p *Publisher) change(c *conn, m *feed.Put) {
+	answer := func(d views.Done) {
+		c.put(feed.Encode(&feed.Msg{PutDone: &feed.PutDone{Op: d.Op, Version: d.Version, Refused: d.Refused}}))
+	}
+	p.asks.Add(1)
+	if c.ops.Add(1) > opsEach {
+		c.ops.Add(-1)
+		p.busy.Add(1)
+		answer(views.Done{Op: m.Op, Refused: "busy: too many changes of this follower wait"})
+		return
+	}
+	p.hold.Put(views.Put{Key: m.Key, Value: m.Value, Gone: m.Gone, Op: m.Op, Only: !m.Any, If: m.If}, putWithin, func(d views.Done) {
+		c.ops.Add(-1)
+		answer(d)
+	})
+}
