--- a/cmd/sabletally/commands.go
+++ b/cmd/sabletally/commands.go
@@ -1,9 +1,10 @@
-// This file owns the program's commands: what an operator asks of files and of running balancers. Without arguments the program
-// is the balancer. A command must never change anything.
+// This file owns the program's commands: what an operator asks of files and of running processes. Without arguments the program
+// is the balancer. But for those that say so (put, control) a command must never change anything.
 
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -29,9 +30,12 @@
 
 type commands struct {
 	Fleet struct {
-		Check  checkCmd  `cmd:"" help:"Reads the fleet's file and names each fault by file, line and column."`
-		Verify verifyCmd `cmd:"" help:"Reads all of a member's directory, whose process has ended, and holds it against its checksums."`
-		Status statusCmd `cmd:"" help:"Shows how a balancer sees the fleet."`
+		Check   checkCmd   `cmd:"" help:"Reads the fleet's file and names each fault by file, line and column."`
+		Verify  verifyCmd  `cmd:"" help:"Reads all of a member's directory, whose process has ended, and holds it against its checksums."`
+		Status  statusCmd  `cmd:"" help:"Shows how a balancer or control process sees the fleet."`
+		Control controlCmd `cmd:"" help:"Is a control process, which balancers follow, until SIGTERM or SIGINT."`
+		Put     putCmd     `cmd:"" help:"Changes an item of configuration for the whole fleet, and prints the version that has it."`
+		Get     getCmd     `cmd:"" help:"Prints an item as a control process publishes it."`
 	} `cmd:"" help:"The other balancers, and what is held for them."`
 }
 
@@ -48,6 +52,10 @@
 		return 2
 	}
 	if err := ctx.Run(); err != nil {
+		if _, is := errors.AsType[wrongFile](err); is {
+			fmt.Fprintln(os.Stderr, err)
+			return 2
+		}
 		eachFault(err, func(err error) { fmt.Fprintln(os.Stderr, err) })
 		if _, is := errors.AsType[blocks.Faults](err); is {
 			return 2
@@ -78,8 +86,16 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("%s: fleet %q, %d copies; this member: machine %s, zone %s, site %s, reached at %v\n", c.File, f.Fleet, f.Copies, f.Machine, f.Zone,
-		f.Site, f.Advertise)
+	switch f.Role {
+	case config.Balancer:
+		fmt.Printf("%s: fleet %q, a balancer that follows control processes; machine %s, zone %s, site %s\n", c.File, f.Fleet, f.Machine, f.Zone, f.Site)
+	case config.Control:
+		fmt.Printf("%s: fleet %q, a control process for %d followers, %d voters, %d copies; machine %s, zone %s, site %s, reached at %v\n", c.File, f.Fleet,
+			f.Followers, f.Voters, f.Copies, f.Machine, f.Zone, f.Site, f.Advertise)
+	default:
+		fmt.Printf("%s: fleet %q, %d copies; this member: machine %s, zone %s, site %s, reached at %v\n", c.File, f.Fleet, f.Copies, f.Machine, f.Zone,
+			f.Site, f.Advertise)
+	}
 	return nil
 }
 
@@ -116,8 +132,8 @@
 }
 
 type statusCmd struct {
-	Address string `arg:"" help:"The operators' address of a balancer, such as 127.0.0.1:15000."`
-	JSON    bool   `help:"As the balancer says it."`
+	Address string `arg:"" help:"The operators' address of a balancer or control process, such as 127.0.0.1:15000."`
+	JSON    bool   `help:"As the process says it."`
 }
 
 // Run asks one balancer.
@@ -153,6 +169,15 @@
 		fmt.Fprintf(out, "fleet %s: this process is no member: %s\n", s.Fleet, s.Why)
 		return
 	}
+	if f := s.Following; f != nil {
+		fmt.Fprintf(out, "fleet %s: follows %s; version %d, %s, %.1f s old; %d keys of %d bytes, %d changes, %d snapshots, %d times not current, %d conflicts\n",
+			s.Fleet, cmp.Or(strings.Join(f.Relays, ", "), "nobody"), f.Version, s.Standing, f.Age, f.Keys, f.Bytes, f.Changes, f.Snapshots, f.Lapses, f.Conflicts)
+		return
+	}
+	if p := s.Publishing; p != nil {
+		fmt.Fprintf(out, "publishes version %d, %.1f s old; %d of %d followers, %d have it, lowest %d, %d wait for a snapshot, %d take nothing; %d snapshots, %d lapsed, %d full\n",
+			p.Version, p.Age, p.Followers, p.Most, p.Current, p.Lowest, p.Waiting, p.Blocked, p.Snapshots, p.Lapsed, p.Full)
+	}
 	if h := s.Held; h != nil {
 		defer func() {
 			fmt.Fprintf(out, "epoch %d of %d members, %d records here (%d bytes, file %d), slots by holders: %v", h.Epoch, h.Members, h.Records, h.Bytes, h.File, h.Slots)
--- a/cmd/sabletally/main.go
+++ b/cmd/sabletally/main.go
@@ -58,6 +58,10 @@
 			eachFault(err, func(err error) { log.Error("can't start", zap.NamedError("fleet", err)) })
 			return 2
 		}
+		if file.Role == config.Control {
+			log.Error("can't start", zap.NamedError("fleet", fmt.Errorf("%s: role %q is no balancer's: start it by sabletally fleet control %s", path, file.Role, path)))
+			return 2
+		}
 	}
 	cores := int(math.Ceil(s.Cores))
 	// Beside the cores one for netpoll's poller and one for each relay: they sleep in the kernel with a processor in hand,
--- a/cmd/sabletally/main_test.go
+++ b/cmd/sabletally/main_test.go
@@ -39,7 +39,7 @@
 		limit := syscall.Rlimit{Cur: 64, Max: 64}
 		syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit)
 	}
-	os.Exit(run())
+	main()
 }
 
 const settings = `{"PeersTotal":1,"Zone":0,"Areas":["a","b"],"RegistryMode":"pushed","ServiceGrades":[{"Name":"feed",
--- a/internal/fleet/contact/wire.go
+++ b/internal/fleet/contact/wire.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/hashicorp/memberlist"
+
+	"sabletally/internal/fleet/stream"
 )
 
 const (
@@ -115,12 +117,11 @@
 	}
 }
 
-// LinkMark is the first byte of a stream that is a link between members, FollowMark that of a follower's; the library's begin with
-// others.
-const LinkMark, FollowMark = 's', 'f'
+// LinkMark is the first byte of a stream that is a link between members; followers' begin with stream.Mark, the library's with others.
+const LinkMark = 's'
 
 // sort hands a stream to whom it is for, by its first byte.
-func (w *Wire) sort(s *stream) {
+func (w *Wire) sort(s *taken) {
 	s.SetReadDeadline(time.Now().Add(firstIn))
 	n, err := io.ReadFull(s.Conn, s.first[:])
 	s.SetReadDeadline(time.Time{})
@@ -130,7 +131,7 @@
 		case LinkMark:
 			err = w.move(s, &w.linked, linksMost)
 			to = w.links
-		case FollowMark:
+		case stream.Mark:
 			err = w.move(s, &w.followed, w.followers)
 			to = w.follows
 		}
@@ -148,7 +149,7 @@
 }
 
 // move counts a stream among others of its kind, of which there may be so many.
-func (w *Wire) move(s *stream, to *atomic.Int64, most int64) error {
+func (w *Wire) move(s *taken, to *atomic.Int64, most int64) error {
 	if to.Add(1) > most {
 		to.Add(-1)
 		w.Unopened.Add(1)
@@ -159,8 +160,8 @@
 	return nil
 }
 
-// stream ends with the wire, and one that others opened gives its place back.
-type stream struct {
+// taken is a stream; it ends with the wire, and one that others opened gives its place back.
+type taken struct {
 	net.Conn
 	stop   func() bool
 	once   sync.Once
@@ -169,14 +170,14 @@
 	unread int
 }
 
-func (w *Wire) hold(c net.Conn, counts *atomic.Int64) *stream {
-	return &stream{Conn: c, counts: counts, stop: context.AfterFunc(w.done, func() { c.Close() })}
+func (w *Wire) hold(c net.Conn, counts *atomic.Int64) *taken {
+	return &taken{Conn: c, counts: counts, stop: context.AfterFunc(w.done, func() { c.Close() })}
 }
 
 // Unwrap is the connection itself.
-func (s *stream) Unwrap() net.Conn { return s.Conn }
+func (s *taken) Unwrap() net.Conn { return s.Conn }
 
-func (s *stream) Read(b []byte) (int, error) {
+func (s *taken) Read(b []byte) (int, error) {
 	if s.unread > 0 && len(b) > 0 {
 		s.unread = 0
 		b[0] = s.first[0]
@@ -185,7 +186,7 @@
 	return s.Conn.Read(b)
 }
 
-func (s *stream) Close() error {
+func (s *taken) Close() error {
 	s.once.Do(func() {
 		s.stop()
 		if s.counts != nil {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,5 +1,5 @@
-// Package fleet is one process's part in a fleet of balancers: it puts together the directory (seat), the members (contact) and
-// what operators are shown of them. It owns their order at start and end. It must never be asked for where no file of the
+// Package fleet is one process's part in a fleet of balancers: it puts together the directory (seat), the members (contact), or the
+// control processes that are followed (follow), and what operators are shown of them. It owns their order at start and end. It must never be asked for where no file of the
 // operator's names a fleet, and never make the balancer's loop wait.
 package fleet
 
@@ -18,10 +18,14 @@
 	"sabletally/internal/fleet/contact"
 	"sabletally/internal/fleet/copies"
 	"sabletally/internal/fleet/core"
+	"sabletally/internal/fleet/feed"
+	"sabletally/internal/fleet/follow"
 	"sabletally/internal/fleet/hold"
 	"sabletally/internal/fleet/intents"
 	"sabletally/internal/fleet/members"
+	"sabletally/internal/fleet/publish"
 	"sabletally/internal/fleet/seat"
+	"sabletally/internal/fleet/views"
 )
 
 const (
@@ -43,6 +47,8 @@
 	wire  *contact.Wire
 	touch *contact.Contact
 	held  *hold.Hold
+	feed  *publish.Publisher // of a control process
+	tier  *follow.Follow     // in role "balancer" all that there is beside the seat
 	list  list
 	said  int // words of operators'
 	over  chan struct{}
@@ -93,6 +99,9 @@
 	if err != nil {
 		return fmt.Errorf("data: %w", err)
 	}
+	if f.file.Role == config.Balancer {
+		return f.follow(s)
+	}
 	w, err := contact.Listen(f.file.Listen, f.file.Advertise, f.file.Followers)
 	if err != nil {
 		s.Close()
@@ -111,47 +120,127 @@
 	for _, a := range f.file.Seeds {
 		seeds = append(seeds, a.String())
 	}
+	var told hold.Feed
+	var p *publish.Publisher
+	if f.file.Role == config.Control {
+		p = publish.New(publish.Options{ID: s.Member, Fleet: f.file.Fleet, Most: f.file.Followers, Seed: f.seed ^ s.Life<<16, Wire: w, Now: boottime.Now, Log: f.log})
+		told = p
+	}
 	h, err := hold.Open(hold.Options{Core: core.Config{Self: hold.Member(self), Life: s.Life, Found: rand.Text(), First: f.file.Seeds[0] == f.file.Advertise, Seeds: seeds,
 		Voters: f.file.Voters, Copies: f.file.Copies, Evict: f.file.Repair, Repair: repairing, Seed: f.seed ^ s.Life<<32, Keys: f.file.Records,
-		Bytes: f.file.Bytes, Ops: opsMost, Keeps: []copies.Keep{{Prefix: intents.Prefix, For: intents.Keep}}}, Fleet: f.file.Fleet, Dir: f.file.Data, Wire: w, Touch: t, Now: boottime.Now, Log: f.log})
+		Bytes: f.file.Bytes, Ops: opsMost, Keeps: []copies.Keep{{Prefix: intents.Prefix, For: intents.Keep}}}, Fleet: f.file.Fleet, Dir: f.file.Data, Wire: w, Touch: t, Now: boottime.Now, Log: f.log, Feed: told})
 	if err != nil {
 		t.Close()
 		s.Close()
 		return fmt.Errorf("data: %w", err)
 	}
+	if p != nil {
+		p.Serve(h)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	select {
 	case <-f.over: // meanwhile
 		t.Close()
+		if p != nil {
+			p.Close()
+		}
 		h.Close()
 		s.Close()
 		return nil
 	default:
 	}
-	f.seat, f.wire, f.touch, f.held = s, w, t, h
-	f.log.Info("fleet: member", zap.String("fleet", f.file.Fleet), zap.String("id", s.Member), zap.Uint64("life", s.Life),
+	f.seat, f.wire, f.touch, f.held, f.feed = s, w, t, h, p
+	f.log.Info("fleet: member", zap.String("role", f.file.Role), zap.String("fleet", f.file.Fleet), zap.String("id", s.Member), zap.Uint64("life", s.Life),
 		zap.Bool("fresh", s.Fresh), zap.Stringer("listen", f.file.Listen), zap.Stringer("advertise", f.file.Advertise),
 		zap.String("machine", f.file.Machine), zap.String("zone", f.file.Zone), zap.String("site", f.file.Site))
 	return nil
 }
 
-// holding is where records are held, and this member's ID; nil while another process of an upgrade is the member.
-func (f *Fleet) holding() (*hold.Hold, string) {
+// follow has this process follow the control processes: it is no member, and nothing of one is opened.
+func (f *Fleet) follow(s *seat.Seat) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.held == nil {
-		return nil, ""
+	select {
+	case <-f.over: // meanwhile
+		s.Close()
+		return nil
+	default:
+	}
+	f.seat = s
+	f.tier = follow.Open(follow.Options{Fleet: f.file.Fleet, Name: f.name, ID: s.Member, Life: s.Life, Machine: f.file.Machine, Zone: f.file.Zone,
+		Site: f.file.Site, Seeds: f.file.Seeds, Seed: f.seed ^ s.Life<<32, Now: boottime.Now, Log: f.log})
+	f.log.Info("fleet: follower", zap.String("fleet", f.file.Fleet), zap.String("id", s.Member), zap.Uint64("life", s.Life), zap.Bool("fresh", s.Fresh),
+		zap.String("machine", f.file.Machine), zap.String("zone", f.file.Zone), zap.String("site", f.file.Site))
+	return nil
+}
+
+// asker is where records are held: here among others, or at the control processes.
+type asker interface {
+	Ask(op copies.Op, within time.Duration, done func(copies.Result))
+}
+
+// holding is where records are held, and this process's ID; nil while another process of an upgrade has the directory.
+func (f *Fleet) holding() (asker, string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.tier != nil:
+		return f.tier, f.seat.Member
+	case f.held != nil:
+		return f.held, f.seat.Member
+	}
+	return nil, ""
+}
+
+// Put has an operators' item changed, at a control process. done is called once, from another goroutine, within the span or a little
+// later; Refused says why it was not done, or is not known to be.
+func (f *Fleet) Put(p views.Put, within time.Duration, done func(views.Done)) {
+	f.mu.Lock()
+	h := f.held
+	f.mu.Unlock()
+	if h == nil {
+		done(views.Done{Op: p.Op, Refused: "this process is no member of the fleet"})
+		return
+	}
+	h.Put(p, within, done)
+}
+
+// Get is a key's value in the agreed state as it is published here, and that state's version; false where there is none.
+func (f *Fleet) Get(key string) ([]byte, uint64, bool) {
+	f.mu.Lock()
+	p := f.feed
+	f.mu.Unlock()
+	if p == nil {
+		return nil, 0, false
+	}
+	return p.Get(key)
+}
+
+// Current tells whether what is known here may be taken for all that is agreed, as of this moment.
+func (f *Fleet) Current() bool {
+	f.mu.Lock()
+	p, t := f.feed, f.tier
+	f.mu.Unlock()
+	switch {
+	case t != nil:
+		return t.Current()
+	case p != nil:
+		s := p.Status()
+		return s.Known && s.Age <= feed.Lease
 	}
-	return f.held, f.seat.Member
+	return false
 }
 
 // HandOver has what lies here be held by others before this member goes, within a span; it waits for that. What could not be
 // handed over is repaired as if the machine were lost, and its disk is still there.
 func (f *Fleet) HandOver(within time.Duration) {
 	f.mu.Lock()
-	t, h := f.touch, f.held
+	t, h, p := f.touch, f.held, f.feed
 	f.mu.Unlock()
+	if p != nil {
+		p.Leave()
+	}
 	if t == nil || !slices.ContainsFunc(t.Status().Others, func(k members.Known) bool { return k.State == members.Here && !k.Leaving }) {
 		return // there is nobody to hand over to
 	}
@@ -188,111 +277,18 @@
 	f.mu.Unlock()
 	f.all.Wait()
 	f.mu.Lock()
-	t, s, h := f.touch, f.seat, f.held
+	t, s, h, p, tier := f.touch, f.seat, f.held, f.feed, f.tier
 	f.mu.Unlock()
+	if tier != nil {
+		tier.Close()
+		s.Close()
+	}
 	if t != nil {
 		how(t)
+		if p != nil {
+			p.Close()
+		}
 		h.Close()
 		s.Close()
 	}
 }
-
-// Report is what operators are shown.
-type Report struct {
-	Fleet    string `json:"fleet"`
-	Member   bool   `json:"member"` // this process has the directory
-	Why      string `json:"why,omitempty"`
-	Standing string `json:"standing,omitempty"`
-	Self     *One   `json:"self,omitempty"`
-	Others   []One  `json:"others,omitempty"`
-	Here     int    `json:"here"`
-	Copies   int    `json:"copies"`
-	Machines int    `json:"machines"`
-	Health   int    `json:"health"` // 0 is well; each point widens this member's own time-outs
-	Stalls   int    `json:"stalls"`
-	Refused  int    `json:"refused"`
-	Odd      int64  `json:"odd"`
-	Dropped  int64  `json:"dropped"`
-	Unopened int64  `json:"unopened"`
-	Sent     int64  `json:"sent"` // bytes of datagrams
-	Heard    int64  `json:"heard"`
-
-	Held *Holdings `json:"held,omitempty"`
-}
-
-// Holdings is what lies here, and what is agreed.
-type Holdings struct {
-	ID       string         `json:"id"` // of the fleet, drawn when it was founded; empty before
-	Epoch    uint64         `json:"epoch"`
-	Members  int            `json:"members"` // of the epoch
-	Voters   int            `json:"voters"`  // as this member knows; 0 where it does not vote
-	Leads    bool           `json:"leads"`
-	Slots    map[int]int    `json:"slots"` // by number of members that hold all of one
-	Mine     int            `json:"mine"`
-	Records  int            `json:"records"`
-	Bytes    int            `json:"bytes"`
-	File     int64          `json:"file"`
-	Disk     string         `json:"disk,omitempty"` // what is wrong with it: nothing is promised here then
-	Refusals map[string]int `json:"refusals,omitempty"`
-	Sent     int64          `json:"sent"`
-	Got      int64          `json:"got"`
-	Dropped  int64          `json:"dropped"`
-	Odd      int64          `json:"odd"`
-	Writes   int64          `json:"writes"`
-}
-
-// One is one member in a report.
-type One struct {
-	Name    string  `json:"name"`
-	ID      string  `json:"id"`
-	Addr    string  `json:"addr"`
-	Machine string  `json:"machine"`
-	Zone    string  `json:"zone"`
-	Site    string  `json:"site"`
-	Life    uint64  `json:"life"`
-	State   string  `json:"state"`
-	Seconds float64 `json:"seconds"` // in this state
-	By      string  `json:"by,omitempty"`
-}
-
-func one(m members.Member) One {
-	return One{Name: m.Name, ID: m.ID, Addr: m.Addr.String(), Machine: m.Machine, Zone: m.Zone, Site: m.Site, Life: m.Life,
-		State: members.Here.String()}
-}
-
-// Report answers at once, from what is published.
-func (f *Fleet) Report() Report {
-	f.mu.Lock()
-	t, w, h, err := f.touch, f.wire, f.held, f.err
-	f.mu.Unlock()
-	r := Report{Fleet: f.file.Fleet, Copies: f.file.Copies}
-	switch {
-	case err != nil:
-		r.Why = err.Error()
-	case t == nil:
-		r.Why = "the old process of an upgrade is the member yet"
-	}
-	if t == nil {
-		return r
-	}
-	s, now := t.Status(), boottime.Now()
-	self := one(s.Self)
-	r.Member, r.Self, r.Standing, r.Here = true, &self, s.Standing.String(), 1
-	r.Health, r.Stalls, r.Refused, r.Odd = s.Health, s.Stalls, s.Refused, s.Odd
-	r.Dropped, r.Unopened, r.Sent, r.Heard = w.Dropped.Load(), w.Unopened.Load(), w.Sent.Load(), w.Heard.Load()
-	a := h.Status()
-	r.Held = &Holdings{ID: a.Fleet, Epoch: a.Epoch, Members: a.Members, Voters: a.Voters, Leads: a.Leads, Slots: a.Slots, Mine: a.Mine, Records: a.Keys,
-		Bytes: a.Bytes, File: a.File, Disk: a.Disk, Refusals: a.Refusals, Sent: a.Sent, Got: a.Got, Dropped: a.Dropped, Odd: a.Odd, Writes: a.Writes}
-	machines := map[string]bool{s.Self.Machine: true}
-	for _, k := range s.Others {
-		o := one(k.Member)
-		o.State, o.Seconds, o.By = k.State.String(), (now - k.Since).Seconds(), k.By
-		r.Others = append(r.Others, o)
-		if k.State == members.Here {
-			r.Here++
-			machines[k.Machine] = true
-		}
-	}
-	r.Machines = len(machines)
-	return r
-}
--- a/internal/fleet/held.go
+++ b/internal/fleet/held.go
@@ -10,7 +10,6 @@
 	"sabletally/internal/fleet/boottime"
 	"sabletally/internal/fleet/config"
 	"sabletally/internal/fleet/copies"
-	"sabletally/internal/fleet/hold"
 	"sabletally/internal/fleet/intents"
 )
 
@@ -69,7 +68,7 @@
 	h.step(hold, op, time.Now().Add(within), done)
 }
 
-func (h *Held) step(hold *hold.Hold, op copies.Op, end time.Time, done func(Verdict)) {
+func (h *Held) step(hold asker, op copies.Op, end time.Time, done func(Verdict)) {
 	hold.Ask(op, time.Until(end), func(r copies.Result) {
 		v, next := h.intent.Ended(r)
 		if v == intents.Wait {
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -37,14 +37,15 @@
 func (f *Fleet) listKey() string { return "list/" + f.file.Site }
 
 // KeepList has the newest list held, beside the caller: discovery has just said that it holds. Of all members that hear it the one
-// writes that orders the record's writes, so that a fleet of hundreds writes it once.
+// writes that orders the record's writes, so that a fleet of hundreds writes it once. A balancer that follows control processes
+// orders none, and keeps none.
 func (f *Fleet) KeepList(rev uint64, known []byte) {
-	h, _ := f.holding()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := f.held
 	if h == nil || len(known) > listMost {
 		return
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	l := &f.list
 	l.newest = List{Rev: rev, At: time.Now().Unix(), Known: known}
 	since := time.Since(l.written)
--- a/internal/fleet/publish/publish.go
+++ b/internal/fleet/publish/publish.go
@@ -163,6 +163,14 @@
 	return out
 }
 
+// Get is a key's value in what is published, not to be changed, and that state's version.
+func (p *Publisher) Get(key string) ([]byte, uint64, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v, is := p.log.State().Get(key)
+	return v, p.log.Version(), is
+}
+
 // Leave sends all followers elsewhere and takes no more; it waits until they are told, leaveIn at most.
 func (p *Publisher) Leave() {
 	p.mu.Lock()
--- a/internal/fleet/stream/stream.go
+++ b/internal/fleet/stream/stream.go
@@ -15,6 +15,9 @@
 	"sabletally/internal/fleet/copies"
 )
 
+// Mark is the first byte of such a stream; others on the same address begin with another one.
+const Mark = 'f'
+
 // Head is how many bytes stand before each word.
 const Head = 8
 
--- a/internal/mgmt/mgmt.go
+++ b/internal/mgmt/mgmt.go
@@ -47,13 +47,23 @@
 
 // Open listens at an address; most is how many connections it may hold (at least 1). What net/http says goes to out.
 func Open(address string, most int, b Balancer, pages Pages, out io.Writer) (*Server, error) {
+	return OpenWith(address, most, calls(b, pages), out)
+}
+
+// OpenWith is Open for calls that are others' than a balancer's. A call has to be whole, its body too, within callWithin.
+func OpenWith(address string, most int, h http.Handler, out io.Writer) (*Server, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	s := &Server{ln: &bounded{Listener: ln, most: most, all: list.New()}}
 	s.http = &http.Server{
-		Handler:     calls(b, pages),
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if c, is := r.Context().Value(held{}).(*conn); is {
+				c.called()
+			}
+			h.ServeHTTP(w, r)
+		}),
 		ReadTimeout: callWithin, WriteTimeout: callWithin, MaxHeaderBytes: headMost,
 		ErrorLog: log.New(out, "", 0),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
@@ -84,9 +94,6 @@
 		paths[path] = map[string]func() error{http.MethodGet: nil}
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, is := r.Context().Value(held{}).(*conn); is {
-			c.called()
-		}
 		if show := pages[r.URL.Path]; show != nil && r.Method == http.MethodGet {
 			w.Header().Set("Content-Type", "application/json")
 			json.NewEncoder(w).Encode(show())
