Tests of who votes, what is put, and how old what is known is

Change: core's and views' tests, virtual time: five voters over three sites come out 2/2/1, a crowded site gives voters away one at a time and none while one is away, a leader cut off never says younger than the cut, puts by any member make one version each. agree hands a restored state out before its later changes, so that a ring leads on from the restored version.

--- a/cmd/sabletally/control.go
+++ b/cmd/sabletally/control.go
@@ -36,7 +36,7 @@
 
 type controlCmd struct {
 	File string `arg:"" help:"The fleet's file, with role = \"control\"."`
-	Mgmt string `help:"The operators' address, such as 127.0.0.1:15000; none: there is none."`
+	Mgmt string `help:"The operators' address, such as 127.0.0.1:15000; none: there is none." env:"EDGE_MGMT"`
 	Name string `help:"Its name in the others' reports; none: its machine's."`
 }
 
--- a/internal/fleet/agree/agree.go
+++ b/internal/fleet/agree/agree.go
@@ -51,9 +51,9 @@
 type Ready struct {
 	Write   Write
 	Msgs    []Msg
-	Changes []Change     // of the state, in order; Whole: before them it was replaced
-	Whole   bool         // the state was replaced by a snapshot: State is all there is, Changes are none
-	Puts    []views.Done // how operators' puts ended, of entries that came to be agreed
+	Whole   *feed.Snapshot // the state was replaced by this; nil where it was not
+	Changes []Change       // of the state, in order, after that
+	Puts    []views.Done   // how operators' puts ended, of entries that came to be agreed
 }
 
 // Change is what one entry did to the state.
@@ -83,7 +83,7 @@
 	state        *views.State
 	write        Write
 	changes      []Change
-	whole        bool
+	whole        *feed.Snapshot
 	puts         []views.Done
 	voted        bool // who votes has changed: a snapshot has to say so, or who begins to vote can't be sent one
 
@@ -357,7 +357,7 @@
 		}
 	}
 	r.Write, r.Changes, r.Whole, r.Puts = n.write, n.changes, n.whole, n.puts
-	n.write, n.changes, n.whole, n.puts = Write{}, nil, false, nil
+	n.write, n.changes, n.whole, n.puts = Write{}, nil, nil, nil
 	return r, nil
 }
 
@@ -422,13 +422,18 @@
 	return items
 }
 
+// Whole is all of a state, as a map.
+func Whole(st *views.State) *feed.Snapshot {
+	return feed.NewSnapshot(st.Fleet, st.Version, Items(st, st.Keys()))
+}
+
 func (n *Node) restore(snap *pb.Snapshot) error {
 	state, err := views.Restore(snap.GetData())
 	if err != nil {
 		return fmt.Errorf("agree: the snapshot: %w", err)
 	}
 	n.state, n.conf = state, snap.GetMetadata().GetConfState()
-	n.changes, n.whole = nil, true
+	n.changes, n.whole = nil, Whole(state)
 	n.applied = snap.GetMetadata().GetIndex()
 	n.cut = n.applied
 	return nil
--- a/internal/fleet/core/changes.go
+++ b/internal/fleet/core/changes.go
@@ -109,16 +109,15 @@
 
 // heard takes over what the log has come to.
 func (c *Core) heard(r agree.Ready) {
-	st := c.log.State()
-	if r.Whole && st.Version >= c.feed.Version() && st.Version > 0 {
-		c.replace(feed.NewSnapshot(st.Fleet, st.Version, agree.Items(st, st.Keys())))
+	if r.Whole != nil {
+		c.replace(r.Whole)
 	}
 	for _, one := range r.Changes {
 		if one.Version <= c.feed.Version() {
 			continue // it was told of before
 		}
 		if one.Version != c.feed.Version()+1 {
-			c.replace(feed.NewSnapshot(st.Fleet, st.Version, agree.Items(st, st.Keys())))
+			c.replace(agree.Whole(c.log.State()))
 			break
 		}
 		change, err := c.feed.Next(one.Items)
@@ -136,7 +135,7 @@
 
 // replace takes a whole state, if it is newer.
 func (c *Core) replace(s *feed.Snapshot) {
-	if s.Version < c.feed.Version() || s.Version == c.feed.Version() && s.Digest == c.feed.Digest() {
+	if s.Version < max(1, c.feed.Version()) || s.Version == c.feed.Version() && s.Digest == c.feed.Digest() {
 		return
 	}
 	if err := c.feed.Install(*s); errors.Is(err, feed.ErrConflict) {
--- a/internal/fleet/core/core.go
+++ b/internal/fleet/core/core.go
@@ -337,7 +337,7 @@
 			c.view(num, v, t.Version)
 		}
 	}
-	c.replace(feed.NewSnapshot(c.known.Fleet, c.known.Version, agree.Items(c.known, c.known.Keys())))
+	c.replace(agree.Whole(c.known))
 	c.wrote(epoch)
 }
 
--- /dev/null
+++ b/internal/fleet/core/core_test.go
@@ -0,0 +1,428 @@
+package core
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.etcd.io/raft/v3"
+
+	"sabletally/internal/fleet/agree"
+	"sabletally/internal/fleet/feed"
+	"sabletally/internal/fleet/steer"
+	"sabletally/internal/fleet/views"
+)
+
+const (
+	step  = 50 * time.Millisecond
+	evict = 10 * time.Second
+)
+
+// world is cores in virtual time, their packets carried in one step. It has no disks: nobody is started again.
+type world struct {
+	t     *testing.T
+	now   time.Duration
+	cfgs  []Config
+	cores []*Core
+	down  map[int]bool
+	since map[int]time.Duration // as it is
+	cut   func(from, to int) bool
+	form  map[int]int // that one speaks, where it is not this program's
+	way   []carried
+	puts  map[string]views.Done // how puts ended
+	lines []string
+	each  func() // after each step
+}
+
+type carried struct {
+	from, to int
+	p        Packet
+}
+
+func id(i int) string { return fmt.Sprintf("%016x%016x", i+1, i+1) }
+
+// newWorld makes members at sites, in the order told; each is on a machine of its own, two zones to a site.
+func newWorld(t *testing.T, voters int, sites ...string) *world {
+	w := &world{t: t, down: map[int]bool{}, since: map[int]time.Duration{}, form: map[int]int{}, puts: map[string]views.Done{},
+		cut: func(int, int) bool { return false }, each: func() {}}
+	for _, s := range sites {
+		w.join(voters, s)
+	}
+	return w
+}
+
+func (w *world) join(voters int, site string) int {
+	w.t.Helper()
+	i := len(w.cores)
+	cfg := Config{Self: views.Member{ID: id(i), Addr: fmt.Sprintf("m%d", i), Machine: fmt.Sprintf("m%d", i), Zone: fmt.Sprintf("z%d", i%2), Site: site}, Life: 1,
+		Found: "f", First: i == 0, Seeds: []string{"m0"}, Voters: voters, Copies: 1, Evict: evict, Repair: 8, Seed: uint64(i), Keys: 10, Bytes: 1 << 20, Ops: 10}
+	c, err := New(cfg, Saved{}, w.now)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.cfgs, w.cores = append(w.cfgs, cfg), append(w.cores, c)
+	w.since[i] = w.now
+	return i
+}
+
+func (w *world) turn(i int, end bool) {
+	w.down[i], w.since[i] = end, w.now
+}
+
+func (w *world) run(span time.Duration) {
+	w.t.Helper()
+	for end := w.now + span; w.now < end; {
+		w.now += step
+		way := w.way
+		w.way = nil
+		for i, c := range w.cores {
+			if w.down[i] {
+				continue
+			}
+			var seen []steer.Seen
+			for j := range w.cores {
+				if form, is := w.form[j]; j != i {
+					if !is {
+						form = Form
+					}
+					seen = append(seen, steer.Seen{Member: w.cfgs[j].Self, Here: !w.down[j], For: w.now - w.since[j], Speaks: form})
+				}
+			}
+			c.Clock(w.now, seen)
+			for _, one := range way {
+				if one.to == i && !w.cut(one.from, i) {
+					if err := c.Step(one.p); err != nil && !errors.Is(err, raft.ErrStepPeerNotFound) { // an answer of one that votes no more
+						w.t.Fatalf("%d: %v", i, err)
+					}
+				}
+			}
+			r, err := c.Ready()
+			if err != nil {
+				w.t.Fatalf("%d: %v", i, err)
+			}
+			for _, p := range r.Packets {
+				to := slices.IndexFunc(w.cfgs, func(c Config) bool { return c.Self.ID == p.To })
+				w.way = append(w.way, carried{i, to, p})
+			}
+			for _, d := range r.Puts {
+				w.puts[d.Op] = d
+			}
+			for _, l := range r.Lines {
+				if l.Bad {
+					w.lines = append(w.lines, fmt.Sprintf("%d: %s: %s", i, l.What, l.Text))
+				}
+			}
+		}
+		w.each()
+	}
+}
+
+// until runs until something is so.
+func (w *world) until(what string, within time.Duration, is func() bool) {
+	w.t.Helper()
+	for end := w.now + within; !is(); w.run(step) {
+		if w.now >= end {
+			w.t.Fatalf("not within %v: %s", within, what)
+		}
+	}
+}
+
+func (w *world) leader() int {
+	for i, c := range w.cores {
+		if c.Leads() && !w.down[i] {
+			return i
+		}
+	}
+	return -1
+}
+
+// voters are those of the leader's log, by index.
+func (w *world) voters() (all []int) {
+	if at := w.leader(); at >= 0 {
+		for _, n := range w.cores[at].Voters() {
+			all = append(all, slices.IndexFunc(w.cfgs, func(c Config) bool { return agree.Number(c.Self.ID) == n }))
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+func (w *world) bySite(voters []int) (counts []int) {
+	at := map[string]int{}
+	for _, i := range voters {
+		at[w.cfgs[i].Self.Site]++
+	}
+	counts = slices.Collect(maps.Values(at))
+	slices.Sort(counts)
+	return counts
+}
+
+// same tells whether all that are up know the same.
+func (w *world) same() bool {
+	var first *feed.State
+	for i, c := range w.cores {
+		if w.down[i] {
+			continue
+		}
+		if first == nil {
+			first = c.Feed()
+		}
+		if c.Feed().Version() != first.Version() || c.Feed().Digest() != first.Digest() {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) put(i int, p views.Put) views.Done {
+	w.t.Helper()
+	delete(w.puts, p.Op)
+	w.cores[i].Put(p, 5*time.Second)
+	w.until("the put "+p.Op+" is answered", 6*time.Second, func() bool { _, is := w.puts[p.Op]; return is })
+	return w.puts[p.Op]
+}
+
+// TestVotersSpread has five voters among nine members of three sites, whose numbers run site by site. Guards against a majority that
+// is lost with one site.
+func TestVotersSpread(t *testing.T) {
+	w := newWorld(t, 5, "a", "a", "a", "a", "a", "b", "b", "c", "c")
+	w.until("there are five voters", 30*time.Second, func() bool { return len(w.voters()) == 5 })
+	if got := w.bySite(w.voters()); !slices.Equal(got, []int{1, 2, 2}) {
+		t.Errorf("voters by site %v, wanted 2, 2 and 1", got)
+	}
+	zones := map[string]bool{}
+	for _, i := range w.voters() {
+		m := w.cfgs[i].Self
+		if at := m.Site + m.Zone; zones[at] {
+			t.Errorf("two voters in %s while another zone of the site has none", at)
+		} else {
+			zones[at] = true
+		}
+	}
+}
+
+// TestACrowdedSiteGivesVotersAway has all five voters at one site when two more sites come, one of them with a voter away. Guards
+// against two that are replaced at once, one that is replaced while another is away, and two sites that hand one to and fro.
+func TestACrowdedSiteGivesVotersAway(t *testing.T) {
+	w := newWorld(t, 5, "a", "a", "a", "a", "a")
+	w.until("there are five voters", 30*time.Second, func() bool { return len(w.voters()) == 5 })
+	first := w.voters()
+	away := first[4]
+	if away == w.leader() {
+		away = first[3]
+	}
+	w.turn(away, true)
+	for _, site := range []string{"b", "b", "c", "c"} {
+		w.join(5, site)
+	}
+	w.run(evict * 3 / 4)
+	if got := w.voters(); !slices.Equal(got, first) {
+		t.Fatalf("voters %v became %v while one was away", first, got)
+	}
+	w.turn(away, false)
+	last := first
+	w.each = func() {
+		now := w.voters()
+		if now == nil {
+			return
+		}
+		gone := 0
+		for _, i := range last {
+			if !slices.Contains(now, i) {
+				gone++
+			}
+		}
+		if gone > 1 || len(now) < 5 {
+			t.Errorf("voters %v became %v in one step", last, now)
+		}
+		last = now
+	}
+	w.until("no site has a majority", time.Minute, func() bool { return slices.Equal(w.bySite(w.voters()), []int{1, 2, 2}) })
+	rest := w.voters()
+	w.run(20 * time.Second)
+	if got := w.voters(); !slices.Equal(got, rest) {
+		t.Errorf("voters moved on from %v to %v", rest, got)
+	}
+
+	two := newWorld(t, 5, "a", "a", "a", "a", "b", "b", "b", "b")
+	two.until("there are five voters", 30*time.Second, func() bool { return len(two.voters()) == 5 })
+	rest = two.voters()
+	two.run(20 * time.Second)
+	if got := two.voters(); !slices.Equal(got, rest) {
+		t.Errorf("of two sites: voters moved from %v to %v", rest, got)
+	}
+}
+
+// TestKnowledgeHasAnAge cuts a leader off with a minority and looks at what each member says of the age of what it knows: never younger than
+// it can be. Guards against a leader that takes itself for one, and members that believe it.
+func TestKnowledgeHasAnAge(t *testing.T) {
+	w := newWorld(t, 3, "a", "a", "a", "a", "a")
+	if _, known := w.cores[4].AsOf(); known {
+		t.Error("an age is known before anything was heard")
+	}
+	fresh := func(i int) bool {
+		at, known := w.cores[i].AsOf()
+		return known && w.now-at < 2*time.Second
+	}
+	all := func() bool {
+		return len(w.voters()) == 3 && !slices.ContainsFunc([]int{0, 1, 2, 3, 4}, func(i int) bool { return !fresh(i) })
+	}
+	w.until("all know up to when they know", 30*time.Second, all)
+	lead := w.leader()
+	var voters, others []int
+	for i := range w.cores {
+		if slices.Contains(w.voters(), i) {
+			voters = append(voters, i)
+		} else {
+			others = append(others, i)
+		}
+	}
+	apart := map[int]bool{lead: true, others[0]: true} // the old leader, and one that asks it
+	at := w.now
+	w.cut = func(from, to int) bool { return apart[from] != apart[to] }
+	w.each = func() {
+		for i := range apart {
+			if asOf, _ := w.cores[i].AsOf(); asOf > at {
+				t.Fatalf("%d knows up to %v, and was cut off from the majority at %v", i, asOf, at)
+			}
+		}
+	}
+	w.until("the others go on", 20*time.Second, func() bool {
+		for _, i := range append(slices.Clone(voters), others[1]) {
+			if !apart[i] && !fresh(i) {
+				return false
+			}
+		}
+		return true
+	})
+	w.run(5 * time.Second)
+	w.each = func() {}
+	w.cut = func(int, int) bool { return false }
+	w.until("all know again", 20*time.Second, all)
+}
+
+// TestPutsAreAgreed puts items by members that vote and that do not. Guards against a put that is done twice, half or without being
+// agreed, and states that differ by the way that they were come by.
+func TestPutsAreAgreed(t *testing.T) {
+	w := newWorld(t, 3, "a", "a", "a", "a", "a")
+	w.until("there are three voters", 30*time.Second, func() bool { return len(w.voters()) == 3 && w.same() })
+	w.run(5 * time.Second) // views settle
+	w.until("all know the same", 5*time.Second, w.same)
+	for i := range w.cores {
+		was := w.cores[i].Feed().Version()
+		p := views.Put{Key: fmt.Sprintf("config/%d", i), Value: []byte{byte(i)}, Op: fmt.Sprintf("op-%d", i)}
+		d := w.put(i, p)
+		if d.Refused != "" || d.Version != was+1 {
+			t.Fatalf("put by %d on version %d: %+v", i, was, d)
+		}
+		if again := w.put((i+1)%5, p); again != d {
+			t.Errorf("asked again: %+v, before %+v", again, d)
+		}
+		w.until("all know the same", 5*time.Second, w.same)
+		if v, _ := w.cores[0].Feed().Get(p.Key); string(v) != string(p.Value) || w.cores[0].Feed().Version() != d.Version {
+			t.Errorf("%s is %q at version %d", p.Key, v, w.cores[0].Feed().Version())
+		}
+	}
+	was := w.cores[0].Feed().Version()
+	for _, c := range []struct {
+		put  views.Put
+		want string
+	}{
+		{views.Put{Key: "member/x", Op: "a"}, "none of operators'"},
+		{views.Put{Key: "config/x"}, "an operation's name"},
+		{views.Put{Key: "config/x", Op: "b", Value: make([]byte, views.MostValue+1)}, "262144 are the most"},
+		{views.Put{Key: "config/0", Op: "c", Only: true}, "is in force, not 0"},
+		{views.Put{Key: "config/none", Op: "d", Gone: true}, "there is no config/none"},
+	} {
+		if d := w.put(2, c.put); !strings.Contains(d.Refused, c.want) || d.Version != 0 {
+			t.Errorf("%+v: wanted %q", d, c.want)
+		}
+	}
+	if now := w.cores[0].Feed().Version(); now != was {
+		t.Errorf("what was refused made version %d of %d", now, was)
+	}
+	if d := w.put(3, views.Put{Key: "config/0", Gone: true, Op: "gone"}); d.Version != was+1 {
+		t.Errorf("%+v", d)
+	}
+	late := w.join(3, "a") // it has it by a snapshot
+	w.until("one that came later knows the same", 20*time.Second, func() bool { return w.same() && len(w.cores[late].State().Members) == 6 })
+	w.until("and the same by the log, built anew", time.Second, func() bool {
+		st := w.cores[w.leader()].log.State()
+		return agree.Whole(st).Digest == w.cores[late].Feed().Digest()
+	})
+	if v, is := w.cores[late].Feed().Get("config/4"); !is || v[0] != 4 {
+		t.Errorf("config/4 there: %v %v", v, is)
+	}
+	if len(w.lines) > 0 {
+		t.Errorf("%q", w.lines)
+	}
+}
+
+// TestAnOlderProgramCountsNoOtherVersions has a member of an older program in the fleet. Guards against puts that it would not count, and
+// against an answer that it can't read.
+func TestAnOlderProgramCountsNoOtherVersions(t *testing.T) {
+	w := newWorld(t, 3, "a", "a", "a", "a")
+	w.form[3] = 1
+	w.until("all are members", 30*time.Second, func() bool {
+		return len(w.voters()) == 3 && len(w.cores[0].State().Members) == 4 && w.same()
+	})
+	if d := w.put(1, views.Put{Key: "config/a", Op: "a"}); !strings.Contains(d.Refused, id(3)) {
+		t.Errorf("%+v", d)
+	}
+	w.turn(3, true)
+	w.until("it is no member any more", 30*time.Second, func() bool { return len(w.cores[0].State().Members) == 3 })
+	if d := w.put(1, views.Put{Key: "config/a", Op: "b"}); d.Version == 0 {
+		t.Errorf("%+v", d)
+	}
+
+	c := w.cores[0]
+	c.Step(Packet{From: id(3), Poll: &Poll{}})
+	r, err := c.Ready()
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := r.Packets[len(r.Packets)-1].Told
+	if len(told.Members) != 3 || len(told.Slots) == 0 || told.Changes != nil || told.Snapshot != nil || told.Version != c.State().Version {
+		t.Errorf("an older one is told %+v", told)
+	}
+	// One that knows nothing of items takes that answer; one that has them does not, as it would lose them.
+	old := *told
+	old.Form, old.Digest, old.Known = 0, 0, false
+	young, err := New(w.cfgs[3], Saved{}, w.now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	young.Step(Packet{From: id(0), Told: &old})
+	if young.Feed().Version() != old.Version || len(young.State().Members) != 3 || young.Feed().Len() == 0 {
+		t.Errorf("it has version %d, %d keys", young.Feed().Version(), young.Feed().Len())
+	}
+	old.Version += 7
+	was := c.Feed().Version()
+	c.Step(Packet{From: id(3), Told: &old})
+	if c.Feed().Version() != was {
+		t.Error("an older member's answer took the place of a state with items")
+	}
+}
+
+// TestTwoHistoriesAreTold hands a member a state of its own version with other contents. Guards against one that mixes them.
+func TestTwoHistoriesAreTold(t *testing.T) {
+	w := newWorld(t, 1, "a", "a")
+	w.until("all know the same", 20*time.Second, func() bool { return w.cores[1].Feed().Version() > 1 && w.same() })
+	c := w.cores[1]
+	was := c.Feed().Digest()
+	other := feed.NewSnapshot("f", c.Feed().Version(), []feed.Item{{Key: "epoch", Value: []byte("9")}, {Key: "fleet", Value: []byte("f")}})
+	for range 2 {
+		c.Step(Packet{From: id(0), Told: &Told{Fleet: "f", Form: Form, Version: other.Version, Digest: other.Digest, Snapshot: other}})
+	}
+	r, _ := c.Ready()
+	if c.Feed().Digest() != was || r.Installed != nil {
+		t.Error("it was taken")
+	}
+	if n := len(slices.DeleteFunc(r.Lines, func(l Line) bool { return !l.Bad })); n != 1 {
+		t.Errorf("told %d times", n)
+	}
+}
