Tests of control processes and their followers on real sockets

Change: cmd/sabletally/control_test.go: five control processes, ten followers in the test process and two balancers through a kill, a stop, a cut, an end of all and a lost majority; a word told by a follower; an upgrade; files of other roles. internal/fleet/publish: followers over sockets, one of them deaf, operations that are too many or whose control process ends. standin.Ties.Admit lets strangers' connections through. A control process takes 64 streams more than followers, so that one too many is told when to come again. Ruled out: a balancer whose listening socket the platform holds does not ask for its word, as before (main.go, gate.Shared).

--- /dev/null
+++ b/cmd/sabletally/control_test.go
@@ -0,0 +1,545 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sabletally/internal/fleet"
+	"sabletally/internal/fleet/boottime"
+	"sabletally/internal/fleet/feed"
+	"sabletally/internal/fleet/follow"
+	"sabletally/internal/lab/field"
+	"sabletally/internal/lab/standin"
+)
+
+// These tests start control processes, and balancers that follow them: real ones, and the followers of such in this process.
+
+const (
+	inForce = 7 * time.Second // a change is in force everywhere
+	later   = time.Second     // sockets and a busy machine
+)
+
+// tier is a fleet with control processes.
+type tier struct {
+	*field.Band
+	t         *testing.T
+	dir       string
+	control   []*field.Process
+	all       []int
+	followers []*hollow
+	balancers []*field.Process
+	puts      int
+}
+
+// hollow is a balancer's follower without a balancer.
+type hollow struct {
+	*follow.Follow
+	at int // its place among the ways
+
+	mu   sync.Mutex
+	last uint64
+	bad  string
+}
+
+// newTier starts so many control processes in as many zones as told, and followers in this process.
+func newTier(t *testing.T, control, zones, followers int) *tier {
+	t.Parallel()
+	dir := t.TempDir()
+	b, err := field.NewBand(control+followers, dir, 12)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	b.Ties.Admit()
+	b.Less = fmt.Sprintf("role = \"control\"\n  voters = %d", control)
+	m := &tier{Band: b, t: t, dir: dir}
+	for i := range control {
+		name := fmt.Sprintf("c%d", i)
+		p, err := field.NewProcess(name, []string{os.Args[0], "fleet", "control", filepath.Join(dir, fmt.Sprintf("fleet-%d.hcl", i)), "--name", name},
+			[]string{"SABLETALLY_CHILD=1"}, dir, nil)
+		if err == nil {
+			err = b.Enlist(i, min(3, control), zones, p)
+		}
+		if err == nil {
+			err = p.Launch()
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(p.Kill)
+		m.control, m.all = append(m.control, p), append(m.all, i)
+	}
+	t.Cleanup(func() {
+		for _, p := range append(slices.Clone(m.control), m.balancers...) {
+			if t.Failed() {
+				t.Logf("%s: %s", p.Name, p.Tail())
+			}
+		}
+	})
+	m.want("the control processes are together and publish", m.all, func(r fleet.Report) bool {
+		return field.Together(control)(r) && repaired(r) && r.Publishing.Age >= 0 && r.Publishing.Age < feed.Lease.Seconds()
+	})
+	for i := range followers {
+		f := &hollow{at: control + i}
+		f.Follow = follow.Open(follow.Options{Fleet: "lab", Name: fmt.Sprint("f", i), ID: fmt.Sprint("follower-", i), Life: 1, Zone: field.Zone(i % zones),
+			Site: "s", Seeds: m.seeds(), Seed: uint64(i), From: b.Ties.Listen(f.at).Addr(), Now: boottime.Now, Log: zap.NewNop(), Applied: f.applied})
+		t.Cleanup(f.Close)
+		m.followers = append(m.followers, f)
+	}
+	t.Cleanup(func() {
+		for _, f := range m.followers {
+			f.mu.Lock()
+			if f.bad != "" {
+				t.Errorf("follower %d: %s", f.at, f.bad)
+			}
+			f.mu.Unlock()
+		}
+	})
+	return m
+}
+
+func (m *tier) seeds() (all []netip.AddrPort) {
+	for i := range m.control {
+		all = append(all, m.Ties.Reached(i))
+	}
+	return all
+}
+
+// applied notes a step that is none: back, or over a gap.
+func (f *hollow) applied(version uint64, _ []feed.Item, whole bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version <= f.last || !whole && version != f.last+1 {
+		f.bad = fmt.Sprintf("version %d (whole %v) after %d", version, whole, f.last)
+	}
+	f.last = version
+}
+
+// want waits until control processes say of themselves what is wanted.
+func (m *tier) want(what string, who []int, is func(fleet.Report) bool) {
+	m.t.Helper()
+	began := time.Now()
+	if err := m.Until(what, 2*bound, who, is); err != nil {
+		m.t.Fatal(err)
+	}
+	m.t.Logf("%s: %v", what, time.Since(began).Round(10*time.Millisecond))
+}
+
+// soon waits until followers, or balancers, are as they have to be within a span.
+func (m *tier) soon(what string, within time.Duration, is func() error) {
+	m.t.Helper()
+	began := time.Now()
+	for {
+		err := is()
+		if err == nil {
+			m.t.Logf("%s: %v", what, time.Since(began).Round(10*time.Millisecond))
+			return
+		}
+		if time.Since(began) > within+later {
+			m.t.Fatalf("not within %v: %s: %v", within, what, err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// each asks all followers but those left out.
+func (m *tier) each(is func(follow.Status) bool, but ...*hollow) func() error {
+	return func() error {
+		for _, f := range m.followers {
+			if s := f.Status(); !slices.Contains(but, f) && !is(s) {
+				return fmt.Errorf("follower %d: %+v", f.at, s)
+			}
+		}
+		return nil
+	}
+}
+
+// following asks all balancers.
+func (m *tier) following(is func(*fleet.Following) bool) func() error {
+	return func() error {
+		for _, p := range m.balancers {
+			r, err := p.Fleet()
+			if err != nil {
+				return err
+			}
+			if r.Following == nil || !is(r.Following) {
+				return fmt.Errorf("%s: %+v", p.Name, r.Following)
+			}
+		}
+		return nil
+	}
+}
+
+func current(s follow.Status) bool { return s.Current && len(s.Relays) == 2 }
+
+// put changes an item by a control process, and answers the version that has it.
+func (m *tier) put(i int, key, value string) uint64 {
+	m.t.Helper()
+	m.puts++
+	req, err := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s/control/%s?op=op-%d", m.control[i].Mgmt, key, m.puts), strings.NewReader(value))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	for end := time.Now().Add(bound); ; time.Sleep(50 * time.Millisecond) { // the same operation until it is answered
+		req.Body, _ = req.GetBody()
+		r, err := (&http.Client{Timeout: bound}).Do(req)
+		if err == nil {
+			var text bytes.Buffer
+			text.ReadFrom(r.Body)
+			r.Body.Close()
+			if r.StatusCode == http.StatusOK {
+				v, err := strconv.ParseUint(strings.TrimSpace(text.String()), 10, 64)
+				if err != nil {
+					m.t.Fatal(err)
+				}
+				return v
+			}
+			err = fmt.Errorf("%s: %s", r.Status, text.String())
+		}
+		if time.Now().After(end) {
+			m.t.Fatalf("%s is not put: %v", key, err)
+		}
+	}
+}
+
+// everywhere puts an item and waits until all followers and balancers have it.
+func (m *tier) everywhere(i int, key, value string, but ...*hollow) {
+	m.t.Helper()
+	v := m.put(i, key, value)
+	m.soon(fmt.Sprintf("%s is in force everywhere, as version %d", key, v), inForce, func() error {
+		if err := m.each(func(s follow.Status) bool { return s.Version >= v }, but...)(); err != nil {
+			return err
+		}
+		return m.following(func(f *fleet.Following) bool { return f.Version >= v && f.Current })()
+	})
+	for _, f := range m.followers {
+		if got, _ := f.Get(key); !slices.Contains(but, f) && string(got) != value {
+			m.t.Errorf("follower %d has %q under %s", f.at, got, key)
+		}
+	}
+}
+
+// balancer makes a balancer that follows the control processes, on a machine of its own; extra goes into its file.
+func (m *tier) balancer(name, machine, extra string, shared bool) *field.Process {
+	m.t.Helper()
+	dir := m.t.TempDir()
+	a := agent(m.t)
+	var seeds []string
+	for _, s := range m.seeds() {
+		seeds = append(seeds, fmt.Sprintf("%q", s))
+	}
+	file := filepath.Join(dir, "fleet.hcl")
+	text := fmt.Sprintf("fleet \"lab\" {\n  role = \"balancer\"\n  seeds = [%s]\n  data = %q\n  machine = %q\n  zone = %q\n  site = \"s\"\n}\n%s",
+		strings.Join(seeds, ", "), filepath.Join(dir, "data-"+machine), machine, field.Zone(0), extra)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		m.t.Fatal(err)
+	}
+	p, err := field.NewProcess(name, []string{os.Args[0]}, []string{"SABLETALLY_CHILD=1", "EDGE_DISCOVERY=" + a.Addr(), "SABLETALLY_FLEET=" + file}, dir, nil)
+	if err == nil && shared {
+		if err = p.Share(); err == nil {
+			m.t.Cleanup(p.Unshare)
+		}
+	}
+	if err == nil {
+		err = p.Operate()
+	}
+	if err == nil {
+		err = p.Write(station(name, p, a, 7))
+	}
+	if err == nil {
+		err = p.Launch()
+	}
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.t.Cleanup(p.Kill)
+	m.balancers = append(m.balancers, p)
+	return p
+}
+
+// TestFollowersThroughFaults kills, stops, cuts off and loses control processes under ten followers and two balancers. Guards against a
+// change that is not everywhere in time, a follower that takes old knowledge for new, goes back or stays with a control process that is
+// lost, and a restart after which everybody asks for a snapshot.
+func TestFollowersThroughFaults(t *testing.T) {
+	m := newTier(t, 5, 3, 10)
+	m.balancer("b0", "b0", "", false)
+	m.balancer("b1", "b1", "", false)
+	all := m.each(current)
+	fit := func(f *fleet.Following) bool { return f.Current && len(f.Relays) == 2 }
+	m.soon("all follow two", bound, all)
+	m.soon("the balancers as well", bound, m.following(fit))
+	m.everywhere(3, "config/limits", "one")
+
+	// One is killed: whoever followed it is elsewhere within the lease, and was current all the while.
+	lost, most := 0, 0
+	for i := range m.control {
+		if r, err := m.control[i].Fleet(); err == nil && r.Publishing.Followers > most {
+			lost, most = i, r.Publishing.Followers
+		}
+	}
+	lapses := func() (n uint64) {
+		for _, f := range m.followers {
+			n += f.Status().Count.Lapses
+		}
+		return n
+	}
+	was := lapses()
+	m.control[lost].Kill()
+	away := m.Ties.Reached(lost).String()
+	m.soon(fmt.Sprintf("c%d is lost, which %d follow: they are elsewhere", lost, most), feed.Lease, m.each(func(s follow.Status) bool {
+		return current(s) && !slices.Contains(s.Relays, away)
+	}))
+	if now := lapses(); now != was {
+		t.Errorf("%d followers were not current meanwhile", now-was)
+	}
+	m.everywhere((lost+1)%5, "config/limits", "two")
+	if err := m.control[lost].Launch(); err != nil {
+		t.Fatal(err)
+	}
+	m.want("it is back", m.all, field.Together(5))
+
+	// One is stopped, sleeps over changes and its followers' leases, and wakes on old state.
+	stopped := (lost + 2) % 5
+	m.control[stopped].Signal(syscall.SIGSTOP)
+	asleep := m.Ties.Reached(stopped).String()
+	m.soon("its followers are elsewhere", feed.Lease, m.each(func(s follow.Status) bool { return current(s) && !slices.Contains(s.Relays, asleep) }))
+	m.everywhere((stopped+1)%5, "config/limits", "three")
+	m.control[stopped].Signal(syscall.SIGCONT)
+	m.want("it has what it missed", m.all, func(r fleet.Report) bool {
+		return field.Together(5)(r) && r.Publishing.Age >= 0 && r.Publishing.Age < feed.Lease.Seconds()
+	})
+	m.everywhere(stopped, "config/limits", "four")
+
+	// A follower is cut off, and knows that by itself.
+	alone := m.followers[4]
+	m.Ties.Set(func(from, to int, tie *standin.Tie) { tie.Cut = from == alone.at || to == alone.at })
+	m.soon("one that is cut off says so", feed.Lease, func() error {
+		if s := alone.Status(); s.Current {
+			return fmt.Errorf("%+v", s)
+		}
+		return nil
+	})
+	m.everywhere(0, "config/limits", "five", alone)
+	if v, _ := alone.Get("config/limits"); string(v) != "four" {
+		t.Errorf("cut off it has %q", v)
+	}
+	before := alone.Status().Count.Snapshots
+	m.Ties.Set(func(_, _ int, tie *standin.Tie) { *tie = standin.Tie{} })
+	m.soon("it is current again", bound, all)
+	if s := alone.Status(); s.Count.Snapshots != before {
+		t.Errorf("it was sent %d snapshots for a change that was kept", s.Count.Snapshots-before)
+	}
+
+	// All are killed at once and started again. Who has the version is sent no snapshot.
+	snapshots := func() (n uint64) {
+		for _, f := range m.followers {
+			n += f.Status().Count.Snapshots
+		}
+		return n
+	}
+	m.soon("all have all", bound, func() error {
+		r, err := m.control[0].Fleet()
+		if err != nil {
+			return err
+		}
+		return m.each(func(s follow.Status) bool { return s.Version == r.Held.Version })()
+	})
+	had := snapshots()
+	for _, p := range m.control {
+		p.Signal(syscall.SIGKILL)
+	}
+	for _, p := range m.control {
+		p.Kill()
+	}
+	m.soon("without any nobody is current", feed.Lease, m.each(func(s follow.Status) bool { return !s.Current }))
+	m.soon("nor is a balancer", feed.Lease, m.following(func(f *fleet.Following) bool { return !f.Current }))
+	for _, p := range m.control {
+		if err := p.Launch(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	m.soon("all follow again", 2*bound, all)
+	if n := snapshots() - had; n != 0 {
+		t.Errorf("%d snapshots after all were started again", n)
+	}
+	m.everywhere(1, "config/limits", "six")
+
+	// Most voters are lost: nobody can tell any more whether there is something newer.
+	m.want("five vote", m.all, func(r fleet.Report) bool { return r.Held.Voters == 5 })
+	for _, p := range m.control[:3] {
+		p.Signal(syscall.SIGKILL)
+	}
+	for _, p := range m.control[:3] {
+		p.Kill()
+	}
+	m.soon("with most voters lost nobody is current", feed.Lease, m.each(func(s follow.Status) bool { return !s.Current }))
+	m.soon("nor is a balancer", feed.Lease, m.following(func(f *fleet.Following) bool { return !f.Current }))
+	if code, text, err := m.control[4].Call(http.MethodGet, "/control/ready"); err != nil || code != http.StatusServiceUnavailable {
+		t.Errorf("c4 is ready with two of five voters: %d %s %v", code, text, err)
+	}
+	for _, p := range m.control[:3] {
+		if err := p.Launch(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	m.soon("all are current again", 2*bound, all)
+	m.everywhere(2, "config/limits", "seven")
+	for _, address := range []string{m.balancers[0].Mgmt, m.control[1].Mgmt} {
+		if code := command([]string{"fleet", "status", address}); code != 0 {
+			t.Errorf("status of %s: exit %d", address, code)
+		}
+	}
+	for _, c := range []struct {
+		args []string
+		code int
+	}{
+		{[]string{"put", m.control[3].Mgmt, "config/by hand", "x"}, 1},
+		{[]string{"put", m.control[3].Mgmt, "config/by-hand", "x", "--op", "once"}, 0},
+		{[]string{"put", m.control[0].Mgmt, "config/by-hand", "x", "--op", "once"}, 0},
+		{[]string{"put", m.control[0].Mgmt, "config/by-hand", "y", "--if", "0"}, 1},
+		{[]string{"get", m.control[3].Mgmt, "config/none"}, 1},
+		{[]string{"put", m.control[0].Mgmt, "config/by-hand", "--gone"}, 0},
+	} {
+		if code := command(append([]string{"fleet"}, c.args...)); code != c.code {
+			t.Errorf("%q: exit %d, wanted %d", c.args, code, c.code)
+		}
+	}
+}
+
+// TestAWordByAFollower has an operator take a balancer out of service that is no member, loses its machine and starts it elsewhere; then
+// upgrades it. Guards against a balancer that takes clients although it was told not to, and an upgrade that is two followers.
+func TestAWordByAFollower(t *testing.T) {
+	m := newTier(t, 3, 3, 0)
+	says := func(p *field.Process, want string) {
+		t.Helper()
+		m.soon(p.Name+" says "+want, bound, func() error {
+			code, text, err := p.Call("GET", "/control/ready")
+			if err == nil && !strings.Contains(text, want) {
+				err = fmt.Errorf("%d %s", code, text)
+			}
+			return err
+		})
+	}
+	tells := func(p *field.Process, path, want string) {
+		t.Helper()
+		if code, text, err := p.Call("PUT", path); code != 200 {
+			t.Fatal(code, text, err)
+		}
+		m.soon(p.Name+" logs "+want, bound, func() error {
+			if !strings.Contains(p.Tail(), want) {
+				return fmt.Errorf("%s", p.Tail())
+			}
+			return nil
+		})
+	}
+	p := m.balancer("b", "here", "hold \"intents\" { grades = [\"pay\"] }\n", false)
+	says(p, "yes")
+	tells(p, "/control/out-of-service", `"fleet: word is held"`)
+	p.Kill()
+	m.balancers = nil
+	p = m.balancer("b", "there", "", false)
+	says(p, "out of service")
+	tells(p, "/control/in-service", `"out":false,"version":2`)
+	p.Kill()
+
+	m.balancers = nil
+	p = m.balancer("u", "u", "", true)
+	says(p, "yes")
+	m.soon("one that is to be upgraded follows", bound, m.following(func(f *fleet.Following) bool { return f.Current }))
+	was, err := p.Fleet()
+	if err != nil {
+		t.Fatal(err)
+	}
+	young, err := p.Beside()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(young.Kill)
+	if err := young.Launch(); err != nil {
+		t.Fatal(err)
+	}
+	if err := young.Yes(); err != nil {
+		t.Fatal(err)
+	}
+	if r, err := young.Fleet(); err != nil || r.Member || r.Why == "" {
+		t.Fatalf("two processes are the follower: %+v, %v", r, err)
+	}
+	p.Signal(syscall.SIGTERM)
+	<-p.Exited()
+	m.balancers = []*field.Process{young}
+	m.soon("the new process follows", bound, m.following(func(f *fleet.Following) bool { return f.Current }))
+	if r, err := young.Fleet(); err != nil || r.Self.ID != was.Self.ID || r.Self.Life != was.Self.Life+1 {
+		t.Errorf("%+v after %+v, %v", r.Self, was.Self, err)
+	}
+
+	// A control process that ends as planned hands over, and sends its followers elsewhere.
+	r, err := young.Fleet()
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := slices.IndexFunc(m.seeds(), func(a netip.AddrPort) bool { return a.String() == r.Following.Relays[0] })
+	m.control[at].Signal(syscall.SIGTERM)
+	<-m.control[at].Exited()
+	if err := m.control[at].Err(); err != nil {
+		t.Errorf("c%d ended with %v", at, err)
+	}
+	m.soon("its follower is elsewhere", feed.Lease, m.following(func(f *fleet.Following) bool {
+		return f.Current && len(f.Relays) > 0 && !slices.Contains(f.Relays, r.Following.Relays[0])
+	}))
+}
+
+// TestAFileOfAnotherRole starts a balancer with a control process's file, and a control process with others.
+func TestAFileOfAnotherRole(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "f.hcl")
+	write := func(role string) {
+		t.Helper()
+		text := fmt.Sprintf("fleet \"lab\" {\n%s\n  seeds = [\"127.0.0.1:1\"]\n  data = %q\n  machine = \"m\"\n  zone = \"z\"\n  site = \"s\"\n}\n", role, filepath.Join(dir, "data"))
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a := agent(t)
+	p, err := field.NewProcess("n", []string{os.Args[0]}, nil, dir, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Write(station("n", p, a, 7)); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		role, want string
+		args       []string
+	}{
+		{"  role = \"control\"\n  listen = \"127.0.0.1:1\"", "start it by sabletally fleet control", nil},
+		{"  role = \"balancer\"", `role \"balancer\" is no control process's`, []string{"fleet", "control", file}},
+		{"  listen = \"127.0.0.1:1\"", `role \"\" is no control process's`, []string{"fleet", "control", file}},
+		{"  role = \"controls\"", "f.hcl:2:10: role: \\\"controls\\\" is none of control, balancer", []string{"fleet", "control", file}},
+	} {
+		write(c.role)
+		cmd := exec.Command(os.Args[0], c.args...)
+		cmd.Env = append(os.Environ(), "SABLETALLY_CHILD=1", "SABLETALLY_FLEET="+file, "EDGE_CONFIG="+filepath.Join(dir, "n.json"), "EDGE_LISTEN=127.0.0.1:0")
+		out, _ := cmd.CombinedOutput()
+		want := c.want
+		if c.args != nil {
+			want = strings.ReplaceAll(want, `\"`, `"`)
+		}
+		if code := cmd.ProcessState.ExitCode(); code != 2 || !strings.Contains(string(out), want) {
+			t.Errorf("%q: exit %d, %s", c.role, code, out)
+		}
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -102,7 +102,11 @@
 	if f.file.Role == config.Balancer {
 		return f.follow(s)
 	}
-	w, err := contact.Listen(f.file.Listen, f.file.Advertise, f.file.Followers)
+	streams := 0
+	if f.file.Role == config.Control {
+		streams = f.file.Followers + publish.More
+	}
+	w, err := contact.Listen(f.file.Listen, f.file.Advertise, streams)
 	if err != nil {
 		s.Close()
 		return fmt.Errorf("listen: %w", err)
--- a/internal/fleet/publish/publish.go
+++ b/internal/fleet/publish/publish.go
@@ -32,6 +32,9 @@
 	leaveIn = 500 * time.Millisecond
 )
 
+// More is how many streams there may be beyond the followers that are taken: those are told when to come again.
+const More = 64
+
 // Holder is where operations and puts are asked.
 type Holder interface {
 	Ask(op copies.Op, within time.Duration, done func(copies.Result))
--- /dev/null
+++ b/internal/fleet/publish/publish_test.go
@@ -0,0 +1,368 @@
+package publish_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sabletally/internal/fleet/boottime"
+	"sabletally/internal/fleet/contact"
+	"sabletally/internal/fleet/copies"
+	"sabletally/internal/fleet/feed"
+	"sabletally/internal/fleet/follow"
+	"sabletally/internal/fleet/publish"
+	"sabletally/internal/fleet/stream"
+	"sabletally/internal/fleet/views"
+)
+
+const bound = 20 * time.Second
+
+// holder keeps what is asked until it is told to answer.
+type holder struct {
+	mu   sync.Mutex
+	mute bool
+	asks []func()
+	seen map[string]int
+	last atomic.Uint64
+}
+
+func (h *holder) Ask(op copies.Op, _ time.Duration, done func(copies.Result)) {
+	h.do(op.ID, func() {
+		done(copies.Result{Op: op.ID, Outcome: copies.Done, Record: copies.Record{Key: op.Key, Version: 7}})
+	})
+}
+
+func (h *holder) Put(p views.Put, _ time.Duration, done func(views.Done)) {
+	h.do(p.Op, func() { done(views.Done{Op: p.Op, Version: h.last.Add(1)}) })
+}
+
+func (h *holder) do(op string, answer func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.seen == nil {
+		h.seen = map[string]int{}
+	}
+	h.seen[op]++
+	if h.mute {
+		h.asks = append(h.asks, answer)
+	} else {
+		go answer()
+	}
+}
+
+func (h *holder) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.asks)
+}
+
+// tier is control processes' publishers, which are told the same.
+type tier struct {
+	t       *testing.T
+	log     *feed.Log
+	all     []*publish.Publisher
+	holders []*holder
+	wires   []*contact.Wire
+	addrs   []netip.AddrPort
+	stop    chan struct{}
+	ends    sync.WaitGroup
+	stale   atomic.Bool
+	mu      sync.Mutex
+}
+
+func newTier(t *testing.T, many, most int) *tier {
+	r := &tier{t: t, log: feed.NewLog(feed.LogConfig{Most: 100, Bytes: 1 << 20}), stop: make(chan struct{})}
+	for i := range many {
+		var w *contact.Wire
+		var addr netip.AddrPort
+		for try := range 20 { // a port that is free for the one kind may be taken for the other
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			addr = ln.Addr().(*net.TCPAddr).AddrPort()
+			ln.Close()
+			if w, err = contact.Listen(addr, addr, most+publish.More); err == nil {
+				break
+			} else if try == 19 {
+				t.Fatal(err)
+			}
+		}
+		p := publish.New(publish.Options{ID: fmt.Sprint("c", i), Fleet: "lab", Most: most, Seed: uint64(i), Wire: w, Now: boottime.Now, Log: zap.NewNop()})
+		h := &holder{}
+		p.Serve(h)
+		r.all, r.holders, r.wires, r.addrs = append(r.all, p), append(r.holders, h), append(r.wires, w), append(r.addrs, addr)
+	}
+	r.change(feed.Item{Key: feed.FleetKey, Value: []byte("f")})
+	r.ends.Add(1)
+	go func() {
+		defer r.ends.Done()
+		for {
+			select {
+			case <-r.stop:
+				return
+			case <-time.After(50 * time.Millisecond):
+				if !r.stale.Load() {
+					for _, p := range r.all {
+						p.Fresh(boottime.Now())
+					}
+				}
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		close(r.stop)
+		r.ends.Wait()
+		for i := range r.all {
+			r.end(i)
+		}
+	})
+	return r
+}
+
+func (r *tier) end(i int) {
+	r.wires[i].Shutdown()
+	r.all[i].Close()
+}
+
+func (r *tier) change(items ...feed.Item) uint64 {
+	r.t.Helper()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c, err := r.log.Next(items)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	for _, p := range r.all {
+		p.Changed(nil, []*feed.Change{&c})
+	}
+	return c.Version
+}
+
+// follower notes what it is told, and what it must not be.
+type follower struct {
+	*follow.Follow
+	mu   sync.Mutex
+	last uint64
+	bad  string
+	went int // steps
+}
+
+func (r *tier) follower(i int) *follower {
+	f := &follower{}
+	applied := func(version uint64, items []feed.Item, whole bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.went++
+		if version <= f.last || !whole && version != f.last+1 {
+			f.bad = fmt.Sprintf("version %d (whole %v) after %d", version, whole, f.last)
+		}
+		f.last = version
+	}
+	f.Follow = follow.Open(follow.Options{Fleet: "lab", Name: fmt.Sprint("b", i), ID: fmt.Sprint("id", i), Life: 1, Zone: "z", Site: "s", Seeds: r.addrs,
+		Seed: uint64(i), Now: boottime.Now, Log: zap.NewNop(), Applied: applied})
+	r.t.Cleanup(f.Close)
+	return f
+}
+
+func (f *follower) check(t *testing.T) {
+	t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.bad != "" {
+		t.Error(f.bad)
+	}
+}
+
+func until(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(bound); !is(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", bound, what)
+		}
+	}
+}
+
+func every(all []*follower, is func(follow.Status) bool) func() bool {
+	return func() bool {
+		for _, f := range all {
+			if !is(f.Status()) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// TestAllHearEachVersion has followers hear changes from two control processes, one of which ends, while one follower reads nothing.
+// Guards against a version that is left out, told twice or out of order, and against a slow one that others wait for.
+func TestAllHearEachVersion(t *testing.T) {
+	r := newTier(t, 2, 100)
+	var all []*follower
+	for i := range 20 {
+		all = append(all, r.follower(i))
+	}
+	until(t, "all are current, by two", every(all, func(s follow.Status) bool { return s.Current && len(s.Relays) == 2 && s.Version == 1 && s.Fleet == "f" }))
+
+	slow, err := net.Dial("tcp", r.addrs[0].String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer slow.Close()
+	slow.(*net.TCPConn).SetReadBuffer(4096)
+	words := []byte{stream.Mark}
+	for _, body := range [][]byte{stream.Encode(stream.Greeting{Fleet: "lab"}), feed.Encode(&feed.Msg{Hello: &feed.Hello{Form: feed.Form, ID: "slow", Life: 1}})} {
+		words = append(append(words, stream.Header(body)...), body...)
+	}
+	slow.Write(words)
+	until(t, "the slow one is there", func() bool { return r.all[0].Status().Followers.Here == 21 })
+
+	value := make([]byte, 8<<10)
+	for i := range 200 { // 1.6 MB: more than the window, and than the ring of the source
+		value[0] = byte(i)
+		r.change(feed.Item{Key: fmt.Sprint("config/", i%7), Value: append([]byte(nil), value...)})
+	}
+	until(t, "all have the newest", every(all, func(s follow.Status) bool { return s.Version == 201 && s.Current }))
+	until(t, "all but the slow one have it there, which is let go", func() bool {
+		s := r.all[0].Status()
+		if s.Followers.Here == 21 && s.Followers.Lowest > 100 {
+			t.Fatalf("the slow one has acknowledged %d", s.Followers.Lowest)
+		}
+		return s.Followers.Here == 20 && s.Followers.Current == 20 && s.Count.Lapsed == 1
+	})
+	r.end(0)
+	until(t, "all have left it", every(all, func(s follow.Status) bool { return len(s.Relays) == 1 && s.Current }))
+	r.change(feed.Item{Key: "config/last", Value: []byte("x")})
+	until(t, "all have the last", every(all, func(s follow.Status) bool { return s.Version == 202 && s.Digest == r.log.Digest() }))
+	for _, f := range all {
+		f.check(t)
+		if s := f.Status(); s.Count.Snapshots > 1 || s.Count.Mismatches+s.Count.Conflicts+s.Count.Refused > 0 {
+			t.Errorf("%+v", s.Count)
+		}
+		if v, _ := f.Get("config/last"); string(v) != "x" {
+			t.Errorf("config/last is %q", v)
+		}
+	}
+	r.stale.Store(true) // nobody knows any more that nothing newer is agreed
+	until(t, "none is current", every(all, func(s follow.Status) bool { return !s.Current }))
+}
+
+// TestAFollowersOperations asks for more than is taken, and ends a control process that has not answered. Guards against followers that
+// fill a control process, an answer that goes to another one, and an operation that is lost with a connection.
+func TestAFollowersOperations(t *testing.T) {
+	r := newTier(t, 2, 100)
+	f, other := r.follower(1), r.follower(2)
+	until(t, "both follow two", every([]*follower{f, other}, func(s follow.Status) bool { return len(s.Relays) == 2 }))
+	ask := func(f *follower, id string, within time.Duration) <-chan copies.Result {
+		out := make(chan copies.Result, 2)
+		f.Ask(copies.Op{ID: id, Key: id}, within, func(r copies.Result) { out <- r })
+		return out
+	}
+	for i, f := range []*follower{f, other} {
+		if got := <-ask(f, fmt.Sprint("a", i), bound); got.Outcome != copies.Done || got.Op != fmt.Sprint("a", i) || got.Record.Version != 7 {
+			t.Errorf("%+v", got)
+		}
+	}
+	for _, h := range r.holders {
+		h.mu.Lock()
+		h.mute = true
+		h.mu.Unlock()
+	}
+	const most = 256
+	var out []<-chan copies.Result
+	for i := range most + 1 {
+		out = append(out, ask(f, fmt.Sprint("b", i), bound))
+	}
+	if got := <-out[most]; got.Outcome != copies.Refused || got.Why != copies.Busy {
+		t.Errorf("one too many: %+v", got)
+	}
+	asked := 0 // which of the two
+	if r.holders[1].count() == most {
+		asked = 1
+	}
+	until(t, "all are under way", func() bool { return r.holders[asked].count() == most })
+	if got := <-ask(other, "c", 50*time.Millisecond); got.Outcome != copies.Unknown {
+		t.Errorf("no answer in time: %+v", got)
+	}
+	r.holders[1-asked].mu.Lock()
+	r.holders[1-asked].mute = false
+	r.holders[1-asked].mu.Unlock()
+	r.end(asked)
+	for i, o := range out[:most] {
+		select {
+		case got := <-o:
+			if got.Outcome != copies.Done || got.Op != fmt.Sprint("b", i) {
+				t.Fatalf("asked again elsewhere: %+v", got)
+			}
+		case <-time.After(bound):
+			t.Fatalf("b%d was not asked again", i)
+		}
+	}
+	done := make(chan feed.PutDone, 1)
+	f.Put(feed.Put{Op: "p", Key: "config/a", Any: true}, bound, func(d feed.PutDone) { done <- d })
+	if d := <-done; d.Version == 0 || d.Refused != "" {
+		t.Errorf("%+v", d)
+	}
+	r.end(1 - asked)
+	until(t, "nobody is left", func() bool { return len(f.Status().Relays) == 0 })
+	if got := <-ask(f, "d", 50*time.Millisecond); got.Outcome != copies.Refused || got.Why != copies.Busy {
+		t.Errorf("nobody was asked: %+v", got)
+	}
+}
+
+// TestWhoIsNotTaken has followers that are too many, of another fleet and not understood. Guards against a control process that holds what it
+// does not know, and against one that says nothing to who has to go elsewhere.
+func TestWhoIsNotTaken(t *testing.T) {
+	r := newTier(t, 1, 3)
+	var all []*follower
+	for i := range 3 {
+		all = append(all, r.follower(i))
+	}
+	until(t, "three follow", every(all, func(s follow.Status) bool { return s.Current }))
+	hello := func(id string) []byte {
+		return feed.Encode(&feed.Msg{Hello: &feed.Hello{Form: feed.Form, ID: id, Life: 1}})
+	}
+	lab := stream.Encode(stream.Greeting{Fleet: "lab"})
+	for name, bodies := range map[string][][]byte{
+		"one too many":     {lab, hello("x")},
+		"of another fleet": {stream.Encode(stream.Greeting{Fleet: "other"}), hello("id0")},
+		"no hello":         {lab, feed.Encode(&feed.Msg{Renew: &feed.Renew{Number: 1}})},
+		"no greeting":      {[]byte("?")},
+	} {
+		c, err := net.Dial("tcp", r.addrs[0].String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		words := []byte{stream.Mark}
+		for _, body := range bodies {
+			words = append(append(words, stream.Header(body)...), body...)
+		}
+		c.Write(words)
+		c.SetReadDeadline(time.Now().Add(bound))
+		text, err := io.ReadAll(c)
+		if ne, is := err.(net.Error); is && ne.Timeout() {
+			t.Errorf("%s: it is held", name)
+		}
+		var told feed.Msg
+		if len(text) > stream.Head {
+			told, _ = feed.Decode(text[stream.Head:])
+		}
+		if e := told.Elsewhere; (e != nil) != (name == "one too many") || e != nil && e.Wait <= 0 {
+			t.Errorf("%s: it is told %q", name, text)
+		}
+	}
+	if s := r.all[0].Status(); s.Followers.Here != 3 {
+		t.Errorf("%+v", s.Followers)
+	}
+	for _, f := range all {
+		f.check(t)
+	}
+}
--- a/internal/lab/standin/ties.go
+++ b/internal/lab/standin/ties.go
@@ -30,6 +30,7 @@
 type Ties struct {
 	fronts []*front
 	real   []netip.AddrPort
+	guests []*Link // by member: for connections of strangers, where they are let in
 
 	mu    sync.Mutex
 	ties  [][]Tie // from, to
@@ -80,6 +81,15 @@
 	return t, nil
 }
 
+// Admit lets in strangers' connections, which nothing is between. It is called before any is made.
+func (t *Ties) Admit() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, addr := range t.real {
+		t.guests = append(t.guests, newWay(addr.String()))
+	}
+}
+
 // listenBoth takes one address for datagrams and connections.
 func listenBoth() (*front, error) {
 	var last error
@@ -131,7 +141,7 @@
 	for _, f := range t.fronts {
 		f.close()
 	}
-	for _, row := range t.links {
+	for _, row := range append(t.links, t.guests) {
 		for _, l := range row {
 			l.Close()
 		}
@@ -155,6 +165,13 @@
 			return
 		}
 		from := t.sender(c.RemoteAddr().(*net.TCPAddr).AddrPort().Addr())
+		t.mu.Lock()
+		if from < 0 && t.guests != nil {
+			go t.guests[to].carry(c)
+			t.mu.Unlock()
+			continue
+		}
+		t.mu.Unlock()
 		if from < 0 {
 			reset(c)
 			continue
