--- /dev/null
+++ b/internal/fleet/feed/feed_test.go
@@ -0,0 +1,894 @@
+package feed
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"sabletally/internal/fleet/views"
+)
+
+// two is a rig of two relays of one region and a follower that is up to date.
+func two(t *testing.T) (*rig, *client) {
+	r := newRig(t, "s", "s")
+	c := r.follower("b0", "s")
+	r.run(3 * time.Second)
+	r.newest(c)
+	if got := c.f.Relays(); len(got) != 2 {
+		t.Fatalf("it follows %v", got)
+	}
+	return r, c
+}
+
+// TestAFollowerSeesEachVersionInOrder puts changes and has the follower apply each once, by changes.
+func TestAFollowerSeesEachVersionInOrder(t *testing.T) {
+	r, c := two(t)
+	from := r.source.Version()
+	for i := range 50 {
+		r.put(config(i))
+		r.run(100 * time.Millisecond)
+	}
+	r.run(time.Second)
+	r.newest(c)
+	if c.f.Count.Snapshots != 1 || c.f.Count.Changes != 50 || c.f.Count.Wants > 1 {
+		t.Errorf("%+v", c.f.Count)
+	}
+	for i, a := range c.applied[len(c.applied)-50:] {
+		if a.Version != from+uint64(i)+1 || a.Whole {
+			t.Fatalf("step %d is version %d", i, a.Version)
+		}
+	}
+}
+
+// TestOneSnapshotAtAStart has a follower that knows nothing and two relays: one of them sends it all, the other goes on from there.
+func TestOneSnapshotAtAStart(t *testing.T) {
+	r, c := two(t)
+	if r.sent["snapshot"] != 1 {
+		t.Errorf("%d snapshots", r.sent["snapshot"])
+	}
+	before := c.f.Count.Had
+	r.put(config(1))
+	r.run(time.Second)
+	if c.f.Count.Had != before+1 {
+		t.Errorf("the second relay sends nothing: %+v", c.f.Count)
+	}
+}
+
+// TestARelayThatWakesOnOldState stops a relay while renewals to it are under way, and hands its answers over late: none of them makes
+// the follower's knowledge younger than it is.
+func TestARelayThatWakesOnOldState(t *testing.T) {
+	r := newRig(t, "s")
+	c := r.follower("b0", "s")
+	r.run(3 * time.Second)
+	r.newest(c)
+	s := r.relays["r0"]
+	s.stopped = true
+	truth := r.now // what was agreed until then is all that this relay knows
+	r.run(2 * time.Second)
+	r.put(config(1))
+	s.stale = true
+	s.stopped = false
+	for range 60 {
+		r.run(100 * time.Millisecond)
+		if age, _ := c.f.Age(r.now); r.now-age > truth {
+			t.Fatalf("at %v it takes its knowledge for that of %v, the relay's is of %v", r.now, r.now-age, truth)
+		}
+		if c.f.Current(r.now) && r.now-truth > Lease {
+			t.Fatalf("current at %v by knowledge of %v", r.now, truth)
+		}
+	}
+	if c.f.Count.Lapses != 1 || r.said(Stands) != 1 {
+		t.Errorf("%d lapses, told %d times", c.f.Count.Lapses, r.said(Stands))
+	}
+	s.stale = false
+	r.run(2 * time.Second)
+	r.newest(c)
+	if r.said(Again) != 2 { // the first one at the start
+		t.Errorf("told %d times that it is current", r.said(Again))
+	}
+}
+
+// TestAnAnswerFromABufferRenewsNothing hands a follower, which was stopped, what lay in its buffer meanwhile.
+func TestAnAnswerFromABufferRenewsNothing(t *testing.T) {
+	r, c := two(t)
+	c.stopped = true
+	at := r.now
+	r.run(500 * time.Millisecond)
+	var late []func()
+	c.waiting, late = nil, c.waiting
+	r.run(8 * time.Second)
+	r.now += 100 * time.Millisecond
+	if c.f.Current(r.now) {
+		t.Fatal("current by the clock as it is, with no beat yet")
+	}
+	c.stopped = false
+	for _, what := range late {
+		what()
+	}
+	c.f.Clock(r.now)
+	if age, _ := c.f.Age(r.now); c.f.Current(r.now) || r.now-age > at+500*time.Millisecond {
+		t.Errorf("its knowledge is %v old after %v", age, r.now-at)
+	}
+	// Its lapse was counted, and it is current once it is answered anew.
+	if c.f.Count.Lapses != 1 {
+		t.Errorf("%d lapses", c.f.Count.Lapses)
+	}
+	c.waiting = nil
+	r.run(4 * time.Second)
+	r.newest(c)
+}
+
+// TestAFollowerIsAheadOfItsRelay has a relay that lags behind what the follower knows by another.
+func TestAFollowerIsAheadOfItsRelay(t *testing.T) {
+	r := newRig(t, "s", "s")
+	r.relays["r1"].stale = true
+	for i := range 5 {
+		r.put(config(i))
+	}
+	c := r.follower("b0", "s")
+	r.run(3 * time.Second)
+	r.newest(c)
+	version := c.f.State().Version()
+	r.kill("r0")
+	r.run(2 * time.Second) // r1 alone, behind
+	if c.f.State().Version() != version || len(c.f.Relays()) != 1 {
+		t.Fatalf("version %d, relays %v", c.f.State().Version(), c.f.Relays())
+	}
+	r.run(6 * time.Second)
+	if c.f.Current(r.now) {
+		t.Error("current by a relay that knows nothing of its age")
+	}
+	r.relays["r1"].stale = false
+	snapshots := r.sent["snapshot"]
+	r.put(config(9))
+	r.run(3 * time.Second)
+	r.newest(c)
+	if r.sent["snapshot"] != snapshots {
+		t.Error("it was led on by a snapshot")
+	}
+}
+
+// TestTheRingIsCutUnderASlowFollower holds back a follower's acknowledgements: what is out to it stays within the window, the
+// others go on, and it goes on by a snapshot once the ring no longer reaches it, by the ring where it does.
+func TestTheRingIsCutUnderASlowFollower(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		t.Run(fmt.Sprint(cut), func(t *testing.T) {
+			r := newRig(t, "s")
+			slow, quick := r.follower("slow", "s"), r.follower("quick", "s")
+			r.run(3 * time.Second)
+			s := r.relays["r0"]
+			slow.stopped = true
+			waits := 0
+			for i := range 30 { // it is within its lease
+				r.put(Item{Key: fmt.Sprintf("%sk%d", ConfigPrefix, i), Value: make([]byte, 4<<10)})
+				r.run(100 * time.Millisecond)
+				p := s.relay.byID["slow"]
+				if p.bytes > s.relay.cfg.Window {
+					t.Fatalf("%d bytes are out", p.bytes)
+				}
+				if !s.relay.room(p, 4<<10) {
+					waits++
+				}
+			}
+			if waits == 0 {
+				t.Fatal("it never waited")
+			}
+			r.newest(quick)
+			if cut {
+				s.log.cfg.Most = 3
+				r.put(config(0))
+				r.run(100 * time.Millisecond)
+			}
+			snapshots := r.sent["snapshot"]
+			slow.stopped = false
+			r.run(4 * time.Second)
+			r.newest(slow)
+			r.newest(quick)
+			if got := r.sent["snapshot"] - snapshots; got != map[bool]int{false: 0, true: 1}[cut] {
+				t.Errorf("%d snapshots", got)
+			}
+			if slow.f.Count.Mismatches+slow.f.Count.Conflicts > 0 {
+				t.Errorf("%+v", slow.f.Count)
+			}
+		})
+	}
+}
+
+// TestADigestThatDoesNotMatch has a follower whose memory was changed under it: it asks for a snapshot, says so once, counts it.
+func TestADigestThatDoesNotMatch(t *testing.T) {
+	for name, harm := range map[string]func(*State){
+		"a value":    func(s *State) { s.items[ConfigPrefix+"k1"] = []byte("harmed") },
+		"the digest": func(s *State) { s.sum++ },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, c := two(t)
+			r.put(config(1))
+			r.run(time.Second)
+			harm(c.f.state)
+			snapshots := r.sent["snapshot"]
+			r.put(config(1 + 7))
+			r.run(3 * time.Second)
+			r.newest(c)
+			for _, i := range r.source.State().All("") {
+				if v, _ := c.f.State().Get(i.Key); string(v) != string(i.Value) {
+					t.Errorf("%s is %q", i.Key, v)
+				}
+			}
+			if c.f.Count.Mismatches == 0 || r.said(Mismatch) != 1 || r.said(Conflict) != 0 {
+				t.Errorf("%d mismatches, told %d times, %d conflicts", c.f.Count.Mismatches, r.said(Mismatch), r.said(Conflict))
+			}
+			if n := r.sent["snapshot"] - snapshots; n < 1 || n > 2 {
+				t.Errorf("%d snapshots", n)
+			}
+			harm(c.f.state) // and it is told anew when it happens anew
+			r.put(config(1 + 14))
+			r.run(3 * time.Second)
+			r.newest(c)
+			if r.said(Mismatch) != 2 {
+				t.Errorf("told %d times", r.said(Mismatch))
+			}
+		})
+	}
+}
+
+// TestTheSameVersionOfOtherContent has a relay with another history: what it sends is refused, it is left, and that is an error.
+func TestTheSameVersionOfOtherContent(t *testing.T) {
+	r, c := two(t)
+	s := r.relays["r1"]
+	s.stale = true
+	if _, err := s.log.Next([]Item{config(100)}); err != nil {
+		t.Fatal(err)
+	}
+	r.put(config(1))
+	s.relay.Published()
+	s.relay.Fresh(r.now, s.log.Version())
+	r.station(s)
+	r.run(3 * time.Second)
+	if r.said(Conflict) == 0 || c.f.Count.Conflicts == 0 {
+		t.Fatal("it is not told")
+	}
+	if got := c.f.Relays(); !slices.Equal(got, []string{"r0"}) && !slices.Equal(got, []string{"r1"}) {
+		t.Errorf("it still follows %v", got)
+	}
+	for _, l := range r.lines {
+		if l.Kind == Conflict && (!l.Error() || l.Addr == "" || l.Version == 0) {
+			t.Errorf("%+v", l)
+		}
+	}
+	conflicts := c.f.Count.Conflicts
+	r.run(10 * time.Second)
+	if c.f.Count.Conflicts > conflicts+1 {
+		t.Errorf("it went back to it %d times within 10 s", c.f.Count.Conflicts-conflicts)
+	}
+	// Which of the two it took first, it keeps to: never a mixture.
+	if d := c.f.State().Digest(); d != r.source.Digest() && d != s.log.Digest() {
+		t.Error("it has a state of neither")
+	}
+	if err := NewState().Install(Snapshot{Fleet: c.f.State().Fleet(), Version: c.f.State().Version(), Digest: c.f.State().Digest(), Items: c.f.State().All("")}); err != nil {
+		t.Errorf("its state is not whole: %v", err)
+	}
+}
+
+// TestAllAtOnceAfterARestartOfAllRelays restarts all relays under 4,600 followers: those that have the version are sent nothing,
+// and no relay has more than its share.
+func TestAllAtOnceAfterARestartOfAllRelays(t *testing.T) {
+	const relays, followers = 17, 4600
+	r := newRig(t, sites(relays)...)
+	for i := range followers {
+		r.follower(fmt.Sprintf("b%d", i), fmt.Sprintf("s%d", i%3))
+	}
+	r.run(3 * time.Second)
+	for _, c := range r.all {
+		r.newest(c)
+	}
+	for _, a := range r.addrs {
+		r.kill(a)
+	}
+	for _, a := range r.addrs {
+		r.start(a, RelayConfig{})
+	}
+	clear(r.sent)
+	began := r.now
+	for r.run(100 * time.Millisecond); ; r.run(100 * time.Millisecond) {
+		n := 0
+		for _, c := range r.all {
+			if len(c.f.Relays()) > 0 && c.f.Current(r.now) {
+				n++
+			}
+		}
+		if n == followers {
+			break
+		}
+		if r.now-began > Lease {
+			t.Fatalf("%d of %d within the lease", n, followers)
+		}
+	}
+	r.run(3 * time.Second)
+	for _, c := range r.all {
+		r.newest(c)
+	}
+	if r.sent["snapshot"] != 0 || r.sent["change"] != 0 {
+		t.Errorf("sent %v", r.sent)
+	}
+	t.Logf("all are back after %v", r.now-began)
+}
+
+func sites(relays int) []string {
+	var all []string
+	for i := range relays {
+		all = append(all, fmt.Sprintf("s%d", i%3))
+	}
+	return all
+}
+
+// TestALostRelaysFollowersAreElsewhere loses one relay of 17, then all of one region: its followers are elsewhere within the
+// lease, spread over those that are left, and most of them were current all the time.
+func TestALostRelaysFollowersAreElsewhere(t *testing.T) {
+	const followers = 400
+	for name, gone := range map[string]func(i int) bool{
+		"one":      func(i int) bool { return i == 4 },
+		"a region": func(i int) bool { return i%3 == 1 },
+	} {
+		for _, silent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, silent %v", name, silent), func(t *testing.T) {
+				r := newRig(t, sites(17)...)
+				for i := range followers {
+					r.follower(fmt.Sprintf("b%d", i), fmt.Sprintf("s%d", i%3))
+				}
+				r.run(90 * time.Second) // each with whom it ranks first
+				lost := map[string]bool{}
+				for i, a := range r.addrs {
+					if !gone(i) {
+						continue
+					}
+					lost[a] = true
+					if silent {
+						r.relays[a].mute, r.relays[a].stopped = true, true
+					} else {
+						r.kill(a)
+					}
+				}
+				r.run(Lease)
+				load, lapses := map[string]int{}, uint64(0)
+				for _, c := range r.all {
+					here := 0
+					for _, a := range c.f.Relays() {
+						load[a]++
+						if !lost[a] {
+							here++
+						}
+					}
+					if here == 0 {
+						t.Fatalf("%s follows %v", c.id, c.f.Relays())
+					}
+					lapses += c.f.Count.Lapses
+				}
+				if !silent && lapses > 0 {
+					t.Errorf("%d lapses", lapses)
+				}
+				r.run(5 * time.Second)
+				clear(load)
+				for _, c := range r.all {
+					if got := c.f.Relays(); len(got) < 2 {
+						t.Errorf("%s follows %v", c.id, got)
+					}
+					for _, a := range c.f.Relays() {
+						load[a]++
+					}
+					r.newest(c)
+				}
+				left := 17 - len(lost)
+				for _, a := range r.addrs {
+					if share := 2 * followers / left; !lost[a] && load[a] > 2*share {
+						t.Errorf("%s has %d, the share is %d", a, load[a], share)
+					}
+				}
+				t.Logf("%d lapses, followers by relay %v", lapses, load)
+			})
+		}
+	}
+}
+
+// TestAOneWayCut drops all messages of one way between a follower and one of its relays: it goes on by the other, leaves the one
+// that does not answer, and the relay lets it go.
+func TestAOneWayCut(t *testing.T) {
+	for name, cut := range map[string]func(from, to string) bool{
+		"to the relay": func(from, to string) bool { return from == "b0" && to == "r1" },
+		"from it":      func(from, to string) bool { return from == "r1" && to == "b0" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, "s", "s", "s")
+			c := r.follower("b0", "s")
+			r.run(90 * time.Second)
+			had := c.f.Relays()
+			if !slices.Contains(had, "r1") {
+				c.id = "b0"
+				cut2 := cut
+				cut = func(from, to string) bool { // one of those that it follows
+					swap := func(s string) string {
+						if s == had[0] {
+							return "r1"
+						}
+						return s
+					}
+					return cut2(swap(from), swap(to))
+				}
+				had = []string{had[0]}
+			} else {
+				had = []string{"r1"}
+			}
+			r.hold = func(from, to string, _ *Msg) bool { return cut(from, to) }
+			for i := range 60 {
+				r.put(config(i))
+				r.run(100 * time.Millisecond)
+				if !c.f.Current(r.now) {
+					t.Fatalf("not current after %v", time.Duration(i)*100*time.Millisecond)
+				}
+			}
+			r.newest(c)
+			if got := c.f.Relays(); slices.Contains(got, had[0]) || len(got) != 2 {
+				t.Errorf("it follows %v, %s is cut off", got, had[0])
+			}
+			if n := len(r.relays[had[0]].relay.peers); n != 0 {
+				t.Errorf("the relay still counts %d", n)
+			}
+			r.hold = func(string, string, *Msg) bool { return false }
+			r.run(3 * time.Minute)
+			r.newest(c)
+		})
+	}
+}
+
+// TestAFollowerWhoseClockStood gives it no beat for a while: it is not current by the clock, blames no relay, and goes on.
+func TestAFollowerWhoseClockStood(t *testing.T) {
+	r, c := two(t)
+	c.stopped = true
+	r.run(4 * time.Second)
+	r.put(config(1))
+	c.stopped = false
+	fails := c.f.Count.Fails
+	if r.now += 3 * time.Second; c.f.Current(r.now) {
+		t.Error("current after 7 s without a word")
+	}
+	r.run(time.Second)
+	r.newest(c)
+	if len(c.f.Relays()) != 2 || c.f.Count.Fails != fails || r.said(Leaves) != 0 || r.said(Woke) == 0 {
+		t.Errorf("it follows %v: %v", c.f.Relays(), r.lines)
+	}
+}
+
+// TestARelayWhoseClockStood gives a relay no beat: it lets nobody go for what they said while it was stopped.
+func TestARelayWhoseClockStood(t *testing.T) {
+	log := NewLog(LogConfig{Most: 10, Bytes: 1000})
+	relay := NewRelay(RelayConfig{Most: 10, Window: 1000, SnapshotBytes: 1000}, log, 0)
+	if err := relay.Opened(0, 1, Hello{Form: Form, ID: "b0"}); err != nil {
+		t.Fatal(err)
+	}
+	relay.Clock(100 * time.Millisecond)
+	relay.Clock(20 * time.Second)
+	if len(relay.peers) != 1 {
+		t.Fatal("let go by its own stop")
+	}
+	for at := 20 * time.Second; at < 20*time.Second+Lease+time.Second; at += 100 * time.Millisecond {
+		relay.Clock(at)
+	}
+	if len(relay.peers) != 0 || relay.Count.Lapsed != 1 {
+		t.Error("kept after a lease of silence")
+	}
+}
+
+// TestWhoIsTurnedAway goes through the hellos that no relay takes: each is answered, told, and leaves nothing behind.
+func TestWhoIsTurnedAway(t *testing.T) {
+	for name, one := range map[string]struct {
+		hello     Hello
+		err       error
+		elsewhere bool
+	}{
+		"another fleet": {Hello{Form: Form, ID: "x", Fleet: "g"}, ErrFleet, true},
+		"a newer form":  {Hello{Form: Form + 1, ID: "x"}, ErrMessage, true},
+		"no form":       {Hello{ID: "x"}, ErrMessage, false},
+		"no ID":         {Hello{Form: Form}, ErrMessage, false},
+		"a long name":   {Hello{Form: Form, ID: "x", Name: string(make([]byte, nameMost+1))}, ErrMessage, false},
+		"an older life": {Hello{Form: Form, ID: "b0", Life: 1}, ErrMessage, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			log := NewLog(LogConfig{Most: 10, Bytes: 1000})
+			if _, err := log.Next([]Item{{Key: FleetKey, Value: []byte("f")}}); err != nil {
+				t.Fatal(err)
+			}
+			relay := NewRelay(RelayConfig{Most: 10, Window: 1000, SnapshotBytes: 1000}, log, 0)
+			if err := relay.Opened(0, 1, Hello{Form: Form, ID: "b0", Life: 2}); err != nil {
+				t.Fatal(err)
+			}
+			relay.Ready()
+			err := relay.Opened(0, 2, one.hello)
+			if !errors.Is(err, one.err) {
+				t.Fatalf("%v", err)
+			}
+			out := relay.Ready()
+			if !slices.Equal(out.Close, []uint64{2}) || len(out.Lines) != 1 || len(relay.peers) != 1 || relay.peers[1] == nil {
+				t.Errorf("%+v, %d followers", out, len(relay.peers))
+			}
+			told := len(out.Sends) == 1 && out.Sends[0].Out.Msg.Elsewhere != nil && out.Sends[0].Out.Msg.Elsewhere.Wait > 0
+			if told != one.elsewhere {
+				t.Errorf("sent %+v", out.Sends)
+			}
+			if err := relay.Step(0, 2, Msg{Renew: &Renew{Number: 1}}); err != nil || len(relay.Ready().Sends) != 0 {
+				t.Error("it is answered all the same")
+			}
+		})
+	}
+}
+
+// TestAFollowerTakesNothingOfAnotherFleet has a relay of another fleet at an address of its own.
+func TestAFollowerTakesNothingOfAnotherFleet(t *testing.T) {
+	for _, knows := range []bool{false, true} {
+		other := NewLog(LogConfig{Most: 10, Bytes: 1000})
+		for range 3 {
+			other.Next([]Item{{Key: FleetKey, Value: []byte("g")}})
+		}
+		f := NewFollower(FollowerConfig{ID: "b0", Fleet: "f", Seeds: []string{"r0", "r1"}}, 0)
+		f.Clock(0)
+		f.Opened("r0")
+		if knows {
+			mine := NewLog(LogConfig{Most: 10, Bytes: 1000})
+			mine.Next([]Item{{Key: FleetKey, Value: []byte("f")}})
+			if err := f.Step("r0", Msg{Snapshot: mine.Snapshot()}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		version := f.State().Version()
+		f.Ready()
+		if err := f.Step("r0", Msg{Snapshot: other.Snapshot()}); !errors.Is(err, ErrFleet) {
+			t.Errorf("%v", err)
+		}
+		out := f.Ready()
+		if f.State().Version() != version || !slices.Contains(out.Hang, "r0") || len(out.Applied) > 0 || f.Count.Refused != 1 {
+			t.Errorf("%+v", out)
+		}
+	}
+}
+
+// TestMessagesThatAreDoubledCutOrUnknown has a follower and a relay take each of them, and go on.
+func TestMessagesThatAreDoubledCutOrUnknown(t *testing.T) {
+	r, c := two(t)
+	// Doubled: each message to the follower comes twice.
+	r.hold = func(from, to string, m *Msg) bool {
+		if to == c.id {
+			c.f.Step(from, *m)
+		}
+		return false
+	}
+	for i := range 20 {
+		r.put(config(i))
+		r.run(200 * time.Millisecond)
+	}
+	r.newest(c)
+	if c.f.Count.Conflicts+c.f.Count.Mismatches+c.f.Count.Refused > 0 || c.f.Count.Snapshots != 1 {
+		t.Errorf("%+v", c.f.Count)
+	}
+	// Lost in the middle: what comes after a gap is asked for again.
+	rng := rand.New(rand.NewPCG(3, 4))
+	r.hold = func(from, to string, m *Msg) bool { return rng.IntN(2) == 0 && m.Renewed == nil && m.Renew == nil }
+	for i := range 20 {
+		r.put(config(100 + i))
+		r.run(200 * time.Millisecond)
+	}
+	r.hold = func(string, string, *Msg) bool { return false }
+	r.run(4 * time.Second)
+	r.newest(c)
+	if c.f.Count.Gaps == 0 {
+		t.Error("nothing was lost")
+	}
+	// Of nothing that is known.
+	if err := c.f.Step("r0", Msg{}); !errors.Is(err, ErrMessage) {
+		t.Errorf("%v", err)
+	}
+	if err := c.f.Step("nobody", Msg{}); err != nil {
+		t.Errorf("a message from a connection that is gone: %v", err)
+	}
+	r.client(c)
+	r.run(2 * time.Minute)
+	r.newest(c)
+	if len(c.f.Relays()) != 2 {
+		t.Errorf("it follows %v", c.f.Relays())
+	}
+	relay := r.relays["r0"].relay
+	if err := relay.Opened(r.now, 99, Hello{Form: Form, ID: "x"}); err != nil {
+		t.Fatal(err)
+	}
+	if err := relay.Opened(r.now, 99, Hello{Form: Form, ID: "x"}); !errors.Is(err, ErrMessage) {
+		t.Errorf("two hellos: %v", err)
+	}
+	if err := relay.Opened(r.now, 98, Hello{Form: Form, ID: "y"}); err != nil {
+		t.Fatal(err)
+	}
+	if err := relay.Step(r.now, 98, Msg{}); !errors.Is(err, ErrMessage) || relay.byID["x"] != nil || relay.byID["y"] != nil {
+		t.Errorf("a message of nothing: %v", err)
+	}
+}
+
+// TestARelayThatIsFull sends the one too many elsewhere, with a wait, and takes it once there is room; one that comes anew takes
+// its own place.
+func TestARelayThatIsFull(t *testing.T) {
+	r := newRig(t, "s", "s", "s")
+	r.start("r0", RelayConfig{Most: 5})
+	for i := range 20 {
+		r.follower(fmt.Sprintf("b%d", i), "s")
+	}
+	for range 300 {
+		r.run(100 * time.Millisecond)
+		if n := len(r.relays["r0"].relay.peers); n > 5 {
+			t.Fatalf("%d followers", n)
+		}
+	}
+	full := r.relays["r0"].relay.Count.Full
+	elsewhere := uint64(0)
+	for _, c := range r.all {
+		r.newest(c)
+		if len(c.f.Relays()) != 2 {
+			t.Errorf("%s follows %v", c.id, c.f.Relays())
+		}
+		elsewhere += c.f.Count.Elsewhere
+	}
+	if full == 0 || elsewhere != full {
+		t.Errorf("%d found no room, %d were sent elsewhere", full, elsewhere)
+	}
+	if full > 20*4 {
+		t.Errorf("20 followers asked %d times in 30 s", full)
+	}
+	relay := r.relays["r0"].relay
+	first := relay.order.Front().Value.(*peer)
+	if err := relay.Opened(r.now, 999, Hello{Form: Form, ID: first.hello.ID, Life: 2, Fleet: "f"}); err != nil || relay.byID[first.hello.ID].conn != 999 || len(relay.peers) != 5 {
+		t.Errorf("who came anew: %v", err)
+	}
+}
+
+// TestARelayThatLeaves sends its followers elsewhere: none of them is without a relay, and they are spread.
+func TestARelayThatLeaves(t *testing.T) {
+	r := newRig(t, sites(17)...)
+	for i := range 500 {
+		r.follower(fmt.Sprintf("b%d", i), fmt.Sprintf("s%d", i%3))
+	}
+	r.run(90 * time.Second)
+	s := r.relays["r2"]
+	had := len(s.relay.peers)
+	s.relay.Leave()
+	r.station(s)
+	r.run(2 * time.Second)
+	if len(s.relay.peers) != 0 || had == 0 {
+		t.Errorf("%d of %d are left", len(s.relay.peers), had)
+	}
+	for _, c := range r.all {
+		r.newest(c)
+		if len(c.f.Relays()) != 2 || c.f.Count.Lapses > 0 {
+			t.Errorf("%s follows %v, %d lapses", c.id, c.f.Relays(), c.f.Count.Lapses)
+		}
+	}
+}
+
+// TestSnapshotsArePaced has many followers that know nothing at one relay: the bytes go out at the pace that it was given.
+func TestSnapshotsArePaced(t *testing.T) {
+	r := newRig(t, "s")
+	for i := range 20 {
+		r.put(Item{Key: fmt.Sprintf("%sk%d", ConfigPrefix, i), Value: make([]byte, 10<<10)})
+	}
+	size := r.source.Snapshot().Size()
+	r.start("r0", RelayConfig{SnapshotBytes: 4 * size})
+	for i := range 40 {
+		r.follower(fmt.Sprintf("b%d", i), "s")
+	}
+	for i := range 40 {
+		from := r.sent["snapshot"]
+		r.put(config(i)) // a change a beat: they get the one that was built, and what follows
+		r.run(100 * time.Millisecond)
+		if got := r.sent["snapshot"] - from; i > 15 && got > 2 {
+			t.Fatalf("%d snapshots in 0.1 s", got)
+		}
+	}
+	if got := r.sent["snapshot"]; got < 12 || got > 4*4+5 {
+		t.Errorf("%d snapshots in 4 s, at 4 a second", got)
+	}
+	r.run(10 * time.Second)
+	for _, c := range r.all {
+		r.newest(c)
+		if c.f.Count.Snapshots != 1 {
+			t.Errorf("%s took %d snapshots", c.id, c.f.Count.Snapshots)
+		}
+	}
+}
+
+// TestWhomAFollowerRanksFirst: own region first, the second of another zone, each relay its share, and a follower's choice changes
+// only where a relay that it had is gone.
+func TestWhomAFollowerRanksFirst(t *testing.T) {
+	const relays, followers = 17, 4600
+	list := func(without int) (all []Item) {
+		for i := range relays {
+			if i != without {
+				all = append(all, memberItem(t, views.Member{ID: fmt.Sprintf("r%d", i), Addr: fmt.Sprintf("r%d", i), Zone: fmt.Sprintf("z%d", i%11), Site: fmt.Sprintf("s%d", i%11%3)}))
+			}
+		}
+		return all
+	}
+	load := map[string]int{}
+	moved := 0
+	for i := range followers {
+		f := NewFollower(FollowerConfig{ID: fmt.Sprintf("b%d", i), Zone: "z0", Site: fmt.Sprintf("s%d", i%3)}, 0)
+		pick := func(without int) (all []string) {
+			f.relist(Applied{Whole: true, Items: list(without)})
+			got := f.choose(false)
+			if len(got) != 2 || got[0].zone == got[1].zone || got[0].site != f.cfg.Site || got[1].site != f.cfg.Site {
+				t.Fatalf("%s of %s: %+v", f.cfg.ID, f.cfg.Site, got)
+			}
+			for _, w := range got {
+				all = append(all, w.addr)
+			}
+			return all
+		}
+		a := pick(-1)
+		for _, addr := range a {
+			load[addr]++
+		}
+		b := pick(4)
+		had := slices.Contains(a, "r4")
+		for _, addr := range a {
+			if addr != "r4" && !slices.Contains(b, addr) && !had {
+				t.Fatalf("%s has %v, and without r4 %v", f.cfg.ID, a, b)
+			}
+		}
+		if had {
+			moved++
+		}
+	}
+	for addr, n := range load {
+		if n < 300 || n > 1100 {
+			t.Errorf("%s has %d of %d", addr, n, 2*followers)
+		}
+	}
+	if moved != load["r4"] {
+		t.Errorf("%d have moved, r4 had %d", moved, load["r4"])
+	}
+	t.Logf("followers by relay: %v", load)
+}
+
+// TestTheBetterRankedComeBackSlowly restarts a relay: its followers come back one by one, not all at once, and none is ever without.
+func TestTheBetterRankedComeBackSlowly(t *testing.T) {
+	r := newRig(t, sites(17)...)
+	for i := range 500 {
+		r.follower(fmt.Sprintf("b%d", i), fmt.Sprintf("s%d", i%3))
+	}
+	r.run(2 * time.Minute)
+	had := len(r.relays["r3"].relay.peers)
+	r.kill("r3")
+	r.run(10 * time.Second)
+	r.start("r3", RelayConfig{})
+	most := 0
+	for second := range 150 {
+		before := r.relays["r3"].relay.Count.Came
+		r.run(time.Second)
+		most = max(most, int(r.relays["r3"].relay.Count.Came-before))
+		for _, c := range r.all {
+			if c.f.Count.Lapses > 0 || len(c.f.Relays()) == 0 {
+				t.Fatalf("%s after %d s: %v, %d lapses", c.id, second, c.f.Relays(), c.f.Count.Lapses)
+			}
+		}
+	}
+	if back := len(r.relays["r3"].relay.peers); back != had {
+		t.Errorf("%d of %d are back", back, had)
+	}
+	if most > had/4 {
+		t.Errorf("%d of %d in one second", most, had)
+	}
+	t.Logf("%d came back, at most %d in a second", had, most)
+}
+
+// TestNobodyLeadsTheLog stops all freshness: followers keep their relays, say that they stand, and do not roam.
+func TestNobodyLeadsTheLog(t *testing.T) {
+	r := newRig(t, sites(17)...)
+	for i := range 100 {
+		r.follower(fmt.Sprintf("b%d", i), fmt.Sprintf("s%d", i%3))
+	}
+	r.run(90 * time.Second)
+	for _, s := range r.relays {
+		s.stale = true
+	}
+	dials := uint64(0)
+	for _, c := range r.all {
+		dials -= c.f.Count.Dials
+	}
+	r.run(2 * time.Minute)
+	for _, c := range r.all {
+		dials += c.f.Count.Dials
+		if c.f.Current(r.now) || c.f.Count.Lapses != 1 || len(c.f.Relays()) < 2 {
+			t.Errorf("%s: %v, %d lapses", c.id, c.f.Relays(), c.f.Count.Lapses)
+		}
+	}
+	if dials > 100*15 {
+		t.Errorf("100 followers dialed %d times in 2 minutes", dials)
+	}
+	t.Logf("%d dials of 100 followers in 2 minutes", dials)
+	for _, s := range r.relays {
+		s.stale = false
+	}
+	clear(r.sent)
+	r.put(config(1))
+	r.run(3 * time.Second)
+	for _, c := range r.all {
+		r.newest(c)
+	}
+	if r.sent["snapshot"] > 0 {
+		t.Errorf("%d snapshots", r.sent["snapshot"])
+	}
+}
+
+// TestAHealedCutNeedsNoSnapshots cuts a region with its relays off from the log for a while and lets it go on: its followers go on by
+// changes, though one of its relays had to take a snapshot itself.
+func TestAHealedCutNeedsNoSnapshots(t *testing.T) {
+	r := newRig(t, sites(17)...)
+	for i := range 300 {
+		r.follower(fmt.Sprintf("b%d", i), fmt.Sprintf("s%d", i%3))
+	}
+	r.run(90 * time.Second)
+	for i, a := range r.addrs {
+		r.relays[a].stale = i%3 == 0
+	}
+	for _, c := range r.all { // and its followers cannot reach the others
+		c := c
+		hold := r.hold
+		r.hold = func(from, to string, m *Msg) bool {
+			if from == c.id && c.f.cfg.Site == "s0" && r.relays[to] != nil && !r.relays[to].stale {
+				return true
+			}
+			return hold(from, to, m)
+		}
+	}
+	for i := range 200 {
+		r.put(config(i))
+		r.run(100 * time.Millisecond)
+	}
+	r.hold = func(string, string, *Msg) bool { return false }
+	clear(r.sent)
+	log := r.relays["r0"]
+	if err := log.log.Install(*r.source.Snapshot()); err != nil { // too far behind for the others' ring
+		t.Fatal(err)
+	}
+	for _, a := range r.addrs {
+		r.relays[a].stale = false
+	}
+	r.run(5 * time.Second)
+	for _, c := range r.all {
+		r.newest(c)
+	}
+	if r.sent["snapshot"] > 5 {
+		t.Errorf("%d snapshots for 100 followers", r.sent["snapshot"])
+	}
+	t.Logf("after the cut: %v", r.sent)
+}
+
+// TestAFollowerThatTakesNothing acknowledges nothing but stays alive: after a while it is let go.
+func TestAFollowerThatTakesNothing(t *testing.T) {
+	log := NewLog(LogConfig{Most: 100, Bytes: 1 << 20})
+	relay := NewRelay(RelayConfig{Most: 10, Window: 200, SnapshotBytes: 1 << 20}, log, 0)
+	if err := relay.Opened(0, 1, Hello{Form: Form, ID: "b0"}); err != nil {
+		t.Fatal(err)
+	}
+	sends, at := 0, time.Duration(0)
+	for n := uint64(1); n < 500 && len(relay.peers) > 0; n++ {
+		at += 100 * time.Millisecond
+		log.Next([]Item{config(int(n))})
+		relay.Published()
+		relay.Step(at, 1, Msg{Renew: &Renew{Number: n}})
+		relay.Step(at, 1, Msg{Want: &Want{}})
+		relay.Clock(at)
+		sends += len(relay.Ready().Sends)
+	}
+	if len(relay.peers) != 0 || relay.Count.Slow != 1 || at > takeWithin+2*Lease {
+		t.Errorf("after %v: %d followers, %+v", at, len(relay.peers), relay.Count)
+	}
+	if sends > unheardMost+20 {
+		t.Errorf("%d messages to somebody who reads none", sends)
+	}
+}
--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -22,12 +22,12 @@
 	ackEach      = 64 << 10
 	backFirst    = time.Second // a relay that failed is passed over for so long, twice as long each time that it fails again,
 	backMost     = 30 * time.Second
-	backAlone    = 2 * time.Second        // but so long where no relay is left, all by chance from a half to one and a half
-	dialAlone    = 200 * time.Millisecond // between two dials then
-	soundAfter   = 10 * time.Second       // a relay that served so long has failed no time before
-	returnFrom   = 20 * time.Second       // until a better ranked relay takes a worse one's place, by chance up to twice as long more
-	seededFrom   = 2 * time.Second        // the same where the worse one was found by a seed
-	oddFor       = time.Minute            // a relay of another history, or another fleet, is passed over
+	backAlone    = 1500 * time.Millisecond // but so long where no relay is left, all by chance from a half to one and a half
+	dialAlone    = 200 * time.Millisecond  // between two dials then
+	soundAfter   = 10 * time.Second        // a relay that served so long has failed no time before
+	returnFrom   = 20 * time.Second        // until a better ranked relay takes a worse one's place, by chance up to twice as long more
+	seededFrom   = 2 * time.Second         // the same where the worse one was found by a seed
+	oddFor       = time.Minute             // a relay of another history, or another fleet, is passed over
 	elsewhereMin = time.Second
 	elsewhereMax = 5 * time.Minute
 	suspectFor   = 10 * time.Second // a site where relays of two zones failed within it comes after the others
@@ -125,7 +125,7 @@
 	zone, site string
 	score      uint64
 	listed     bool
-	seed       bool // it was dialed as a seed, its zone unknown
+	seed       bool // it was dialed as a seed, its zone unknown, and is not one of those wanted since
 
 	state    wayState
 	began    time.Duration // dialing, or open
@@ -668,16 +668,19 @@
 
 // decide dials and hangs up as it follows from whom to follow.
 func (f *Follower) decide() {
-	opened, bad, pending, seeded := 0, false, false, false
+	opened, bad, pending := 0, false, false
 	for _, w := range f.use {
 		if w.state == open {
 			opened++
 		}
 		bad = bad || w.pass > f.now
 		pending = pending || w.state == dialing || !w.proved && w.pass <= f.now
-		seeded = seeded || w.seed
 	}
 	wanted := f.choose(opened == 0)
+	for _, w := range wanted {
+		w.seed = false
+	}
+	seeded := slices.ContainsFunc(f.use, func(w *way) bool { return w.seed })
 	if len(f.use) > relaysWanted {
 		if !pending {
 			f.spare(wanted)
--- a/internal/fleet/feed/relay.go
+++ b/internal/fleet/feed/relay.go
@@ -448,6 +448,9 @@
 		r.pump(p)
 		return
 	}
+	if len(p.out) > 0 { // it takes what is out first
+		return
+	}
 	p.behind = false
 	if p.parked {
 		return
