--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -463,7 +463,7 @@
 		f.sync(w)
 	}
 	w.wants = w.wants && r.Number <= w.wanted
-	if r.Sent > v && !w.wants && !w.parked {
+	if (r.Sent > v || r.Parked) && !w.wants && !w.parked { // what was sent, or the last Want, has not come through
 		f.Count.Gaps++
 		f.want(w, f.mismatch)
 	}
--- a/internal/fleet/feed/msg.go
+++ b/internal/fleet/feed/msg.go
@@ -69,6 +69,7 @@
 	Sent    uint64        `cbor:"4,keyasint,omitempty"` // the version up to which this connection has brought, or was told, the feed
 	Age     time.Duration `cbor:"5,keyasint,omitempty"` // so long ago nothing newer was agreed than Version
 	Known   bool          `cbor:"6,keyasint,omitempty"` // Age is
+	Parked  bool          `cbor:"7,keyasint,omitempty"` // nothing is sent before a Want
 }
 
 // Ack acknowledges all up to a version, between two renewals.
--- a/internal/fleet/feed/relay.go
+++ b/internal/fleet/feed/relay.go
@@ -315,7 +315,7 @@
 		p.heardOf(m.Renew.Heard)
 		if n := m.Renew.Number; n > p.answers && n-p.read <= unheardMost {
 			p.answers = n
-			a := Renewed{Number: n, Version: r.log.Version(), Digest: r.log.Digest(), Sent: p.sent, Known: r.known}
+			a := Renewed{Number: n, Version: r.log.Version(), Digest: r.log.Digest(), Sent: p.sent, Known: r.known, Parked: p.parked}
 			if r.known {
 				a.Age = max(0, now-r.fresh.at)
 			}
--- a/internal/fleet/feed/state_test.go
+++ b/internal/fleet/feed/state_test.go
@@ -230,7 +230,7 @@
 		"hello":    {Hello: &Hello{Fleet: "f", Form: 1, ID: "i", Name: "n", Life: 3, Machine: "m", Zone: "z", Site: "s", Version: 9, Digest: 1 << 63, Park: true}},
 		"change":   {Change: &Change{Version: 1, Before: 2, After: 1<<64 - 1, Items: []Item{{Key: "k", Value: []byte{0, 255}}, {Key: "g", Gone: true}}}},
 		"snapshot": {Snapshot: &Snapshot{Fleet: "f", Version: 7, Digest: 8, Items: []Item{{Key: "k", Value: []byte("v")}}}},
-		"renew":    {Renew: &Renew{Number: 1, Heard: 2, Version: 3, Digest: 4}}, "renewed": {Renewed: &Renewed{Number: 1, Version: 2, Digest: 3, Sent: 4, Age: 5, Known: true}},
+		"renew":    {Renew: &Renew{Number: 1, Heard: 2, Version: 3, Digest: 4}}, "renewed": {Renewed: &Renewed{Number: 1, Version: 2, Digest: 3, Sent: 4, Age: 5, Known: true, Parked: true}},
 		"ack": {Ack: &Ack{Version: 1, Digest: 2}}, "want": {Want: &Want{Version: 1, Digest: 2, Whole: true, Heard: 4}},
 		"elsewhere": {Elsewhere: &Elsewhere{Wait: 5, Why: "w"}}, "bye": {Bye: &Bye{}},
 		"op": {Op: &Opaque{Number: 1, Body: []byte("b")}}, "result": {Result: &Opaque{Number: 1, Body: []byte("b")}},
