A change of the log's leader leaves what members know young enough for their followers

Change: voters take the leader from the log; a leader that has not answered for half a second is not asked for a while, and hearsay then counts; who knows nothing younger than 1.2 s asks every 80 ms.

--- a/internal/fleet/core/core.go
+++ b/internal/fleet/core/core.go
@@ -18,6 +18,9 @@
 
 const (
 	pollEach  = 250 * time.Millisecond
+	pollSoon  = 80 * time.Millisecond   // the same where what is known here
+	pollStale = 1200 * time.Millisecond // is so old: the leader has most likely changed
+	pollMute  = 500 * time.Millisecond  // a leader that has not answered for so long is not asked for a while
 	foundEach = 500 * time.Millisecond
 	voteEach  = time.Second / 2 // changes of who votes
 	soundFor  = time.Second     // a member that is to vote has been here so long
@@ -147,6 +150,7 @@
 	vote  time.Duration
 	fresh map[string]time.Duration // seeds, by address, that know of no fleet
 
+	mute   time.Duration // since then the leader has not answered a question; 0: it has
 	polls  polls
 	asOf   time.Duration // up to then nothing was agreed but what is known here
 	asKnow bool
@@ -210,8 +214,17 @@
 	c.begin()
 	c.lead()
 	c.push()
+	if n := c.log.Leader(); n != 0 && slices.Contains(c.log.Voters(), agree.Number(c.cfg.Self.ID)) {
+		if id := c.numbered(n); id != "" {
+			c.leads(id)
+		}
+	}
 	if now >= c.poll {
-		c.poll = now + pollEach/2 + time.Duration(c.rng.Float64()*float64(pollEach))
+		each := pollEach
+		if asOf, known := c.AsOf(); known && now-asOf > pollStale {
+			each = pollSoon
+		}
+		c.poll = now + each/2 + time.Duration(c.rng.Float64()*float64(each))
 		c.ask()
 	}
 }
@@ -274,12 +287,25 @@
 		return
 	}
 	to := ids[c.rng.IntN(len(ids))]
-	if slices.Contains(ids, c.leader) && c.rng.IntN(2) == 0 {
-		to = c.leader
+	mute := c.mute != 0 && c.now-c.mute > pollMute
+	if slices.Contains(ids, c.leader) && !mute && c.rng.IntN(2) == 0 {
+		if to = c.leader; c.mute == 0 {
+			c.mute = c.now
+		}
+	}
+	if mute && c.now-c.mute > 4*pollMute {
+		c.mute = 0
 	}
 	c.send(Packet{To: to, Poll: &Poll{Version: c.known.Version, Digest: c.feed.Digest(), Form: Form, Number: c.polls.sent(c.now)}})
 }
 
+// leads notes who leads the log.
+func (c *Core) leads(id string) {
+	if id != c.leader {
+		c.leader, c.mute = id, 0
+	}
+}
+
 // tell answers a poll.
 func (c *Core) tell(p Packet) {
 	t := &Told{Fleet: c.known.Fleet, Since: p.Poll.Version, Version: c.known.Version, Epoch: c.known.Epoch, Leader: c.leader, Addr: c.cfg.Self.Addr,
@@ -312,8 +338,11 @@
 		}
 		return
 	}
-	if t.Leader != "" {
-		c.leader = t.Leader
+	if p.From == c.leader {
+		c.mute = 0
+	}
+	if t.Leader != "" && (p.From == t.Leader || p.From == c.leader || c.mute != 0 || c.leader == "") { // a leader that answers is not given up for hearsay
+		c.leads(t.Leader)
 	}
 	if t.Form >= Form {
 		c.toldChanges(t)
--- a/internal/fleet/core/core_test.go
+++ b/internal/fleet/core/core_test.go
@@ -305,6 +305,30 @@
 	w.until("all know again", 20*time.Second, all)
 }
 
+// TestALeadersLossLeavesKnowledgeYoung cuts the leader of seventeen off. Guards against followers everywhere whose lease ends with each
+// change of leader: what a member knows may be as old as their lease, less the longest time between two of their questions.
+func TestALeadersLossLeavesKnowledgeYoung(t *testing.T) {
+	for n := range 6 {
+		w := newWorld(t, 5, strings.Split(strings.Repeat("a b c ", 6)[:33], " ")...)
+		w.until("there are five voters", 30*time.Second, func() bool { return len(w.voters()) == 5 })
+		w.run(10*time.Second + time.Duration(n)*130*time.Millisecond)
+		lead, oldest := w.leader(), time.Duration(0)
+		w.cut = func(from, to int) bool { return from == lead || to == lead }
+		w.each = func() {
+			for i, c := range w.cores {
+				if at, known := c.AsOf(); i != lead && known {
+					oldest = max(oldest, w.now-at)
+				}
+			}
+		}
+		w.run(15 * time.Second)
+		t.Logf("the oldest was %v", oldest)
+		if oldest > feed.Lease-feed.RenewEach*5/4 {
+			t.Errorf("what somebody knew was %v old", oldest)
+		}
+	}
+}
+
 // TestPutsAreAgreed puts items by members that vote and that do not. Guards against a put that is done twice, half or without being
 // agreed, and states that differ by the way that they were come by.
 func TestPutsAreAgreed(t *testing.T) {
