What is published bounds what waits for it, and is never said to be younger than it is

Cause: a publisher that got no turn kept every change (publish.go Changed), and an age was taken for what happened to be published, not for the version it was known of; package fleet asked with its lock held for the list's record (list.go KeepList), which a hold that has ended answers at once, to a callback that takes the same lock.

--- a/internal/fleet/core/changes.go
+++ b/internal/fleet/core/changes.go
@@ -44,6 +44,9 @@
 // Feed is the newest that is agreed, as far as is known here, as a map. It is not to be changed.
 func (c *Core) Feed() *feed.State { return c.feed.State() }
 
+// Snapshot is the same as one message.
+func (c *Core) Snapshot() *feed.Snapshot { return c.feed.Snapshot() }
+
 // Changes is how many of the newest changes are kept here.
 func (c *Core) Changes() int { return c.feed.Changes() }
 
--- a/internal/fleet/core/core_test.go
+++ b/internal/fleet/core/core_test.go
@@ -45,7 +45,8 @@
 
 func id(i int) string { return fmt.Sprintf("%016x%016x", i+1, i+1) }
 
-// newWorld makes members at sites, in the order told; each is on a machine of its own, two zones to a site.
+// newWorld makes members at sites, in the order told; each is on a machine of its own, and in a zone of its own unless the site
+// is told with one, as in "a/1".
 func newWorld(t *testing.T, voters int, sites ...string) *world {
 	w := &world{t: t, down: map[int]bool{}, since: map[int]time.Duration{}, form: map[int]int{}, puts: map[string]views.Done{},
 		cut: func(int, int) bool { return false }, each: func() {}}
@@ -58,7 +59,11 @@
 func (w *world) join(voters int, site string) int {
 	w.t.Helper()
 	i := len(w.cores)
-	cfg := Config{Self: views.Member{ID: id(i), Addr: fmt.Sprintf("m%d", i), Machine: fmt.Sprintf("m%d", i), Zone: fmt.Sprintf("z%d", i%2), Site: site}, Life: 1,
+	site, zone, told := strings.Cut(site, "/")
+	if !told {
+		zone = fmt.Sprint("of ", i)
+	}
+	cfg := Config{Self: views.Member{ID: id(i), Addr: fmt.Sprintf("m%d", i), Machine: fmt.Sprintf("m%d", i), Zone: zone, Site: site}, Life: 1,
 		Found: "f", First: i == 0, Seeds: []string{"m0"}, Voters: voters, Copies: 1, Evict: evict, Repair: 8, Seed: uint64(i), Keys: 10, Bytes: 1 << 20, Ops: 10}
 	c, err := New(cfg, Saved{}, w.now)
 	if err != nil {
@@ -194,14 +199,15 @@
 	if got := w.bySite(w.voters()); !slices.Equal(got, []int{1, 2, 2}) {
 		t.Errorf("voters by site %v, wanted 2, 2 and 1", got)
 	}
+
+	w = newWorld(t, 3, "a/1", "a/1", "a/1", "a/2", "a/2", "a/3")
+	w.until("there are three voters", 30*time.Second, func() bool { return len(w.voters()) == 3 })
 	zones := map[string]bool{}
 	for _, i := range w.voters() {
-		m := w.cfgs[i].Self
-		if at := m.Site + m.Zone; zones[at] {
-			t.Errorf("two voters in %s while another zone of the site has none", at)
-		} else {
-			zones[at] = true
-		}
+		zones[w.cfgs[i].Self.Zone] = true
+	}
+	if len(zones) != 3 {
+		t.Errorf("three voters of one site are in zones %v", zones)
 	}
 }
 
--- a/internal/fleet/hold/hold.go
+++ b/internal/fleet/hold/hold.go
@@ -43,10 +43,11 @@
 
 // Feed is told of the agreed state, by one goroutine. Its methods must not wait.
 type Feed interface {
-	// Changed tells that the state was replaced, if whole is not nil, and of the changes after that.
-	Changed(whole *feed.Snapshot, changes []*feed.Change)
-	// Fresh tells the time up to which nothing was agreed but what was told.
-	Fresh(asOf time.Duration)
+	// Changed tells that the state was replaced, if whole is not nil, and of the changes after that. False where there was no room: it is
+	// told of the whole state then.
+	Changed(whole *feed.Snapshot, changes []*feed.Change) bool
+	// Fresh tells the time up to which nothing newer than a version was agreed.
+	Fresh(asOf time.Duration, version uint64)
 }
 
 // Status is what is known at one moment.
@@ -95,6 +96,7 @@
 	waiting map[string]func(copies.Result) // the core's goroutine's
 	putting map[string][]func(views.Done)  // as well
 	broken  error
+	untold  bool // the feed lacks changes
 	status  atomic.Pointer[Status]
 	told    time.Duration // the status was published then
 	dropped atomic.Int64
@@ -293,11 +295,14 @@
 	}
 	h.out(r, at)
 	if h.opt.Feed != nil && h.broken == nil {
+		if h.untold {
+			r.Installed, r.Changes = h.core.Snapshot(), nil
+		}
 		if r.Installed != nil || len(r.Changes) > 0 {
-			h.opt.Feed.Changed(r.Installed, r.Changes)
+			h.untold = !h.opt.Feed.Changed(r.Installed, r.Changes)
 		}
 		if asOf, known := h.core.AsOf(); known {
-			h.opt.Feed.Fresh(asOf)
+			h.opt.Feed.Fresh(asOf, h.core.Feed().Version())
 		}
 	}
 	if now := h.opt.Now(); now-h.told >= tellEach {
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"sabletally/internal/fleet/copies"
+	"sabletally/internal/fleet/hold"
 )
 
 const (
@@ -40,35 +41,44 @@
 // writes that orders the record's writes, so that a fleet of hundreds writes it once. A balancer that follows control processes
 // orders none, and keeps none.
 func (f *Fleet) KeepList(rev uint64, known []byte) {
+	h, op := f.listOp(rev, known)
+	if h == nil {
+		return
+	}
+	h.Ask(op, wordTry, func(r copies.Result) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.list.out = false
+		if r.Outcome == copies.Done || r.Outcome == copies.Conflict { // written by another before: over it the next time
+			f.list.version = r.Record.Version
+		}
+		if r.Outcome == copies.Done {
+			f.list.rev = rev
+		}
+	})
+}
+
+// listOp is the write that is due, and where it is asked for: nil where none is.
+func (f *Fleet) listOp(rev uint64, known []byte) (*hold.Hold, copies.Op) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	h := f.held
 	if h == nil || len(known) > listMost {
-		return
+		return nil, copies.Op{}
 	}
 	l := &f.list
 	l.newest = List{Rev: rev, At: time.Now().Unix(), Known: known}
 	since := time.Since(l.written)
 	if l.out || since < listEach || since < listAgain && rev == l.rev {
-		return
+		return nil, copies.Op{}
 	}
 	text, err := json.Marshal(l.newest)
 	if err != nil {
 		f.log.Error("fleet: a list that can't be written", zap.Error(err))
-		return
+		return nil, copies.Op{}
 	}
 	l.out, l.written = true, time.Now()
-	h.Ask(copies.Op{ID: rand.Text(), Key: f.listKey(), If: l.version, Value: text, Here: true}, wordTry, func(r copies.Result) {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.list.out = false
-		if r.Outcome == copies.Done || r.Outcome == copies.Conflict { // written by another before: over it the next time
-			f.list.version = r.Record.Version
-		}
-		if r.Outcome == copies.Done {
-			f.list.rev = rev
-		}
-	})
+	return h, copies.Op{ID: rand.Text(), Key: f.listKey(), If: l.version, Value: text, Here: true}
 }
 
 // RecallList asks for the list that is held and hands it on with its age, once, if there is one; it goes on asking while
--- a/internal/fleet/publish/publish.go
+++ b/internal/fleet/publish/publish.go
@@ -76,12 +76,14 @@
 	opt  Options
 	hold Holder
 
-	news   sync.Mutex // what the member's core has told
-	whole  *feed.Snapshot
-	fresh  []*feed.Change
-	asOf   time.Duration
-	isAsOf bool
-	wake   chan struct{}
+	news        sync.Mutex // what the member's core has told
+	whole       *feed.Snapshot
+	fresh       []*feed.Change
+	asOf        time.Duration
+	asOfVersion uint64
+	known       bool
+	claimed     time.Duration // the relay was told of it
+	wake        chan struct{}
 
 	mu    sync.Mutex // the relay and what belongs to it
 	log   *feed.Log
@@ -128,22 +130,28 @@
 	go p.accept()
 }
 
-// Changed takes what the member's core tells of the agreed state; it never waits.
-func (p *Publisher) Changed(whole *feed.Snapshot, changes []*feed.Change) {
+// Changed takes what the member's core tells of the agreed state; it never waits. False where too much of it waits: it has to be told of
+// the whole then.
+func (p *Publisher) Changed(whole *feed.Snapshot, changes []*feed.Change) bool {
 	p.news.Lock()
 	if whole != nil {
 		p.whole, p.fresh = whole, nil
 	}
-	p.fresh = append(p.fresh, changes...)
+	room := len(p.fresh)+len(changes) <= changesMost
+	if room {
+		p.fresh = append(p.fresh, changes...)
+	}
 	p.news.Unlock()
 	p.poke()
+	return room
 }
 
-// Fresh takes the time up to which nothing was agreed but what Changed has told; it never waits.
-func (p *Publisher) Fresh(asOf time.Duration) {
+// Fresh takes the time up to which nothing newer than a version was agreed; it never waits. It counts from when that version is
+// published.
+func (p *Publisher) Fresh(asOf time.Duration, version uint64) {
 	p.news.Lock()
-	news := !p.isAsOf || asOf > p.asOf
-	p.asOf, p.isAsOf = asOf, true
+	news := !p.known || asOf > p.asOf
+	p.asOf, p.asOfVersion, p.known = asOf, version, true
 	p.news.Unlock()
 	if news {
 		p.poke()
@@ -223,7 +231,8 @@
 
 func (p *Publisher) turn(ticks bool) {
 	p.news.Lock()
-	whole, changes, asOf, known := p.whole, p.fresh, p.asOf, p.isAsOf
+	whole, changes, asOf, version, known := p.whole, p.fresh, p.asOf, p.asOfVersion, p.known && p.asOf != p.claimed
+	p.claimed = p.asOf
 	p.whole, p.fresh = nil, nil
 	p.news.Unlock()
 	p.mu.Lock()
@@ -237,7 +246,7 @@
 		p.relay.Published()
 	}
 	if known {
-		p.relay.Fresh(asOf, p.log.Version())
+		p.relay.Fresh(asOf, version)
 	}
 	p.carryOut()
 	if now-p.told >= tellEach || p.told == 0 {
--- a/internal/fleet/publish/publish_test.go
+++ b/internal/fleet/publish/publish_test.go
@@ -109,9 +109,13 @@
 			case <-r.stop:
 				return
 			case <-time.After(50 * time.Millisecond):
+				now := boottime.Now()
+				r.mu.Lock()
+				version := r.log.Version()
+				r.mu.Unlock()
 				if !r.stale.Load() {
 					for _, p := range r.all {
-						p.Fresh(boottime.Now())
+						p.Fresh(now, version)
 					}
 				}
 			}
