--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -892,3 +892,28 @@
 		t.Errorf("%d messages to somebody who reads none", sends)
 	}
 }
+
+// TestARelayOfAnotherHistoryThatLags is left as well: what it says of its age is of another history.
+func TestARelayOfAnotherHistoryThatLags(t *testing.T) {
+	r, c := two(t)
+	s := r.relays["r1"]
+	s.stale = true
+	if _, err := s.log.Next([]Item{config(100)}); err != nil {
+		t.Fatal(err)
+	}
+	r.kill("r1")
+	for i := range 5 {
+		r.put(config(i))
+	}
+	r.run(time.Second)
+	s.down = false
+	s.relay = NewRelay(RelayConfig{Most: 10, Window: 1000, SnapshotBytes: 1000}, s.log, r.now)
+	for range 100 {
+		s.relay.Fresh(r.now, s.log.Version())
+		r.run(100 * time.Millisecond)
+	}
+	r.newest(c)
+	if c.f.Count.Conflicts == 0 || r.said(Conflict) == 0 || slices.Contains(c.f.Relays(), "r1") {
+		t.Errorf("%d conflicts, it follows %v", c.f.Count.Conflicts, c.f.Relays())
+	}
+}
--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -32,6 +32,7 @@
 	elsewhereMax = 5 * time.Minute
 	suspectFor   = 10 * time.Second // a site where relays of two zones failed within it comes after the others
 	sitesMost    = 16
+	pastKept     = 64          // versions whose digest is remembered, to know a relay of another history that lags
 	snapshotIn   = time.Minute // one message may take so long while bytes of it come
 )
 
@@ -91,9 +92,10 @@
 	now   time.Duration
 	state *State
 
-	asOf   time.Duration // at that time nothing newer was agreed than what is here
-	known  bool          // it was ever heard
-	stands bool          // it is told that it is not current
+	asOf   time.Duration                              // at that time nothing newer was agreed than what is here
+	known  bool                                       // it was ever heard
+	stands bool                                       // it is told that it is not current
+	past   [pastKept]struct{ version, digest uint64 } // of the newest versions before, by version
 
 	ways     map[string]*way // by address
 	use      []*way          // those that are dialed or open, in that order of theirs; three at most
@@ -416,6 +418,8 @@
 // took notes what was applied, and what is known by it.
 func (f *Follower) took(a Applied) {
 	f.ready.Applied = append(f.ready.Applied, a)
+	p := &f.past[a.Version%pastKept]
+	p.version, p.digest = a.Version, f.state.Digest()
 	ranks := a.Whole
 	for _, i := range a.Items {
 		ranks = ranks || strings.HasPrefix(i.Key, MemberPrefix)
@@ -440,8 +444,8 @@
 	w.asks = slices.Delete(w.asks, 0, i+1)
 	w.answered, w.read = f.now, max(w.read, r.Number)
 	v := f.state.Version()
-	if r.Version == v && r.Digest != f.state.Digest() {
-		err := fmt.Errorf("%w: version %d with digest %016x, here %016x", ErrConflict, v, r.Digest, f.state.Digest())
+	if p := f.past[r.Version%pastKept]; p.version == r.Version && p.digest != r.Digest {
+		err := fmt.Errorf("%w: version %d with digest %016x, here %016x", ErrConflict, r.Version, r.Digest, p.digest)
 		f.conflict(w, err)
 		return err
 	}
--- a/internal/fleet/feed/relay.go
+++ b/internal/fleet/feed/relay.go
@@ -414,7 +414,7 @@
 		r.took(p, p.out[n])
 		n++
 	}
-	if p.out = p.out[n:]; n > 0 || len(p.out) == 0 {
+	if p.out = slices.Delete(p.out, 0, n); n > 0 || len(p.out) == 0 {
 		p.taken = r.now
 	}
 	if version > p.sent { // by way of another relay
@@ -438,7 +438,7 @@
 	for _, o := range p.out {
 		r.took(p, o)
 	}
-	p.out, p.taken = nil, r.now
+	p.out, p.taken = p.out[:0], r.now
 }
 
 // asks goes on with a follower that has just said what it has: where the ring no longer reaches it, that was no matter of
--- a/internal/lab/feedworld/judge.go
+++ b/internal/lab/feedworld/judge.go
@@ -24,8 +24,7 @@
 	version uint64
 	sum     uint64            // by this package's own hash
 	items   map[string]uint64 // of each key
-	errs    int
-	seen    uint64 // up to which version it was judged whether changes were in force in time
+	seen    uint64            // up to which version it was judged whether changes were in force in time
 }
 
 func newRecord() record { return record{items: map[string]uint64{}} }
@@ -97,7 +96,11 @@
 		w.fail(Mixed, "follower %d at version %d has another digest", f.num, st.Version())
 		return
 	}
-	if f.core.Current(now) {
+	current := f.core.Current(now)
+	if w.believes != nil {
+		current = w.believes(f, now)
+	}
+	if current {
 		if v := w.versionAt(w.now - feed.Lease); v > st.Version() {
 			w.fail(FalselyNew, "follower %d at version %d, %d was agreed a lease ago", f.num, st.Version(), v)
 		}
--- a/internal/lab/feedworld/world.go
+++ b/internal/lab/feedworld/world.go
@@ -80,6 +80,11 @@
 	Late                                  time.Duration // the longest that a change took to who could be reached
 	Due                                   int           // pairs of a change and a follower that could be reached
 	Lapses, Wants, Mismatches             uint64
+	Refused                               int // messages that a follower did not take
+
+	// What tests put in around a follower: what it is given in place of a message, and what it believes of itself.
+	given    func(f *follower, addr string, m feed.Msg) feed.Msg
+	believes func(f *follower, now time.Duration) bool
 
 	sum uint64
 	err error
@@ -491,8 +496,14 @@
 			c.fOpen = false
 			delete(f.conns, addr)
 			f.core.Closed(addr)
-		} else if err := f.core.Step(addr, *m); err != nil {
-			f.took.errs++
+		} else {
+			one := *m
+			if w.given != nil {
+				one = w.given(f, addr, one)
+			}
+			if err := f.core.Step(addr, one); err != nil {
+				w.Refused++
+			}
 		}
 		w.readyFollower(f)
 		w.current(f)
--- a/internal/lab/feedworld/world_test.go
+++ b/internal/lab/feedworld/world_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"flag"
+	"slices"
+	"strings"
 	"testing"
 	"time"
+
+	"sabletally/internal/fleet/feed"
 )
 
 var (
@@ -45,3 +49,95 @@
 		t.Error("another seed is the same history")
 	}
 }
+
+// harm has one change of so many come with another value than was agreed.
+func harm(w *World, each int) func(*follower, string, feed.Msg) feed.Msg {
+	n := 0
+	return func(_ *follower, _ string, m feed.Msg) feed.Msg {
+		if m.Change == nil || m.Change.Items[0].Gone || w.calm {
+			return m
+		}
+		if n++; n%each != 0 {
+			return m
+		}
+		c := *m.Change
+		c.Items = slices.Clone(c.Items)
+		c.Items[0].Value = append([]byte("harmed "), c.Items[0].Value...)
+		return feed.Msg{Change: &c}
+	}
+}
+
+// TestWhatIsHarmedOnTheWayIsRefused plays histories in which changes come with other values: none is taken, and all go on.
+func TestWhatIsHarmedOnTheWayIsRefused(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		w := New(Usual(seed, 30))
+		w.given = harm(w, 20)
+		if err := w.Play(); err != nil {
+			t.Error(err)
+		}
+		if w.Mismatches < 10 || w.Refused < 10 {
+			t.Errorf("seed %d: %d mismatches, %d refused", seed, w.Mismatches, w.Refused)
+		}
+		t.Logf("seed %d: %d mismatches, %d snapshots, %d wants, %d changes", seed, w.Mismatches, w.Snapshots, w.Wants, w.Changes)
+	}
+}
+
+// TestWhatIsBrokenOnPurposeIsNamed puts each break around the followers until it shows: a judge that finds nothing proves nothing.
+func TestWhatIsBrokenOnPurposeIsNamed(t *testing.T) {
+	for broken, one := range map[string]struct {
+		name string
+		in   func(w *World)
+	}{
+		"digest not checked": {Mixed, func(w *World) {
+			harmed := harm(w, 20)
+			w.given = func(f *follower, addr string, m feed.Msg) feed.Msg {
+				m = harmed(f, addr, m)
+				st := f.core.State()
+				if m.Change == nil || m.Change.Version != st.Version()+1 || st.Version() == 0 {
+					return m
+				}
+				l := feed.NewLog(feed.LogConfig{Most: 1, Bytes: 1}) // what the change comes to there, whatever it says
+				if err := l.Install(feed.Snapshot{Fleet: st.Fleet(), Version: st.Version(), Digest: st.Digest(), Items: st.All("")}); err != nil {
+					t.Fatal(err)
+				}
+				c, err := l.Next(m.Change.Items)
+				if err != nil {
+					return m
+				}
+				return feed.Msg{Change: &c}
+			}
+		}},
+		"snapshot over a newer state": {WentBack, func(w *World) {
+			w.given = func(f *follower, _ string, m feed.Msg) feed.Msg {
+				if s := m.Snapshot; s != nil && s.Version < f.core.State().Version() {
+					w.applied(f, feed.Applied{Version: s.Version, Items: s.Items, Whole: true}) // as if it were taken
+				}
+				return m
+			}
+		}},
+		"lease not looked at": {FalselyNew, func(w *World) {
+			w.believes = func(f *follower, now time.Duration) bool {
+				_, known := f.core.Age(now)
+				return known
+			}
+		}},
+	} {
+		t.Run(broken, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(1); seed <= 60; seed++ {
+				w := New(Usual(seed, 30))
+				one.in(w)
+				err := w.Play()
+				if err == nil {
+					continue
+				}
+				if !strings.Contains(err.Error(), one.name) {
+					t.Fatalf("not by name: %v", err)
+				}
+				t.Logf("found: %v", err)
+				return
+			}
+			t.Error("it was not found")
+		})
+	}
+}
