--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -917,3 +917,62 @@
 		t.Errorf("%d conflicts, it follows %v", c.f.Count.Conflicts, c.f.Relays())
 	}
 }
+
+// TestAllRelaysLeaveAtOnce restarts all relays as planned: what they say of a wait does not leave followers without anybody.
+func TestAllRelaysLeaveAtOnce(t *testing.T) {
+	r := newRig(t, sites(17)...)
+	for i := range 300 {
+		r.follower(fmt.Sprintf("b%d", i), fmt.Sprintf("s%d", i%3))
+	}
+	r.run(30 * time.Second)
+	for _, a := range r.addrs {
+		r.relays[a].relay.Leave()
+		r.station(r.relays[a])
+		r.kill(a)
+	}
+	r.run(time.Second)
+	for _, a := range r.addrs {
+		r.start(a, RelayConfig{})
+	}
+	clear(r.sent)
+	began := r.now
+	for n := 0; n < len(r.all); {
+		r.run(100 * time.Millisecond)
+		n = 0
+		for _, c := range r.all {
+			if len(c.f.Relays()) > 0 && c.f.Current(r.now) {
+				n++
+			}
+		}
+		if r.now-began > Lease {
+			t.Fatalf("%d of %d within the lease", n, len(r.all))
+		}
+	}
+	t.Logf("all are back after %v", r.now-began)
+	r.run(10 * time.Second)
+	for _, c := range r.all {
+		r.newest(c)
+		if len(c.f.Relays()) != 2 {
+			t.Errorf("%s follows %v", c.id, c.f.Relays())
+		}
+	}
+	if r.sent["snapshot"] > 0 {
+		t.Errorf("%d snapshots", r.sent["snapshot"])
+	}
+}
+
+// TestOneHarmedChangeIsNoMatterForLong has one change come harmed: the other relay's is taken, and no snapshot is needed for good.
+func TestOneHarmedChangeIsNoMatterForLong(t *testing.T) {
+	r, c := two(t)
+	if err := c.f.Step(c.f.Relays()[0], Msg{Change: &Change{Version: r.source.Version() + 1, Before: r.source.Digest(), After: 1, Items: []Item{config(3)}}}); !errors.Is(err, ErrDigest) {
+		t.Fatal(err)
+	}
+	for i := range 5 {
+		r.put(config(i))
+		r.run(2 * time.Second)
+	}
+	r.newest(c)
+	if c.f.Count.Mismatches != 1 || r.said(Mismatch) != 1 || c.f.mismatch {
+		t.Errorf("%+v, told %d times", c.f.Count, r.said(Mismatch))
+	}
+}
--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -23,6 +23,7 @@
 	backFirst    = time.Second // a relay that failed is passed over for so long, twice as long each time that it fails again,
 	backMost     = 30 * time.Second
 	backAlone    = 1500 * time.Millisecond // but so long where no relay is left, all by chance from a half to one and a half
+	toldAlone    = 4 * time.Second         // the same of one that sent this follower elsewhere
 	dialAlone    = 200 * time.Millisecond  // between two dials then
 	soundAfter   = 10 * time.Second        // a relay that served so long has failed no time before
 	returnFrom   = 20 * time.Second        // until a better ranked relay takes a worse one's place, by chance up to twice as long more
@@ -340,6 +341,7 @@
 	err := f.state.Apply(*c)
 	if err == nil {
 		f.Count.Changes++
+		f.mismatch = false
 		w.unacked += c.Size()
 		f.took(Applied{Version: c.Version, Items: c.Items})
 		if w.unacked >= ackEach {
@@ -664,10 +666,14 @@
 
 // may tells whether a relay is not passed over.
 func (f *Follower) may(w *way, alone bool) bool {
-	if alone && !w.told && w.failed {
-		return f.now >= min(w.pass, w.failedAt+backAlone/2+time.Duration(w.score%uint64(backAlone)))
+	if !alone || !w.told && !w.failed {
+		return f.now >= w.pass
 	}
-	return f.now >= w.pass
+	back := backAlone
+	if w.told { // nobody is left, whatever it said: all may have ended, or found no room, at once
+		back = toldAlone
+	}
+	return f.now >= min(w.pass, w.failedAt+back/2+time.Duration(w.score%uint64(back)))
 }
 
 // decide dials and hangs up as it follows from whom to follow.
@@ -696,7 +702,7 @@
 			continue
 		}
 		if len(f.use) < relaysWanted {
-			if opened == 0 && w.failed {
+			if opened == 0 && (w.failed || w.told) {
 				if f.now < f.dialAt {
 					return
 				}
--- a/internal/lab/feedworld/play.go
+++ b/internal/lab/feedworld/play.go
@@ -352,7 +352,12 @@
 	case 10: // all relays at once
 		if w.rng.IntN(3) == 0 {
 			w.Restarts++
+			planned := w.rng.IntN(2) == 0
 			for _, r := range w.relays {
+				if planned && w.running(&r.node) {
+					r.core.Leave()
+					w.readyRelay(r)
+				}
 				w.killRelay(r, w.chance(3*time.Second))
 			}
 		}
