--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -306,6 +306,7 @@
 			t.Fatalf("%d of %d within the lease", n, followers)
 		}
 	}
+	back := r.now - began
 	r.run(3 * time.Second)
 	for _, c := range r.all {
 		r.newest(c)
@@ -313,7 +314,7 @@
 	if r.sent["snapshot"] != 0 || r.sent["change"] != 0 {
 		t.Errorf("sent %v", r.sent)
 	}
-	t.Logf("all are back after %v", r.now-began)
+	t.Logf("all are back after %v", back)
 }
 
 func sites(relays int) []string {
