--- a/internal/fleet/feed/bench_test.go
+++ b/internal/fleet/feed/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -226,3 +227,52 @@
 		}
 	})
 }
+
+// BenchmarkMemory is what a relay holds for each follower, and a follower for the whole state with its list of relays.
+func BenchmarkMemory(b *testing.B) {
+	heap := func() float64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	log := full(b)
+	text := log.snapshot().Text()
+	for _, n := range []int{270, 541, 1840} {
+		b.Run(fmt.Sprintf("relay/followers=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				relay := NewRelay(RelayConfig{Most: 2 * n, Window: 64 << 10, SnapshotBytes: 32 << 20}, log, 0)
+				for i := range n {
+					h := Hello{Form: Form, ID: fmt.Sprintf("%032d", i), Name: fmt.Sprintf("balancer%d", i), Machine: fmt.Sprintf("machine%d", i), Zone: "zone", Site: "region",
+						Version: log.Version(), Digest: log.Digest()}
+					if err := relay.Opened(0, uint64(i+1), h); err != nil {
+						b.Fatal(err)
+					}
+				}
+				relay.Ready()
+				b.ReportMetric((heap()-before)/float64(n), "B/follower")
+				runtime.KeepAlive(relay)
+			}
+		})
+	}
+	b.Run("follower", func(b *testing.B) {
+		for b.Loop() {
+			before := heap()
+			f := NewFollower(FollowerConfig{ID: "b0", Site: "region0", Seeds: []string{"r0"}}, 0)
+			f.Clock(0)
+			f.Opened("r0")
+			m, err := Decode(text)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if err := f.Step("r0", m); err != nil {
+				b.Fatal(err)
+			}
+			f.Ready()
+			b.ReportMetric(heap()-before, "B")
+			b.ReportMetric(float64(f.State().Bytes()), "B/state")
+			runtime.KeepAlive(f)
+		}
+	})
+}
