--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -98,31 +98,31 @@
 	stands bool                                       // it is told that it is not current
 	past   [pastKept]struct{ version, digest uint64 } // of the newest versions before, by version
 
-	ways     map[string]*way // by address
-	use      []*way          // those that are dialed or open, in that order of theirs; three at most
-	ranked   []*way          // those that are listed, the best first
-	listed   map[string]views.Member
-	mismatch bool
-	returnAt time.Duration // 0: no better one is waited for
-	hastens  bool          // it was set as one in use does badly
-	dialAt   time.Duration // not before, where no relay is left
-	seeks    int           // times in a row that another one was looked for, as one in use does badly
-	stoodAt  time.Duration
+	upstreams map[string]*upstream // by address
+	use       []*upstream          // those that are dialed or open, in that order of theirs; three at most
+	ranked    []*upstream          // those that are listed, the best first
+	listed    map[string]views.Member
+	mismatch  bool
+	returnAt  time.Duration // 0: no better one is waited for
+	hastens   bool          // it was set as one in use does badly
+	dialAt    time.Duration // not before, where no relay is left
+	seeks     int           // times in a row that another one was looked for, as one in use does badly
+	stoodAt   time.Duration
 
 	ready FollowerReady
 	Count FollowerCount
 }
 
-type wayState uint8
+type upstreamState uint8
 
 const (
-	idle wayState = iota
+	idle upstreamState = iota
 	dialing
 	open
 )
 
-// way is what a follower knows of one relay, by its address.
-type way struct {
+// upstream is what a follower knows of one relay, by its address.
+type upstream struct {
 	addr       string
 	id         string
 	zone, site string
@@ -130,7 +130,7 @@
 	listed     bool
 	seed       bool // it was dialed as a seed, its zone unknown, and is not one of those wanted since
 
-	state    wayState
+	state    upstreamState
 	began    time.Duration // dialing, or open
 	heard    time.Duration // the newest message, or bytes of one
 	answered time.Duration // the newest Renewed
@@ -166,7 +166,7 @@
 	if cfg.Lease <= 0 {
 		cfg.Lease = Lease
 	}
-	f := &Follower{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0xf0110)), now: now, state: NewState(), ways: map[string]*way{},
+	f := &Follower{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0xf0110)), now: now, state: NewState(), upstreams: map[string]*upstream{},
 		listed: map[string]views.Member{}, stands: true, stoodAt: now, dialAt: now}
 	f.rank()
 	return f
@@ -235,7 +235,7 @@
 }
 
 // dead tells why a relay is to be left, empty where it is not.
-func (f *Follower) dead(w *way) string {
+func (f *Follower) dead(w *upstream) string {
 	half := f.cfg.Lease / 2
 	switch {
 	case w.state == dialing && f.now-w.began >= f.cfg.Lease/5:
@@ -253,7 +253,7 @@
 
 // Opened tells that a dial has come through.
 func (f *Follower) Opened(addr string) {
-	w := f.ways[addr]
+	w := f.upstreams[addr]
 	if w == nil || w.state != dialing {
 		f.ready.Hang = append(f.ready.Hang, addr)
 		return
@@ -273,7 +273,7 @@
 
 // Failed tells that a dial has not come through.
 func (f *Follower) Failed(addr string) {
-	if w := f.ways[addr]; w != nil && w.state == dialing {
+	if w := f.upstreams[addr]; w != nil && w.state == dialing {
 		f.Count.Fails++
 		f.over(w)
 		f.decide()
@@ -282,7 +282,7 @@
 
 // Closed tells that a connection has ended, not by this side.
 func (f *Follower) Closed(addr string) {
-	if w := f.ways[addr]; w != nil && w.state == open {
+	if w := f.upstreams[addr]; w != nil && w.state == open {
 		f.line(Line{Kind: Leaves, Addr: addr, Text: "its connection has ended"})
 		f.over(w)
 		f.decide()
@@ -291,7 +291,7 @@
 
 // Progress tells that bytes of a message have come that is not whole yet: a relay is not silent that sends a large one slowly.
 func (f *Follower) Progress(addr string) {
-	if w := f.ways[addr]; w != nil && w.state == open {
+	if w := f.upstreams[addr]; w != nil && w.state == open {
 		w.heard, w.midway = f.now, true
 	}
 }
@@ -307,7 +307,7 @@
 
 // Step takes a message. An error tells what was wrong with it; what follows from it is done already.
 func (f *Follower) Step(addr string, m Msg) error {
-	w := f.ways[addr]
+	w := f.upstreams[addr]
 	if w == nil || w.state != open {
 		return nil // hung up meanwhile
 	}
@@ -337,7 +337,7 @@
 
 // ---- The feed.
 
-func (f *Follower) change(w *way, c *Change) error {
+func (f *Follower) change(w *upstream, c *Change) error {
 	err := f.state.Apply(*c)
 	if err == nil {
 		f.Count.Changes++
@@ -352,7 +352,7 @@
 	return f.refused(w, c.Version, err)
 }
 
-func (f *Follower) snapshot(w *way, s *Snapshot) error {
+func (f *Follower) snapshot(w *upstream, s *Snapshot) error {
 	was := f.state.Version()
 	if f.cfg.Fleet != "" && s.Fleet != "" && s.Fleet != f.cfg.Fleet {
 		return f.refused(w, s.Version, fmt.Errorf("%w: %q, this one is %q", ErrFleet, s.Fleet, f.cfg.Fleet))
@@ -372,7 +372,7 @@
 }
 
 // refused does what follows from a change or snapshot that is not taken.
-func (f *Follower) refused(w *way, version uint64, err error) error {
+func (f *Follower) refused(w *upstream, version uint64, err error) error {
 	switch {
 	case errors.Is(err, ErrOrder) && version <= f.state.Version():
 		f.Count.Had++
@@ -397,7 +397,7 @@
 }
 
 // conflict leaves a relay that has another history.
-func (f *Follower) conflict(w *way, err error) {
+func (f *Follower) conflict(w *upstream, err error) {
 	f.Count.Conflicts++
 	f.line(Line{Kind: Conflict, Peer: w.id, Addr: w.addr, Version: f.state.Version(), Text: err.Error()})
 	f.leave(w, "it has another history")
@@ -406,7 +406,7 @@
 }
 
 // refuse leaves a relay that sends what can't be taken.
-func (f *Follower) refuse(w *way, err error) {
+func (f *Follower) refuse(w *upstream, err error) {
 	kind := Refused
 	if errors.Is(err, ErrFleet) {
 		kind = Stranger
@@ -437,7 +437,7 @@
 
 // renewed takes a relay's answer: what it knew as of the time of the question, less the age that it says, is true for this
 // follower once it has that version.
-func (f *Follower) renewed(w *way, r *Renewed) error {
+func (f *Follower) renewed(w *upstream, r *Renewed) error {
 	i := slices.IndexFunc(w.asks, func(a ask) bool { return a.number == r.Number })
 	if i < 0 {
 		return nil // never asked, answered before, or given up
@@ -479,7 +479,7 @@
 }
 
 // claim takes over what a relay has said, as far as its version has come.
-func (f *Follower) claim(w *way) {
+func (f *Follower) claim(w *upstream) {
 	w.claims = slices.DeleteFunc(w.claims, func(c asOf) bool {
 		if c.version > f.state.Version() {
 			return f.now-c.at > f.cfg.Lease
@@ -492,7 +492,7 @@
 }
 
 // sync notes that a relay has nothing newer; those that were told to wait for that go on from here.
-func (f *Follower) sync(w *way) {
+func (f *Follower) sync(w *upstream) {
 	if w.synced {
 		return
 	}
@@ -504,7 +504,7 @@
 	}
 }
 
-func (f *Follower) want(w *way, whole bool) {
+func (f *Follower) want(w *upstream, whole bool) {
 	if w.wants && w.wantedAt == f.state.Version() && (w.whole || !whole) {
 		return
 	}
@@ -513,12 +513,12 @@
 	f.send(w, Msg{Want: &Want{Heard: w.read, Version: f.state.Version(), Digest: f.state.Digest(), Whole: whole}})
 }
 
-func (f *Follower) ack(w *way) {
+func (f *Follower) ack(w *upstream) {
 	w.unacked = 0
 	f.send(w, Msg{Ack: &Ack{Version: f.state.Version(), Digest: f.state.Digest()}})
 }
 
-func (f *Follower) renew(w *way) {
+func (f *Follower) renew(w *upstream) {
 	w.number++
 	w.renewAt = f.now + RenewEach*3/4 + time.Duration(f.rng.Float64()*float64(RenewEach)/2)
 	if len(w.asks) >= asksMost {
@@ -571,7 +571,7 @@
 
 // rank sorts the relays for this follower: those of its own site first, then by hash; seeds that are none of those last.
 func (f *Follower) rank() {
-	for _, w := range f.ways {
+	for _, w := range f.upstreams {
 		w.listed = false
 	}
 	ids := make([]string, 0, len(f.listed))
@@ -583,10 +583,10 @@
 	})
 	f.ranked = f.ranked[:0]
 	add := func(m views.Member, key string) {
-		w := f.ways[m.Addr]
+		w := f.upstreams[m.Addr]
 		if w == nil {
-			w = &way{addr: m.Addr}
-			f.ways[m.Addr] = w
+			w = &upstream{addr: m.Addr}
+			f.upstreams[m.Addr] = w
 		}
 		if w.listed || len(f.ranked) >= listMost {
 			return
@@ -600,17 +600,17 @@
 	for _, s := range f.cfg.Seeds {
 		add(views.Member{Addr: s}, s)
 	}
-	slices.SortStableFunc(f.ranked, func(a, b *way) int {
+	slices.SortStableFunc(f.ranked, func(a, b *upstream) int {
 		return cmp.Or(cmp.Compare(f.tier(a), f.tier(b)), -cmp.Compare(a.score, b.score), cmp.Compare(a.addr, b.addr))
 	})
-	for addr, w := range f.ways {
+	for addr, w := range f.upstreams {
 		if !w.listed && w.state == idle {
-			delete(f.ways, addr)
+			delete(f.upstreams, addr)
 		}
 	}
 }
 
-func (f *Follower) tier(w *way) int {
+func (f *Follower) tier(w *upstream) int {
 	switch {
 	case w.id == "":
 		return 2
@@ -628,7 +628,7 @@
 
 // choose is whom to follow now: the best ranked that is not passed over, and the next of another zone; where there is no other
 // zone, the next.
-func (f *Follower) choose(alone bool) []*way {
+func (f *Follower) choose(alone bool) []*upstream {
 	var sites []failedSite
 	for _, w := range f.ranked {
 		if !w.failed || f.now-w.failedAt > suspectFor || w.id == "" {
@@ -641,10 +641,10 @@
 			sites = append(sites, failedSite{site: w.site, zone: w.zone})
 		}
 	}
-	suspect := func(w *way) bool {
+	suspect := func(w *upstream) bool {
 		return w.id != "" && slices.ContainsFunc(sites, func(s failedSite) bool { return s.more && s.site == w.site })
 	}
-	var picked []*way
+	var picked []*upstream
 	for _, further := range []bool{true, false} {
 		for _, late := range []bool{false, true} {
 			for _, w := range f.ranked {
@@ -665,7 +665,7 @@
 }
 
 // may tells whether a relay is not passed over.
-func (f *Follower) may(w *way, alone bool) bool {
+func (f *Follower) may(w *upstream, alone bool) bool {
 	if !alone || !w.told && !w.failed {
 		return f.now >= w.pass
 	}
@@ -690,7 +690,7 @@
 	for _, w := range wanted {
 		w.seed = false
 	}
-	seeded := slices.ContainsFunc(f.use, func(w *way) bool { return w.seed })
+	seeded := slices.ContainsFunc(f.use, func(w *upstream) bool { return w.seed })
 	if len(f.use) > relaysWanted {
 		if !pending {
 			f.spare(wanted)
@@ -722,7 +722,7 @@
 
 // instead has a better one take another's place, after a pause by chance, one at a time: soon where one in use does badly, but
 // not sooner each time when none is found that does better.
-func (f *Follower) instead(w *way, bad, pending, seeded bool) {
+func (f *Follower) instead(w *upstream, bad, pending, seeded bool) {
 	switch {
 	case pending:
 	case f.returnAt != 0 && f.now >= f.returnAt:
@@ -745,8 +745,8 @@
 }
 
 // spare hangs up the one too many.
-func (f *Follower) spare(wanted []*way) {
-	worth := func(w *way) int {
+func (f *Follower) spare(wanted []*upstream) {
+	worth := func(w *upstream) int {
 		n := 0
 		if w.proved && w.pass <= f.now {
 			n += 4
@@ -772,7 +772,7 @@
 	f.hang(worst)
 }
 
-func (f *Follower) dial(w *way) {
+func (f *Follower) dial(w *upstream) {
 	f.Count.Dials++
 	w.state, w.began, w.told, w.seed, w.proved, w.pass = dialing, f.now, false, w.id == "", false, 0
 	f.use = append(f.use, w)
@@ -780,29 +780,29 @@
 }
 
 // leave hangs up on a relay and passes it over.
-func (f *Follower) leave(w *way, why string) {
+func (f *Follower) leave(w *upstream, why string) {
 	f.line(Line{Kind: Leaves, Addr: w.addr, Text: why})
 	f.fail(w)
 	f.hang(w)
 }
 
 // over is the end of a connection that others ended.
-func (f *Follower) over(w *way) {
+func (f *Follower) over(w *upstream) {
 	f.fail(w)
 	f.closed(w)
 }
 
-func (f *Follower) hang(w *way) {
+func (f *Follower) hang(w *upstream) {
 	f.ready.Hang = append(f.ready.Hang, w.addr)
 	f.closed(w)
 }
 
-func (f *Follower) closed(w *way) {
+func (f *Follower) closed(w *upstream) {
 	feeding := w.state == open && !w.parked && !w.synced
 	w.state, w.asks, w.claims, w.proved = idle, nil, nil, false
-	f.use = slices.DeleteFunc(f.use, func(o *way) bool { return o == w })
+	f.use = slices.DeleteFunc(f.use, func(o *upstream) bool { return o == w })
 	if !w.listed {
-		delete(f.ways, w.addr)
+		delete(f.upstreams, w.addr)
 	}
 	if !feeding {
 		return
@@ -816,7 +816,7 @@
 }
 
 // fail passes a relay over for a while that doubles.
-func (f *Follower) fail(w *way) {
+func (f *Follower) fail(w *upstream) {
 	w.failed, w.failedAt = true, f.now
 	w.pass = max(w.pass, f.now+f.about(min(backFirst<<min(w.fails, 10), backMost)))
 	w.fails++
@@ -827,7 +827,7 @@
 	return d/2 + time.Duration(f.rng.Float64()*float64(d))
 }
 
-func (f *Follower) send(w *way, m Msg) {
+func (f *Follower) send(w *upstream, m Msg) {
 	f.ready.Sends = append(f.ready.Sends, FollowerSend{w.addr, m})
 }
 
--- a/internal/fleet/feed/relay.go
+++ b/internal/fleet/feed/relay.go
@@ -70,7 +70,7 @@
 	leases leases
 	queue  []*peer // that wait for a snapshot
 	budget float64 // bytes of snapshots that may go out now
-	out    map[uint64]*held
+	out    map[uint64]*inflightSnapshot
 	leaves bool
 
 	ready RelayReady
@@ -84,8 +84,8 @@
 	digest  uint64
 }
 
-// held is a snapshot that is out, and to how many.
-type held struct{ by int }
+// inflightSnapshot is a snapshot that is out, and to how many.
+type inflightSnapshot struct{ by int }
 
 // RelayCount counts what a relay did.
 type RelayCount struct {
@@ -112,7 +112,7 @@
 	behind  bool // the ring no longer reaches it: its next word tells whether it still needs a snapshot
 	whole   bool // it asked for a snapshot, whatever the ring has
 	queued  bool
-	out     []onWay
+	out     []inflight
 	bytes   int           // of out
 	taken   time.Duration // the last time that it acknowledged something, or that nothing was out
 	answers uint64        // the newest renewal that was answered
@@ -120,7 +120,7 @@
 	asked   bool          // a Want was taken since then
 }
 
-type onWay struct {
+type inflight struct {
 	version uint64
 	size    int
 	snap    bool
@@ -156,7 +156,7 @@
 		cfg.Lease = Lease
 	}
 	return &Relay{cfg: cfg, log: log, rng: rand.New(rand.NewPCG(cfg.Seed, 0xfeed)), now: now, awake: now, peers: map[uint64]*peer{},
-		byID: map[string]*peer{}, order: list.New(), budget: float64(cfg.SnapshotBytes), out: map[uint64]*held{}}
+		byID: map[string]*peer{}, order: list.New(), budget: float64(cfg.SnapshotBytes), out: map[uint64]*inflightSnapshot{}}
 }
 
 // Ready hands out what is to be done, once.
@@ -311,7 +311,7 @@
 	p.heard = now
 	switch {
 	case m.Renew != nil:
-		r.has(p, m.Renew.Version, m.Renew.Digest)
+		r.acked(p, m.Renew.Version, m.Renew.Digest)
 		p.heardOf(m.Renew.Heard)
 		if n := m.Renew.Number; n > p.answers && n-p.read <= unheardMost {
 			p.answers = n
@@ -322,7 +322,7 @@
 			r.send(conn, Msg{Renewed: &a})
 		}
 	case m.Ack != nil:
-		r.has(p, m.Ack.Version, m.Ack.Digest)
+		r.acked(p, m.Ack.Version, m.Ack.Digest)
 	case m.Want != nil:
 		p.heardOf(m.Want.Heard)
 		if p.asked && !p.parked {
@@ -403,8 +403,8 @@
 	}
 }
 
-// has takes an acknowledgement.
-func (r *Relay) has(p *peer, version, digest uint64) {
+// acked takes an acknowledgement.
+func (r *Relay) acked(p *peer, version, digest uint64) {
 	if version < p.version {
 		return // late
 	}
@@ -423,7 +423,7 @@
 	r.asks(p)
 }
 
-func (r *Relay) took(p *peer, o onWay) {
+func (r *Relay) took(p *peer, o inflight) {
 	p.bytes -= o.size
 	if o.snap {
 		if h := r.out[o.version]; h != nil {
@@ -492,7 +492,7 @@
 	if len(p.out) == 0 {
 		p.taken = r.now
 	}
-	p.out = append(p.out, onWay{version, size, snap})
+	p.out = append(p.out, inflight{version, size, snap})
 	p.bytes += size
 	p.sent, p.sentSum = version, digest
 	r.Count.Bytes += uint64(size)
@@ -520,7 +520,7 @@
 			break
 		}
 		if r.out[s.Version] == nil {
-			r.out[s.Version] = &held{}
+			r.out[s.Version] = &inflightSnapshot{}
 		}
 		r.out[s.Version].by++
 		size := s.Size()
--- a/internal/fleet/feed/walk_test.go
+++ b/internal/fleet/feed/walk_test.go
@@ -512,7 +512,7 @@
 		c := f.core
 		fmt.Fprint(&h, "|", c.state.Version(), c.known, ago(c.asOf), c.stands, f.stopped, ago(c.now), c.mismatch, ago(c.returnAt), c.hastens)
 		for _, a := range []string{"r0", "r1"} {
-			if y := c.ways[a]; y != nil {
+			if y := c.upstreams[a]; y != nil {
 				fmt.Fprint(&h, ";", y.state, ago(y.began), ago(y.heard), ago(y.answered), y.proved, y.synced, y.parked, y.number, y.read, len(y.asks), y.claims, ago(y.renewAt), y.wants, y.wanted,
 					y.wantedAt, y.whole, y.unacked, y.fails, y.failed, ago(y.pass), y.told)
 			}
@@ -590,7 +590,7 @@
 	n := *r
 	n.log, n.rng = log, rand.New(rand.NewPCG(1, 1))
 	n.claims = slices.Clone(r.claims)
-	n.peers, n.byID, n.order, n.leases, n.queue, n.out = map[uint64]*peer{}, map[string]*peer{}, list.New(), make(leases, len(r.leases)), nil, map[uint64]*held{}
+	n.peers, n.byID, n.order, n.leases, n.queue, n.out = map[uint64]*peer{}, map[string]*peer{}, list.New(), make(leases, len(r.leases)), nil, map[uint64]*inflightSnapshot{}
 	of := map[*peer]*peer{}
 	for e := r.order.Front(); e != nil; e = e.Next() {
 		p := *e.Value.(*peer)
@@ -614,17 +614,17 @@
 
 func (f *Follower) clone() *Follower {
 	n := *f
-	n.state, n.rng, n.ways, n.listed, n.use, n.ranked = f.state.clone(), rand.New(rand.NewPCG(1, 1)), map[string]*way{}, maps.Clone(f.listed), nil, nil
-	for a, w := range f.ways {
+	n.state, n.rng, n.upstreams, n.listed, n.use, n.ranked = f.state.clone(), rand.New(rand.NewPCG(1, 1)), map[string]*upstream{}, maps.Clone(f.listed), nil, nil
+	for a, w := range f.upstreams {
 		c := *w
 		c.asks, c.claims = slices.Clone(w.asks), slices.Clone(w.claims)
-		n.ways[a] = &c
+		n.upstreams[a] = &c
 	}
 	for _, w := range f.use {
-		n.use = append(n.use, n.ways[w.addr])
+		n.use = append(n.use, n.upstreams[w.addr])
 	}
 	for _, w := range f.ranked {
-		n.ranked = append(n.ranked, n.ways[w.addr])
+		n.ranked = append(n.ranked, n.upstreams[w.addr])
 	}
 	return &n
 }
