--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -306,6 +306,7 @@
 			t.Fatalf("%d of %d within the lease", n, followers)
 		}
 	}
+	back := r.now - began
 	r.run(3 * time.Second)
 	for _, c := range r.all {
 		r.newest(c)
@@ -313,7 +314,7 @@
 	if r.sent["snapshot"] != 0 || r.sent["change"] != 0 {
 		t.Errorf("sent %v", r.sent)
 	}
-	t.Logf("all are back after %v", r.now-began)
+	t.Logf("all are back after %v", back)
 }
 
 func sites(relays int) []string {
@@ -892,3 +893,87 @@
 		t.Errorf("%d messages to somebody who reads none", sends)
 	}
 }
+
+// TestARelayOfAnotherHistoryThatLags is left as well: what it says of its age is of another history.
+func TestARelayOfAnotherHistoryThatLags(t *testing.T) {
+	r, c := two(t)
+	s := r.relays["r1"]
+	s.stale = true
+	if _, err := s.log.Next([]Item{config(100)}); err != nil {
+		t.Fatal(err)
+	}
+	r.kill("r1")
+	for i := range 5 {
+		r.put(config(i))
+	}
+	r.run(time.Second)
+	s.down = false
+	s.relay = NewRelay(RelayConfig{Most: 10, Window: 1000, SnapshotBytes: 1000}, s.log, r.now)
+	for range 100 {
+		s.relay.Fresh(r.now, s.log.Version())
+		r.run(100 * time.Millisecond)
+	}
+	r.newest(c)
+	if c.f.Count.Conflicts == 0 || r.said(Conflict) == 0 || slices.Contains(c.f.Relays(), "r1") {
+		t.Errorf("%d conflicts, it follows %v", c.f.Count.Conflicts, c.f.Relays())
+	}
+}
+
+// TestAllRelaysLeaveAtOnce restarts all relays as planned: what they say of a wait does not leave followers without anybody.
+func TestAllRelaysLeaveAtOnce(t *testing.T) {
+	r := newRig(t, sites(17)...)
+	for i := range 300 {
+		r.follower(fmt.Sprintf("b%d", i), fmt.Sprintf("s%d", i%3))
+	}
+	r.run(30 * time.Second)
+	for _, a := range r.addrs {
+		r.relays[a].relay.Leave()
+		r.station(r.relays[a])
+		r.kill(a)
+	}
+	r.run(time.Second)
+	for _, a := range r.addrs {
+		r.start(a, RelayConfig{})
+	}
+	clear(r.sent)
+	began := r.now
+	for n := 0; n < len(r.all); {
+		r.run(100 * time.Millisecond)
+		n = 0
+		for _, c := range r.all {
+			if len(c.f.Relays()) > 0 && c.f.Current(r.now) {
+				n++
+			}
+		}
+		if r.now-began > Lease {
+			t.Fatalf("%d of %d within the lease", n, len(r.all))
+		}
+	}
+	t.Logf("all are back after %v", r.now-began)
+	r.run(10 * time.Second)
+	for _, c := range r.all {
+		r.newest(c)
+		if len(c.f.Relays()) != 2 {
+			t.Errorf("%s follows %v", c.id, c.f.Relays())
+		}
+	}
+	if r.sent["snapshot"] > 0 {
+		t.Errorf("%d snapshots", r.sent["snapshot"])
+	}
+}
+
+// TestOneHarmedChangeIsNoMatterForLong has one change come harmed: the other relay's is taken, and no snapshot is needed for good.
+func TestOneHarmedChangeIsNoMatterForLong(t *testing.T) {
+	r, c := two(t)
+	if err := c.f.Step(c.f.Relays()[0], Msg{Change: &Change{Version: r.source.Version() + 1, Before: r.source.Digest(), After: 1, Items: []Item{config(3)}}}); !errors.Is(err, ErrDigest) {
+		t.Fatal(err)
+	}
+	for i := range 5 {
+		r.put(config(i))
+		r.run(2 * time.Second)
+	}
+	r.newest(c)
+	if c.f.Count.Mismatches != 1 || r.said(Mismatch) != 1 || c.f.mismatch {
+		t.Errorf("%+v, told %d times", c.f.Count, r.said(Mismatch))
+	}
+}
