--- a/cmd/sabletally/main_test.go
+++ b/cmd/sabletally/main_test.go
@@ -39,7 +39,7 @@
 	if files, err := strconv.ParseUint(os.Getenv("SABLETALLY_FILES"), 10, 32); err == nil {
 		syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: files, Max: files})
 	}
-	os.Exit(run())
+	main()
 }
 
 const settings = `{"PeersTotal":1,"Zone":0,"Areas":["a","b"],"RegistryMode":"pushed","ServiceGrades":[{"Name":"feed",
--- a/internal/fleet/contact/wire.go
+++ b/internal/fleet/contact/wire.go
@@ -11,12 +11,15 @@
 	"time"
 
 	"github.com/hashicorp/memberlist"
+
+	"sabletally/internal/fleet/stream"
 )
 
 const (
 	packetsMost = 512 // datagrams that wait to be read; more are dropped, as the network drops them
 	streamsMost = 32  // streams that others hold open; one more is closed
 	linksMost   = 1024
+	comingMost  = 256             // streams more that may be open unsorted where followers are taken: many come at once when others are lost
 	firstIn     = 3 * time.Second // the first byte of a stream
 	longest     = 65536
 	bufferKiB   = 256 // of the kernel, for datagrams: a member that was stopped finds so much of what came meanwhile
@@ -30,8 +33,10 @@
 	tcp               *net.TCPListener
 	packets           chan *memberlist.Packet
 	streams           chan net.Conn
-	links             chan net.Conn
+	links, follows    chan net.Conn
+	followers         int64 // most
 	held, linked      atomic.Int64
+	followed          atomic.Int64
 	all               sync.WaitGroup
 	done              context.Context
 	end               context.CancelFunc
@@ -40,10 +45,10 @@
 	Dropped, Unopened atomic.Int64 // datagrams, and streams, that found no room
 }
 
-// Listen opens an address for both.
-func Listen(listen, advertise netip.AddrPort) (*Wire, error) {
+// Listen opens an address for both; followers is how many streams of those are taken, 0 for none.
+func Listen(listen, advertise netip.AddrPort, followers int) (*Wire, error) {
 	w := &Wire{listen: listen, advertise: advertise, packets: make(chan *memberlist.Packet, packetsMost), streams: make(chan net.Conn),
-		links: make(chan net.Conn)}
+		links: make(chan net.Conn), follows: make(chan net.Conn), followers: int64(followers)}
 	w.done, w.end = context.WithCancel(context.Background())
 	var err error
 	if w.tcp, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(listen)); err != nil {
@@ -96,7 +101,11 @@
 			}
 			continue
 		}
-		if w.held.Add(1) > streamsMost {
+		most := int64(streamsMost)
+		if w.followers > 0 {
+			most += comingMost
+		}
+		if w.held.Add(1) > most {
 			w.held.Add(-1)
 			w.Unopened.Add(1)
 			c.Close()
@@ -108,24 +117,23 @@
 	}
 }
 
-// LinkMark is the first byte of a stream that is a link between members; the library's begin with another.
+// LinkMark is the first byte of a stream that is a link between members; followers' begin with stream.Mark, the library's with others.
 const LinkMark = 's'
 
 // sort hands a stream to whom it is for, by its first byte.
-func (w *Wire) sort(s *stream) {
+func (w *Wire) sort(s *taken) {
 	s.SetReadDeadline(time.Now().Add(firstIn))
 	n, err := io.ReadFull(s.Conn, s.first[:])
 	s.SetReadDeadline(time.Time{})
 	to := w.streams
-	if err == nil && s.first[0] == LinkMark {
-		if w.linked.Add(1) > linksMost {
-			w.linked.Add(-1)
-			err = net.ErrClosed
-			w.Unopened.Add(1)
-		} else {
-			w.held.Add(-1)
-			s.counts = &w.linked
+	if err == nil {
+		switch s.first[0] {
+		case LinkMark:
+			err = w.move(s, &w.linked, linksMost)
 			to = w.links
+		case stream.Mark:
+			err = w.move(s, &w.followed, w.followers)
+			to = w.follows
 		}
 	}
 	if err != nil {
@@ -140,8 +148,20 @@
 	}
 }
 
-// stream ends with the wire, and one that others opened gives its place back.
-type stream struct {
+// move counts a stream among others of its kind, of which there may be so many.
+func (w *Wire) move(s *taken, to *atomic.Int64, most int64) error {
+	if to.Add(1) > most {
+		to.Add(-1)
+		w.Unopened.Add(1)
+		return net.ErrClosed
+	}
+	w.held.Add(-1)
+	s.counts = to
+	return nil
+}
+
+// taken is a stream; it ends with the wire, and one that others opened gives its place back.
+type taken struct {
 	net.Conn
 	stop   func() bool
 	once   sync.Once
@@ -150,14 +170,14 @@
 	unread int
 }
 
-func (w *Wire) hold(c net.Conn, counts *atomic.Int64) *stream {
-	return &stream{Conn: c, counts: counts, stop: context.AfterFunc(w.done, func() { c.Close() })}
+func (w *Wire) hold(c net.Conn, counts *atomic.Int64) *taken {
+	return &taken{Conn: c, counts: counts, stop: context.AfterFunc(w.done, func() { c.Close() })}
 }
 
 // Unwrap is the connection itself.
-func (s *stream) Unwrap() net.Conn { return s.Conn }
+func (s *taken) Unwrap() net.Conn { return s.Conn }
 
-func (s *stream) Read(b []byte) (int, error) {
+func (s *taken) Read(b []byte) (int, error) {
 	if s.unread > 0 && len(b) > 0 {
 		s.unread = 0
 		b[0] = s.first[0]
@@ -166,7 +186,7 @@
 	return s.Conn.Read(b)
 }
 
-func (s *stream) Close() error {
+func (s *taken) Close() error {
 	s.once.Do(func() {
 		s.stop()
 		if s.counts != nil {
@@ -212,6 +232,9 @@
 // Links is where links that other members opened are taken from, their first byte still to be read.
 func (w *Wire) Links() <-chan net.Conn { return w.links }
 
+// Follows is the same for followers' streams.
+func (w *Wire) Follows() <-chan net.Conn { return w.follows }
+
 // Done is closed with the wire.
 func (w *Wire) Done() <-chan struct{} { return w.done.Done() }
 
--- /dev/null
+++ b/internal/lab/feedworld/world_test.go
@@ -0,0 +1,143 @@
+package feedworld
+
+import (
+	"flag"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"sabletally/internal/fleet/feed"
+)
+
+var (
+	seeds = flag.Int("seeds", 4, "histories in virtual time")
+	from  = flag.Uint64("from", 1, "the first seed")
+	many  = flag.Int("followers", 60, "followers of each")
+)
+
+// TestNoFollowerGoesBackMixesOrIsForgotten plays histories with every fault.
+func TestNoFollowerGoesBackMixesOrIsForgotten(t *testing.T) {
+	var late time.Duration
+	versions, due, restarts := 0, 0, 0
+	for seed := *from; seed < *from+uint64(*seeds); seed++ {
+		began := time.Now()
+		w := New(Usual(seed, *many))
+		err := w.Play()
+		t.Logf("seed %d: %d versions, %d killed, %d stalls, %d cuts, %d resets, %d times all relays, %d messages, %d changes, %d snapshots, %d wants, %d mismatches, %d lapses, "+
+			"in force %v at the latest of %d, in %v", seed, len(w.agreed)-1, w.Kills, w.Stalls, w.Cuts, w.Resets, w.Restarts, w.Messages, w.Changes, w.Snapshots, w.Wants, w.Mismatches,
+			w.Lapses, w.Late, w.Due, time.Since(began).Round(10*time.Millisecond))
+		if err != nil {
+			t.Error(err)
+		}
+		late, versions, due, restarts = max(late, w.Late), versions+len(w.agreed)-1, due+w.Due, restarts+w.Restarts
+	}
+	t.Logf("%d histories of %d followers, %d versions, all relays restarted %d times, in force %v at the latest of %d", *seeds, *many, versions, restarts, late, due)
+	if due < versions {
+		t.Errorf("only %d times was a change judged to be in force", due)
+	}
+}
+
+// TestTheSameSeedIsTheSameHistory plays one twice.
+func TestTheSameSeedIsTheSameHistory(t *testing.T) {
+	a, b := New(Usual(9, 30)), New(Usual(9, 30))
+	errA, errB := a.Play(), b.Play()
+	if a.Sum() != b.Sum() || a.Messages != b.Messages || a.Lapses != b.Lapses || errA != nil || errB != nil {
+		t.Errorf("%x and %x, %d and %d messages, %v, %v", a.Sum(), b.Sum(), a.Messages, b.Messages, errA, errB)
+	}
+	if c := New(Usual(10, 30)); c.Play() != nil || c.Sum() == a.Sum() {
+		t.Error("another seed is the same history")
+	}
+}
+
+// harm has one change of so many come with another value than was agreed.
+func harm(w *World, each int) func(*follower, string, feed.Msg) feed.Msg {
+	n := 0
+	return func(_ *follower, _ string, m feed.Msg) feed.Msg {
+		if m.Change == nil || m.Change.Items[0].Gone || w.calm {
+			return m
+		}
+		if n++; n%each != 0 {
+			return m
+		}
+		c := *m.Change
+		c.Items = slices.Clone(c.Items)
+		c.Items[0].Value = append([]byte("harmed "), c.Items[0].Value...)
+		return feed.Msg{Change: &c}
+	}
+}
+
+// TestWhatIsHarmedOnTheWayIsRefused plays histories in which changes come with other values: none is taken, and all go on.
+func TestWhatIsHarmedOnTheWayIsRefused(t *testing.T) {
+	for seed := uint64(1); seed <= 3; seed++ {
+		w := New(Usual(seed, 30))
+		w.given = harm(w, 20)
+		if err := w.Play(); err != nil {
+			t.Error(err)
+		}
+		if w.Mismatches < 10 || w.Refused < 10 {
+			t.Errorf("seed %d: %d mismatches, %d refused", seed, w.Mismatches, w.Refused)
+		}
+		t.Logf("seed %d: %d mismatches, %d snapshots, %d wants, %d changes", seed, w.Mismatches, w.Snapshots, w.Wants, w.Changes)
+	}
+}
+
+// TestWhatIsBrokenOnPurposeIsNamed puts each break around the followers until it shows: a judge that finds nothing proves nothing.
+func TestWhatIsBrokenOnPurposeIsNamed(t *testing.T) {
+	for broken, one := range map[string]struct {
+		name string
+		in   func(w *World)
+	}{
+		"digest not checked": {Mixed, func(w *World) {
+			harmed := harm(w, 20)
+			w.given = func(f *follower, addr string, m feed.Msg) feed.Msg {
+				m = harmed(f, addr, m)
+				st := f.core.State()
+				if m.Change == nil || m.Change.Version != st.Version()+1 || st.Version() == 0 {
+					return m
+				}
+				l := feed.NewLog(feed.LogConfig{Most: 1, Bytes: 1}) // what the change comes to there, whatever it says
+				if err := l.Install(feed.Snapshot{Fleet: st.Fleet(), Version: st.Version(), Digest: st.Digest(), Items: st.All("")}); err != nil {
+					t.Fatal(err)
+				}
+				c, err := l.Next(m.Change.Items)
+				if err != nil {
+					return m
+				}
+				return feed.Msg{Change: &c}
+			}
+		}},
+		"snapshot over a newer state": {WentBack, func(w *World) {
+			w.given = func(f *follower, _ string, m feed.Msg) feed.Msg {
+				if s := m.Snapshot; s != nil && s.Version < f.core.State().Version() {
+					w.applied(f, feed.Applied{Version: s.Version, Items: s.Items, Whole: true}) // as if it were taken
+				}
+				return m
+			}
+		}},
+		"lease not looked at": {FalselyNew, func(w *World) {
+			w.believes = func(f *follower, now time.Duration) bool {
+				_, known := f.core.Age(now)
+				return known
+			}
+		}},
+	} {
+		t.Run(broken, func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(1); seed <= 60; seed++ {
+				w := New(Usual(seed, 30))
+				one.in(w)
+				err := w.Play()
+				if err == nil {
+					continue
+				}
+				if !strings.Contains(err.Error(), one.name) {
+					t.Fatalf("not by name: %v", err)
+				}
+				t.Logf("found: %v", err)
+				return
+			}
+			t.Error("it was not found")
+		})
+	}
+}
