Who waits for a PONG is shed after idle clients, not before them

Cause: serve.go:88-100 (shed) takes the longest silent client with nothing unread; who has asked PING and waits is just that, and is older than the crowd. So a balancer that starts in a crowd says BUSY to the front that asks whether it is ready. Change: conn.asks is set as a PING is read and cleared with its PONG; shed takes such a client only where there is no other. The bound of the door stays: they are shed as well, last. Ruled out: a slow start (the processes say ready in their log's time); the accept queue (refused and closed connections were none). Not mended: where circuits take all descriptors a newcomer's PING still gets BUSY at its accept (NoRoom).

--- a/cmd/sabletally/ready_test.go
+++ b/cmd/sabletally/ready_test.go
@@ -208,3 +208,61 @@
 		})
 	}
 }
+
+// TestWhoAsksIsNotShedBeforeIdleClients fills the descriptors with clients that say nothing while somebody waits for the PONG. Guards against
+// a balancer that is ready and told from outside that it is not.
+func TestWhoAsksIsNotShedBeforeIdleClients(t *testing.T) {
+	t.Parallel()
+	a := agent(t)
+	a.Misbehave(standin.Mute)
+	p, err := field.NewProcess("n0", []string{os.Args[0]}, []string{"SABLETALLY_CHILD=1"}, t.TempDir(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Write(fmt.Appendf(nil, `{"name":"n0","listen":%q,"discovery":%q,"seed":"7","limits":{"cores":1,"memory_mb":192,"sockets":64},
+		"known":{"rev":0,"all":true,"targets":[]},"settings":%s}`, p.Addr, a.Addr(), settings)); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Launch(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Kill)
+	dial := func() *bufio.Reader {
+		for end := time.Now().Add(bound); ; time.Sleep(askEach) {
+			c, err := net.Dial("tcp", p.Addr)
+			if err == nil {
+				t.Cleanup(func() { c.Close() })
+				c.SetDeadline(time.Now().Add(bound))
+				io.WriteString(c, "PING\r\n")
+				return bufio.NewReader(c)
+			}
+			if time.Now().After(end) {
+				t.Fatal(err)
+			}
+		}
+	}
+	asks := dial()
+	shed := make(chan struct{}) // idle clients hear that there is no room
+	var once sync.Once
+	for range 100 {
+		c, err := net.Dial("tcp", p.Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(bound))
+		go func() {
+			if text, _ := bufio.NewReader(c).ReadString('\n'); strings.HasPrefix(text, "BUSY") {
+				once.Do(func() { close(shed) })
+			}
+		}()
+	}
+	if text, err := asks.ReadString('\n'); text != "PONG\r\n" {
+		t.Errorf("%q, %v", text, err)
+	}
+	select {
+	case <-shed:
+	case <-time.After(bound):
+		t.Error("no idle client was shed: there was no crowd")
+	}
+}
--- a/internal/balancer/circuit.go
+++ b/internal/balancer/circuit.go
@@ -65,6 +65,7 @@
 	case ln.Bad == nil && ln.Kind == line.Ping:
 		if l.ready {
 			c.send(l.pong())
+			c.asks.Store(false)
 		} else if c.pings++; c.pings == 1 {
 			l.pinged = append(l.pinged, c)
 		}
--- a/internal/balancer/conn.go
+++ b/internal/balancer/conn.go
@@ -100,10 +100,11 @@
 
 	// The loop's alone.
 	circuit *circuit
-	pings   int    // unanswered, before the balancer is ready
-	over    bool   // answered and ended from here, or handed over; what still comes is passed by
-	passing bool   // it goes on in another process,
-	first   []byte // with these whole lines of it
+	asks    atomic.Bool // its PING is not answered
+	pings   int         // unanswered, before the balancer is ready
+	over    bool        // answered and ended from here, or handed over; what still comes is passed by
+	passing bool        // it goes on in another process,
+	first   []byte      // with these whole lines of it
 }
 
 // adopt takes over a connection before its first byte is read.
@@ -183,6 +184,7 @@
 		c.cut = true
 		return
 	case phase == atFirst:
+		c.asks.Store(l.Kind == line.Ping)
 		c.door.spoke(c, l.Kind == line.Ping)
 		if l.Kind == line.Ping && others < pingMost {
 			return
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -455,6 +455,7 @@
 		for ; c.pings > 0; c.pings-- {
 			c.send(l.pong())
 		}
+		c.asks.Store(false)
 	}
 	l.pinged = nil
 }
--- a/internal/balancer/serve.go
+++ b/internal/balancer/serve.go
@@ -79,19 +79,30 @@
 }
 
 // shed takes out the connection to close next: ended with its last line written, or else silent with nothing of it
-// still unread, as a usual client's line is here as soon as the client.
+// still unread, as a usual client's line is here as soon as the client; who waits for the answer to a PING comes last.
 func (d *door) shed() (c *conn, silent bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var asks *conn
 	for _, in := range []*list.List{d.ended, d.silent} {
 		for e := in.Front(); e != nil; e = e.Next() {
-			if c := e.Value.(*guest).conn; c.written() && (in == d.ended || !c.unread()) {
+			c := e.Value.(*guest).conn
+			switch {
+			case !c.written() || in == d.silent && c.unread():
+			case in == d.silent && c.asks.Load():
+				if asks == nil {
+					asks = c
+				}
+			default:
 				d.take(c)
 				return c, in == d.silent
 			}
 		}
 	}
-	return nil, false
+	if asks != nil {
+		d.take(asks)
+	}
+	return asks, true
 }
 
 // silentSince takes out the connections that have been silent since then or longer.
