Benchmarks follow the dial's new form, and what an entry's taking answers

Cause: internal/relay/bench_test.go:23 and internal/fleet/views/bench_test.go:48,84 were written beside the changes of relay.Shards.Dial and views.State.Apply; founded stood twice in views. Nothing that is measured changed.

--- a/internal/fleet/views/bench_test.go
+++ b/internal/fleet/views/bench_test.go
@@ -40,12 +40,12 @@
 	return all
 }
 
-// founded is a state with n members and a view of each slot.
-func founded(b *testing.B, n int) *State {
+// populated is a state with n members and a view of each slot.
+func populated(b *testing.B, n int) *State {
 	st := New()
 	st.Apply(Entry{Found: "f", Members: listed(n)})
 	for num := range Slots {
-		if changed, _ := st.Apply(Entry{Slots: []Slot{{Slot: num, Full: Pick(num, st.Members, 3)}}}); len(changed) != 1 {
+		if got := st.Apply(Entry{Slots: []Slot{{Slot: num, Full: Pick(num, st.Members, 3)}}}); len(got.Slots) != 1 {
 			b.Fatalf("slot %d has no view", num)
 		}
 	}
@@ -71,7 +71,7 @@
 // BenchmarkEpoch is one change of the list of members, worded, read and applied, as each voter does.
 func BenchmarkEpoch(b *testing.B) {
 	for _, n := range scales {
-		st := founded(b, n)
+		st := populated(b, n)
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
 			size := 0
 			done := metered(b)
@@ -81,7 +81,7 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				if _, epoch := st.Apply(e); !epoch {
+				if !st.Apply(e).Epoch {
 					b.Fatal("refused")
 				}
 				size = len(text)
@@ -95,7 +95,7 @@
 // BenchmarkSnapshot words all that is agreed, and reads it.
 func BenchmarkSnapshot(b *testing.B) {
 	for _, n := range scales {
-		st := founded(b, n)
+		st := populated(b, n)
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
 			size := 0
 			done := metered(b)
--- a/internal/relay/bench_test.go
+++ b/internal/relay/bench_test.go
@@ -20,7 +20,7 @@
 
 func (b *bench) bare() bare {
 	b.t.Helper()
-	c, err := b.Dial(b.ln.Addr().String(), nil)
+	c, err := b.Dial(b.ln.Addr().String(), 1<<20, func() bool { return true }, nil)
 	if err != nil {
 		b.t.Fatal(err)
 	}
