A balancer that turned a dozen away in a row tries again after 3 s

Change: the brake does not hold once a dozen were nacked since the newest try and that try's tally has faded (tallyFor, 3 s). Balancers to which few come wait as before, so that all together do not keep a store down.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -61,7 +61,8 @@
 	triesBesides = 9.0                    // tries out of all balancers besides, while some fail
 	gateEach     = 10 * time.Millisecond  // after a time-out all balancers together try so often,
 	gateTimes    = 10                     // after more so many times less often
-	tallyFor     = 3 * time.Second        // how long setup tries count in the tally
+	tallyFor     = 3 * time.Second        // how long setup tries count in the tally,
+	deniedMost   = 12                     // and the brake, where so many were nacked since: it would not end
 )
 
 // edge is what a message takes, as a part of the shortest message goal, and the reported load over capacity.
@@ -108,7 +109,7 @@
 // Balancer is one balancer's knowledge and decisions.
 type Balancer struct {
 	dep                *Deployment
-	now                time.Duration
+	now, triedAt       time.Duration // the newest setup try
 	seed, chance       uint64
 	away, across       float64       // weight of a server in another zone; for the circuit at hand
 	goal               time.Duration // the shortest message goal
@@ -131,7 +132,7 @@
 	shut, shutTill     time.Duration   // the newest such wait, and its end
 	leaveFrom, leaveBy time.Duration   // all that is held is moved between these, never while it stays
 	tellAt             time.Duration   // when the others are told next, never where they are not,
-	arrived            int             // circuits since the last time
+	arrived, denied    int             // circuits since the last time; nacked ones since the newest try
 	told               [][]float64     // what each did, by dense index of the servers,
 	toldAt             []time.Duration // and when
 	heard              bool            // most of them did lately
@@ -315,9 +316,8 @@
 	a.Grade, a.Tenant = min(a.Grade, len(b.dep.Grades)-1), min(a.Tenant, len(b.dep.Tenants))
 	c := &circuit{
 		id: a.ID, key: cmp.Or(a.Key, uint64(a.ID)), place: cmp.Or(a.Group, a.Key, uint64(a.ID)),
-		grade: &b.dep.Grades[a.Grade], row: a.Grade, tenant: a.Tenant,
-		until: b.now + a.Left, server: -1, ranOn: -1, waitsOn: -1, most: b.dep.MostTries,
-		load: cmp.Or(a.Load, b.usualOf[a.Grade], 1),
+		grade: &b.dep.Grades[a.Grade], row: a.Grade, tenant: a.Tenant, most: b.dep.MostTries,
+		until: b.now + a.Left, load: cmp.Or(a.Load, b.usualOf[a.Grade], 1), server: -1, ranOn: -1, waitsOn: -1,
 	}
 	b.circuit[a.ID] = c
 	return c
@@ -578,8 +578,8 @@
 	bad := b.bad + b.late
 	besides := triesBesides * (b.good + 1) / (b.good + bad + 1) / float64(b.dep.Peers)
 	most := math.Floor(besides + b.good*c.grade.SetupGoal.Seconds()/tallyFor.Seconds() + b.random())
-	return b.now < b.shutTill || float64(b.trying) >= most && bad > 1+b.good/8 ||
-		b.random() < (bad-b.good-1)/(bad+b.good+1)
+	return (b.denied < deniedMost || b.now-b.triedAt < tallyFor) && (b.now < b.shutTill ||
+		float64(b.trying) >= most && bad > 1+b.good/8 || b.random() < (bad-b.good-1)/(bad+b.good+1))
 }
 
 // ailing tells whether tries fail so often that no other server is a remedy; late ones while few are jammed.
@@ -895,7 +895,7 @@
 		i = b.pick(c, byAside) // who finds only jams is nacked, or no server would come out of its jam
 	}
 	if i < 0 {
-		c.answered = true
+		c.answered, b.denied = true, b.denied+1
 		delete(b.circuit, c.id)
 		d := Decision{Do: Nack, Circuit: c.id}
 		if !b.mayNack(c) {
@@ -914,8 +914,8 @@
 		b.spent[i] = append(b.spent[i], b.now)
 	}
 	c.tried, c.out, c.sentAt, b.sentAt[i] = append(c.tried, i), true, b.now, b.now
+	b.trying, b.denied, b.triedAt = b.trying+1, 0, b.now
 	c.tries++
-	b.trying++
 	return Decision{Do: Try, Circuit: c.id, Server: b.id[i], For: b.timeOut(c)}, true
 }
 
