The scale test's plan, ledger and verdict, as a pure package

Change: internal/lab/scale decides where balancers and control processes stand, which changes are due when and which faults come when, by seed; reckons in-force times from when a change was due, over the time that a balancer was reachable; and judges. Ruled out: timing from when a change was put, which leaves out what a stalled test would have put.

--- /dev/null
+++ b/internal/lab/scale/scale_test.go
@@ -0,0 +1,394 @@
+package scale
+
+import (
+	"errors"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+func options() Options {
+	return Options{Balancers: 460, Control: 17, Zones: 11, Regions: 3, PerDay: 21000, Burst: 100, For: time.Minute, Seed: 3, Faults: FaultsNone}
+}
+
+func made(t *testing.T, o Options) *Plan {
+	t.Helper()
+	p, err := Make(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func TestBadArgumentsAreNamed(t *testing.T) {
+	for _, c := range []struct {
+		change func(*Options)
+		want   string
+	}{
+		{func(o *Options) { o.Balancers = 0 }, "--balancers: 0 lies outside 1 to 20000"},
+		{func(o *Options) { o.Control = 65 }, "--control: 65 lies outside 1 to 64"},
+		{func(o *Options) { o.Zones = 0 }, "--zones: 0 lies outside 1 to 64"},
+		{func(o *Options) { o.Regions = 12 }, "--regions: 12 lies outside 1 to 11"},
+		{func(o *Options) { o.PerDay = -1 }, "--changes-per-day: -1 lies outside"},
+		{func(o *Options) { o.Burst = 10001 }, "--burst: 10001 lies outside"},
+		{func(o *Options) { o.For = 9 * time.Second }, "--for: 9s lies outside 10s to 24h"},
+		{func(o *Options) { o.Faults = "rock" }, `--faults: "rock" is none; there are [none day rack zone region]`},
+		{func(o *Options) { o.Faults, o.Control = FaultsRack, 1 }, "--faults: rack wants 2 control processes"},
+		{func(o *Options) { o.Faults, o.Zones, o.Regions = FaultsZone, 1, 1 }, "--faults: zone wants 2 zones"},
+		{func(o *Options) { o.Faults, o.Regions = FaultsRegion, 1 }, "--faults: region wants 2 regions"},
+	} {
+		o := options()
+		c.change(&o)
+		_, err := Make(o)
+		var bad BadArgument
+		if !errors.As(err, &bad) || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("got %v, wanted %q", err, c.want)
+		}
+	}
+}
+
+func TestAPlanIsItsSeed(t *testing.T) {
+	for _, kind := range Faults {
+		o := options()
+		o.Faults = kind
+		if !reflect.DeepEqual(made(t, o), made(t, o)) {
+			t.Errorf("%s: the same seed, another plan", kind)
+		}
+		p := made(t, o)
+		o.Seed++
+		if reflect.DeepEqual(p.Changes, made(t, o).Changes) {
+			t.Errorf("%s: another seed, the same changes", kind)
+		}
+	}
+}
+
+// TestChangesComeAtTheRate wants a day's changes in a day, and a burst within one second.
+func TestChangesComeAtTheRate(t *testing.T) {
+	o := options()
+	o.For = 24 * time.Hour
+	p := made(t, o)
+	if n := len(p.Changes) - o.Burst; n < 20400 || n > 21600 { // four times the root of the mean
+		t.Errorf("%d changes in a day", n)
+	}
+	if !slices.IsSortedFunc(p.Changes, func(a, b Change) int { return int(a.Due - b.Due) }) {
+		t.Error("not by time")
+	}
+	o.PerDay, o.For = 0, 10*time.Second
+	p = made(t, o)
+	if n := len(p.Changes); n != 100 || p.Changes[99].Due-p.Changes[0].Due >= time.Second || p.Changes[99].Due > o.For {
+		t.Errorf("a burst of %d from %v to %v", n, p.Changes[0].Due, p.Changes[n-1].Due)
+	}
+	for _, c := range p.Changes {
+		if c.Key < 0 || c.Key >= Keys || c.Bytes < leastValue || c.Bytes > mostValue {
+			t.Fatalf("%+v", c)
+		}
+	}
+}
+
+func TestVotersAreOdd(t *testing.T) {
+	for control, want := range map[int]int{1: 1, 2: 1, 3: 3, 4: 3, 5: 5, 6: 5, 17: 5} {
+		if got := Voters(control); got != want {
+			t.Errorf("%d of %d vote, wanted %d", got, control, want)
+		}
+	}
+}
+
+// TestEachFaultEndsWithinTheRun wants whatever goes to come back, at the earliest after it went, before the run ends.
+func TestEachFaultEndsWithinTheRun(t *testing.T) {
+	off := map[Do]Do{Kill: Start, End: Start, Pause: Resume, Down: Up, ZoneOff: ZoneOn}
+	for _, kind := range Faults[1:] {
+		for _, long := range []time.Duration{leastFor, time.Minute, time.Hour} {
+			o := options()
+			o.Faults, o.For = kind, long
+			p := made(t, o)
+			gone := map[string]bool{}
+			went := 0
+			for _, s := range p.Steps {
+				if s.At < 0 || s.At > o.For {
+					t.Errorf("%s, %v: %+v", kind, long, s)
+				}
+				for _, who := range s.Who {
+					of := string(s.Do) // what brings it back
+					if back, is := off[s.Do]; is {
+						of = string(back)
+					}
+					name := of + string(rune(who))
+					if _, is := off[s.Do]; is == gone[name] {
+						t.Fatalf("%s, %v: %+v", kind, long, s)
+					}
+					gone[name] = !gone[name]
+					if gone[name] {
+						went++
+					}
+				}
+			}
+			for name, is := range gone {
+				if is {
+					t.Errorf("%s, %v: %q does not come back", kind, long, name)
+				}
+			}
+			if went == 0 || p.LastFault() == 0 || p.Says == "" {
+				t.Errorf("%s, %v: nothing goes", kind, long)
+			}
+		}
+	}
+}
+
+// TestTheBurstFallsIntoTheFault holds it to that: a burst in quiet times shows less.
+func TestTheBurstFallsIntoTheFault(t *testing.T) {
+	for _, kind := range []string{FaultsRack, FaultsZone, FaultsRegion} {
+		o := options()
+		o.Faults, o.PerDay = kind, 0
+		p := made(t, o)
+		if first, last := p.Changes[0].Due, p.Changes[len(p.Changes)-1].Due; first < p.Steps[0].At || last > p.LastFault() {
+			t.Errorf("%s from %v to %v, burst from %v to %v", kind, p.Steps[0].At, p.LastFault(), first, last)
+		}
+	}
+}
+
+func TestADayIsScaled(t *testing.T) {
+	count := func(o Options) (n int) {
+		for _, s := range made(t, o).Steps {
+			if s.Do == Down {
+				n += len(s.Who)
+			}
+		}
+		return n
+	}
+	o := options()
+	o.Faults, o.Balancers, o.For = FaultsDay, 4600, 24*time.Hour
+	if n := count(o); n != 1730 {
+		t.Errorf("%d go in a day", n)
+	}
+	o.For = time.Minute
+	if n := count(o); n != 46+2 {
+		t.Errorf("%d go in a minute", n)
+	}
+	o.Balancers = 3
+	if n := count(o); n != 3 {
+		t.Errorf("%d of 3 go", n)
+	}
+}
+
+func TestHostsHoldEachBalancerOnce(t *testing.T) {
+	for _, kind := range []string{FaultsNone, FaultsZone} {
+		o := options()
+		o.Faults = kind
+		p := made(t, o)
+		var all []int
+		for _, h := range p.Hosts(30) {
+			if len(h) == 0 || len(h) > 30 {
+				t.Errorf("%s: %d in one", kind, len(h))
+			}
+			for _, b := range h {
+				if kind == FaultsZone && p.Balancer[b].Zone != p.Balancer[h[0]].Zone {
+					t.Errorf("zones %d and %d in one", p.Balancer[b].Zone, p.Balancer[h[0]].Zone)
+				}
+			}
+			all = append(all, h...)
+		}
+		slices.Sort(all)
+		if len(all) != o.Balancers || len(slices.Compact(all)) != o.Balancers {
+			t.Errorf("%s: %d of %d", kind, len(all), o.Balancers)
+		}
+	}
+}
+
+const ms = time.Millisecond
+
+func at(n int) time.Duration { return time.Duration(n) * ms }
+
+// ledger has two changes, due at 100 and 200, versions 11 and 12, and one balancer that is up from 0 on and has both at 150 and 260.
+func ledger(more ...func(*Ledger)) *Ledger {
+	l := NewLedger(1, []time.Duration{at(100), at(200)})
+	l.Accepted(0, 11)
+	l.Accepted(1, 12)
+	l.Up(0, 0)
+	for _, f := range more {
+		f(l)
+	}
+	return l
+}
+
+var whole = Final{Version: 12, Digest: 7, Values: 9}
+
+func TestInForceCountsFromWhenItWasDue(t *testing.T) {
+	a := ledger(func(l *Ledger) {
+		l.Applied(0, 11, at(150))
+		l.Applied(0, 12, at(260))
+		l.End(0, whole)
+	}).Close(at(1000), whole)
+	if a.Missed+a.Back+a.NotAccepted+a.Differ+a.Silent+a.Behind != 0 || a.InForce.TotalCount() != 2 || (a.InForce.Min()+500)/1000 != 50 || // as the histogram rounds
+		a.InForce.Max()/1000 != 60 || a.Slowest != 1 {
+		t.Errorf("%+v, %d to %d us", a, a.InForce.Min(), a.InForce.Max())
+	}
+}
+
+// TestASnapshotBringsAll has one mark for both.
+func TestASnapshotBringsAll(t *testing.T) {
+	a := ledger(func(l *Ledger) {
+		l.Applied(0, 12, at(300))
+		l.End(0, whole)
+	}).Close(at(1000), whole)
+	if a.Missed != 0 || a.InForce.TotalCount() != 2 || a.InForce.Max()/1000 != 200 {
+		t.Errorf("%+v, %d us", a, a.InForce.Max())
+	}
+}
+
+// TestOnlyReachableTimeCounts has a balancer away from 120 to 400, and what was due meanwhile counted from its return.
+func TestOnlyReachableTimeCounts(t *testing.T) {
+	a := ledger(func(l *Ledger) {
+		l.Down(0, at(120))
+		l.Up(0, at(400))
+		l.Applied(0, 12, at(430))
+		l.End(0, whole)
+	}).Close(at(1000), whole)
+	if a.Missed != 0 || a.InForce.TotalCount() != 2 || a.InForce.Max()/1000 != 30 || a.Returned.TotalCount() != 1 || a.Returned.Max()/1000 != 30 {
+		t.Errorf("%+v, %d us", a, a.InForce.Max())
+	}
+}
+
+// TestWaitingBeforeARestartCounts: a change that a balancer lacked for long isn't forgotten by the restart.
+func TestWaitingBeforeARestartCounts(t *testing.T) {
+	a := ledger(func(l *Ledger) {
+		l.Applied(0, 11, at(110))
+		l.Down(0, at(900))
+		l.Up(0, at(910))
+		l.Applied(0, 12, at(920))
+		l.End(0, whole)
+	}).Close(at(1000), whole)
+	if a.Missed != 0 || a.InForce.Max()/1000 != 700 {
+		t.Errorf("%+v, %d us", a, a.InForce.Max())
+	}
+}
+
+func TestWhatIsAwayInTheEndMissesNothing(t *testing.T) {
+	a := ledger(func(l *Ledger) { l.Down(0, at(50)) }).Close(at(1000), whole)
+	if a.Missed != 0 || a.Silent != 0 || a.InForce.TotalCount() != 0 {
+		t.Errorf("%+v", a)
+	}
+}
+
+// TestWhatIsMissedIsCounted changes one thing at a time.
+func TestWhatIsMissedIsCounted(t *testing.T) {
+	for name, c := range map[string]struct {
+		more func(*Ledger)
+		want Account
+	}{
+		"behind": {func(l *Ledger) {
+			l.Applied(0, 11, at(150))
+			l.End(0, Final{Version: 11, Digest: 6, Values: whole.Values})
+		}, Account{Missed: 1, Behind: 1}},
+		"another digest": {func(l *Ledger) {
+			l.Applied(0, 12, at(150))
+			l.End(0, Final{Version: 12, Digest: 8, Values: 9})
+		}, Account{Missed: 2, Differ: 1}},
+		"other values": {func(l *Ledger) {
+			l.Applied(0, 13, at(150))
+			l.End(0, Final{Version: 13, Digest: 8, Values: 8})
+		}, Account{Missed: 2, Differ: 1}},
+		"silent": {func(l *Ledger) { l.Applied(0, 12, at(150)) }, Account{Missed: 2, Silent: 1}},
+		"not accepted": {func(l *Ledger) {
+			l.Accepted(1, 0)
+			l.Applied(0, 12, at(150))
+			l.End(0, whole)
+		}, Account{Missed: 1, Behind: 1, NotAccepted: 1}},
+		"back": {func(l *Ledger) {
+			l.Applied(0, 12, at(250))
+			l.Applied(0, 11, at(260))
+			l.End(0, whole)
+		}, Account{Back: 1}},
+		"twice": {func(l *Ledger) {
+			l.Applied(0, 12, at(250))
+			l.Applied(0, 12, at(260))
+			l.End(0, whole)
+		}, Account{Back: 1}},
+	} {
+		got := ledger(c.more).Close(at(1000), whole)
+		got.InForce, got.Returned, got.Slowest = nil, nil, 0
+		if got != c.want {
+			t.Errorf("%s: %+v, wanted %+v", name, got, c.want)
+		}
+	}
+}
+
+func TestNewestByKey(t *testing.T) {
+	l := NewLedger(1, make([]time.Duration, 4))
+	l.Accepted(0, 12) // put later than the next one of its key
+	l.Accepted(1, 11)
+	l.Accepted(2, 13)
+	version, byKey := l.Newest(func(i int) int { return i / 2 })
+	if version != 13 || byKey[0] != 0 || byKey[1] != 2 || byKey[2] != -1 {
+		t.Errorf("%d, %v", version, byKey[:3])
+	}
+}
+
+func TestEven(t *testing.T) {
+	if s := NewSpread([]int{10, 30, 0}); !s.Even() || s.Allowed != 36 {
+		t.Error(s)
+	}
+	if s := NewSpread([]int{100, 500, 0}); s.Even() {
+		t.Error(s)
+	}
+	if s := NewSpread(nil); !s.Even() {
+		t.Error(s)
+	}
+}
+
+// TestEachTargetIsJudged breaks one at a time; a run judged by counts alone knows no times.
+func TestEachTargetIsJudged(t *testing.T) {
+	kept := Figures{Samples: 1, Steady: true, InForceWorst: 7000, BalancerCore: 1.6, BalancerMB: 128, BalancerBytes: 3000, ControlCore: 100, ControlMB: 4096}
+	if not := kept.Judge(&Size); len(not) != 0 || Verdict(not) != "verdict: kept" {
+		t.Error(not)
+	}
+	for want, c := range map[string]struct {
+		change func(*Figures)
+		counts bool
+	}{
+		"in force 7001 ms, allowed 7000":                                        {func(f *Figures) { f.InForceWorst++ }, false},
+		"first state after a return 8000 ms, allowed 7000":                      {func(f *Figures) { f.ReturnedWorst = 8000 }, false},
+		"balancer 1.7 % of a core, allowed 1.6":                                 {func(f *Figures) { f.BalancerCore = 1.7 }, false},
+		"balancer 129 MB, allowed 128":                                          {func(f *Figures) { f.BalancerMB++ }, false},
+		"balancer 3001 bytes a second, allowed 3000":                            {func(f *Figures) { f.BalancerBytes++ }, false},
+		"control process 101 % of a core, allowed 100":                          {func(f *Figures) { f.ControlCore++ }, false},
+		"control process 4097 MB, allowed 4096":                                 {func(f *Figures) { f.ControlMB++ }, false},
+		"5 changes missed, at 1 balancers that are behind, 0 that differ and 0": {func(f *Figures) { f.Missed, f.Behind = 5, 1 }, true},
+		"1 balancers differ":                                                    {func(f *Figures) { f.Differ = 1 }, true},
+		"2 balancers are silent":                                                {func(f *Figures) { f.Silent = 2 }, true},
+		"1 changes were not accepted":                                           {func(f *Figures) { f.NotAccepted = 1 }, true},
+		"1 times a balancer went back":                                          {func(f *Figures) { f.Back = 1 }, true},
+		"1 conflicts":                                                           {func(f *Figures) { f.Conflicts = 1 }, true},
+		"not steady in the end: all at one":                                     {func(f *Figures) { f.Steady, f.Even = false, "all at one" }, true},
+		"no change was timed":                                                   {func(f *Figures) { f.Samples = 0 }, true},
+		"partial: memory":                                                       {func(f *Figures) { f.Partial = "memory" }, true},
+	} {
+		f := kept
+		c.change(&f)
+		if v := Verdict(f.Judge(&Size)); !strings.HasPrefix(v, "verdict: not kept: "+want) {
+			t.Errorf("%s, wanted %q", v, want)
+		}
+		if not := f.Judge(nil); (len(not) > 0) != c.counts {
+			t.Errorf("%s: by counts %v", want, not)
+		}
+	}
+}
+
+func TestWhatTheMachineDoesNotBear(t *testing.T) {
+	p := made(t, options())
+	n := p.Needed(p.Hosts(300))
+	if err := n.Check(20000, 24000, 16000); err != nil {
+		t.Error(err)
+	}
+	for want, err := range map[string]error{
+		"--balancers: a process may need 1456 descriptors; this machine allows 1024": n.Check(1024, 24000, 16000),
+		"--balancers: some 1432 MB in all; half of this machine's memory is 1000 MB": n.Check(20000, 2000, 16000),
+		"--balancers: some 1432 MB in all; 1400 MB are free":                         n.Check(20000, 24000, 1400),
+		"--control: 301 processes in all; 300 at the most":                           Needs{Processes: 301}.Check(20000, 24000, 16000),
+	} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, wanted %q", err, want)
+		}
+	}
+}
