sablelab scale: real control processes, hollow balancers that follow them, faults and a verdict

Change: sablelab scale starts control processes and processes of hollow balancers (follow.Follow and nothing else), puts changes at their time, carries out the plan's faults and judges. Fronts of our own cut regions apart. Ruled out: Ties for the cut of a region: they turn strangers away, and one process has too few descriptors for all followers.

--- a/cmd/sablelab/main.go
+++ b/cmd/sablelab/main.go
@@ -15,13 +15,14 @@
 	"golang.org/x/sys/unix"
 
 	"sabletally/internal/blocks"
+	"sabletally/internal/lab/scale"
 )
 
 // Exit codes.
 const (
 	exitKept    = 0
 	exitFailure = 1 // the lab itself could not do it
-	exitBadFile = 2
+	exitBadFile = 2 // or a bad argument
 	exitBroken  = 3
 )
 
@@ -56,6 +57,9 @@
 	Check      checkCmd      `cmd:"" help:"Check experiment files."`
 	Count      countCmd      `cmd:"" help:"Add up the debug logs of many balancers, over time or by server."`
 	Throughput throughputCmd `cmd:"" help:"Set-ups and lines a second, latency and memory, by cores and against no balancer at all."`
+	Scale      scaleCmd      `cmd:"" help:"Real control processes and many hollow balancers that follow them: how late changes are in force, and what it costs. Exit code 1: not kept; 2: a bad argument."`
+	Hollow     hollowCmd     `cmd:"" hidden:"" help:"Hollow balancers of a scale test, told by standard input."`
+	Fronts     frontsCmd     `cmd:"" hidden:"" help:"What stands before the control processes of one region of a scale test, told by standard input."`
 	Balancer   balancerCmd   `cmd:"" hidden:"" help:"The lab's own balancer: a baseline policy, or one broken on purpose."`
 }
 
@@ -67,16 +71,24 @@
 		fmt.Fprintln(os.Stderr, "sablelab:", err)
 		os.Exit(exitFailure)
 	}
-	k := kong.Parse(&cli, kong.Name("sablelab"), kong.UsageOnError(), kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+	k := kong.Parse(&cli, kong.Name("sablelab"), kong.UsageOnError(), kong.Exit(func(code int) {
+		os.Exit(min(code, exitBadFile)) // kong's own code for a bad argument is 80
+	}), kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 		kong.Description("A world of stand-ins round balancers under test, on loopback or in virtual time, judged by the four rules."))
 	err = k.Run(&lab{ctx: ctx, self: self})
 	progress("")
 	var faults blocks.Faults
+	var bad scale.BadArgument
 	switch {
 	case err == nil:
 		os.Exit(exitKept)
 	case errors.Is(err, errBroken):
 		os.Exit(exitBroken)
+	case errors.Is(err, errNotKept): // which is printed
+		os.Exit(exitFailure)
+	case errors.As(err, &bad):
+		fmt.Fprintln(os.Stderr, "sablelab:", bad)
+		os.Exit(exitBadFile)
 	case errors.As(err, &faults):
 		fmt.Fprintln(os.Stderr, faults)
 		os.Exit(exitBadFile)
--- /dev/null
+++ b/internal/lab/standin/fronts.go
@@ -0,0 +1,198 @@
+// This file owns fronts: what stands before some members of a fleet so that the ways between two groups of members can be cut, while
+// everybody else, however many, goes through. It holds little for each connection; Ties know more faults, and members alone.
+
+package standin
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	frontBuffer = 4096             // bytes, each direction of a connection
+	unanswered  = 10 * time.Second // who dials over a way that stays cut is reset after that, if it has not given up
+)
+
+// Fronts stand before the members whose index they were told. Who sends is told by its IP address; what is no member's is a stranger's,
+// and its way is never cut. It reads the other members' addresses alone.
+type Fronts struct {
+	members []netip.AddrPort
+	own     map[int]*front
+
+	mu      sync.Mutex
+	cut     []bool        // by member: the group that is cut off
+	changed chan struct{} // closed when cut changes
+	conns   map[net.Conn]bool
+	closed  bool
+}
+
+// NewFronts stands before some of the members. Close ends all.
+func NewFronts(members []netip.AddrPort, before []int) (*Fronts, error) {
+	f := &Fronts{members: members, own: map[int]*front{}, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	for _, m := range before {
+		own, err := listenBoth()
+		if err != nil {
+			f.Close()
+			return nil, err
+		}
+		f.own[m] = own
+	}
+	for m, own := range f.own {
+		go f.accept(m, own)
+		go f.read(m, own)
+	}
+	return f, nil
+}
+
+// Reached is where a member is reached through its front.
+func (f *Fronts) Reached(member int) netip.AddrPort { return f.own[member].addr }
+
+// Cut cuts the ways between the members told and all others, both ways; nil heals all. Datagrams are lost, what is in a connection is
+// held back until it is healed.
+func (f *Fronts) Cut(off []int) {
+	cut := make([]bool, len(f.members))
+	for _, m := range off {
+		cut[m] = true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut = cut
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Close ends all.
+func (f *Fronts) Close() {
+	for _, own := range f.own {
+		own.close()
+	}
+	f.mu.Lock()
+	f.closed = true
+	conns := f.conns
+	f.conns = nil
+	f.mu.Unlock()
+	f.Cut(nil)
+	for c := range conns {
+		c.Close()
+	}
+}
+
+// between tells whether the way between two members is cut, and a channel that is closed once that may have changed. A stranger is -1.
+func (f *Fronts) between(a, b int) (bool, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return a >= 0 && b >= 0 && f.cut != nil && f.cut[a] != f.cut[b] && !f.closed, f.changed
+}
+
+func (f *Fronts) sender(ip netip.Addr) int {
+	return slices.IndexFunc(f.members, func(m netip.AddrPort) bool { return m.Addr() == ip.Unmap() })
+}
+
+func (f *Fronts) keep(c net.Conn) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return false
+	}
+	f.conns[c] = true
+	return true
+}
+
+func (f *Fronts) end(c net.Conn) {
+	c.Close()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.conns, c)
+}
+
+func (f *Fronts) accept(to int, own *front) {
+	for {
+		c, err := own.tcp.AcceptTCP()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(10 * time.Millisecond) // no descriptor is free: guards against a loop that turns on it
+			continue
+		}
+		go f.carry(to, c)
+	}
+}
+
+func (f *Fronts) carry(to int, near *net.TCPConn) {
+	defer f.end(near)
+	if !f.keep(near) {
+		return
+	}
+	from := f.sender(near.RemoteAddr().(*net.TCPAddr).AddrPort().Addr())
+	for late := time.After(unanswered); ; { // first packets that are lost are sent again, for a while
+		cut, changed := f.between(from, to)
+		if !cut {
+			break
+		}
+		select {
+		case <-changed:
+		case <-late:
+			near.SetLinger(0)
+			return
+		}
+	}
+	far, err := net.Dial("tcp", f.members[to].String())
+	if err != nil {
+		near.SetLinger(0) // so that who dialed is reset, as by a port that nobody listens at
+		return
+	}
+	defer f.end(far)
+	if !f.keep(far) {
+		return
+	}
+	var both sync.WaitGroup
+	both.Go(func() { f.pass(from, to, near, far) })
+	both.Go(func() { f.pass(from, to, far, near) })
+	both.Wait()
+}
+
+// pass passes one direction on until it ends. An end or a failure of the one side is the other's.
+func (f *Fronts) pass(from, to int, in, out net.Conn) {
+	buffer := make([]byte, frontBuffer)
+	for {
+		n, err := in.Read(buffer)
+		for {
+			cut, changed := f.between(from, to)
+			if !cut {
+				break
+			}
+			<-changed
+		}
+		if n > 0 {
+			if _, e := out.Write(buffer[:n]); e != nil {
+				err = e
+			}
+		}
+		if err != nil {
+			in.Close()
+			out.Close()
+			return
+		}
+	}
+}
+
+func (f *Fronts) read(to int, own *front) {
+	buffer := make([]byte, 65536)
+	for {
+		n, sent, err := own.udp.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		if cut, _ := f.between(f.sender(sent.Addr()), to); !cut {
+			own.udp.WriteToUDPAddrPort(buffer[:n], f.members[to])
+		}
+	}
+}
