Scale test: counts changes that came again, too early, or were asked for anew

Cause: a control process's loss costs balancers bytes that the table did not explain. Change: four counts of the followers in the table and the JSON.

--- a/cmd/sablelab/hollow.go
+++ b/cmd/sablelab/hollow.go
@@ -77,14 +77,15 @@
 
 // hollowLook is all balancers of one process together; sums go on over their lives.
 type hollowLook struct {
-	Number                                         int
-	Up, Current                                    int
-	States                                         map[hollowState]int
-	Relays                                         map[string]int
-	Sent, Got                                      int64
-	Snapshots, Lapses, Refused, Conflicts, Changes uint64
-	CPU                                            time.Duration
-	Finals                                         map[int]scale.Final
+	Number                                int
+	Up, Current                           int
+	States                                map[hollowState]int
+	Relays                                map[string]int
+	Sent, Got                             int64
+	Snapshots, Lapses, Refused, Conflicts uint64
+	Changes, Had, Gaps, Wants             uint64
+	CPU                                   time.Duration
+	Finals                                map[int]scale.Final
 }
 
 // add adds another's.
@@ -93,6 +94,7 @@
 	l.Sent, l.Got = l.Sent+o.Sent, l.Got+o.Got
 	l.Snapshots, l.Lapses, l.Refused = l.Snapshots+o.Snapshots, l.Lapses+o.Lapses, l.Refused+o.Refused
 	l.Conflicts, l.Changes, l.CPU = l.Conflicts+o.Conflicts, l.Changes+o.Changes, l.CPU+o.CPU
+	l.Had, l.Gaps, l.Wants = l.Had+o.Had, l.Gaps+o.Gaps, l.Wants+o.Wants
 	for s, n := range o.States {
 		l.States[s] += n
 	}
@@ -241,6 +243,7 @@
 	c := &s.Count
 	l.Snapshots, l.Lapses, l.Refused = l.Snapshots+c.Snapshots, l.Lapses+c.Lapses, l.Refused+c.Refused+c.Mismatches
 	l.Conflicts, l.Changes = l.Conflicts+c.Conflicts, l.Changes+c.Changes
+	l.Had, l.Gaps, l.Wants = l.Had+c.Had, l.Gaps+c.Gaps, l.Wants+c.Wants
 }
 
 func (h *hollows) look(number int, final bool) *hollowLook {
--- a/cmd/sablelab/scale.go
+++ b/cmd/sablelab/scale.go
@@ -271,6 +271,7 @@
 	r.f.BalancerCore = 100 * (after.CPU - before.CPU).Seconds() / seconds / n
 	r.f.BalancerBytes = float64(after.Sent+after.Got-before.Sent-before.Got) / seconds / n
 	r.f.Snapshots, r.f.Lapses = after.Snapshots-before.Snapshots, last.Lapses-before.Lapses
+	r.f.Taken, r.f.Had, r.f.Gaps, r.f.Wants = after.Changes-before.Changes, after.Had-before.Had, after.Gaps-before.Gaps, after.Wants-before.Wants
 	r.f.Refused, r.f.Conflicts = last.Refused-before.Refused, last.Conflicts
 	if len(r.plan.Steps) > 0 {
 		if steady == 0 {
--- a/internal/lab/scale/verdict.go
+++ b/internal/lab/scale/verdict.go
@@ -43,9 +43,13 @@
 	Silent        int     `json:"balancers_silent"`
 	NotAccepted   int     `json:"changes_not_accepted"`
 	Back          int     `json:"went_back"`
-	Snapshots     uint64  `json:"snapshots"` // that balancers took in the run
-	Lapses        uint64  `json:"lapses"`    // of their leases
-	Refused       uint64  `json:"refused"`   // messages that balancers would not take, and states that did not match
+	Snapshots     uint64  `json:"snapshots"`     // that balancers took in the run
+	Lapses        uint64  `json:"lapses"`        // of their leases
+	Refused       uint64  `json:"refused"`       // messages that balancers would not take, and states that did not match
+	Taken         uint64  `json:"changes_taken"` // by balancers, each once, of any kind
+	Had           uint64  `json:"changes_had"`   // that came again: from the other control process, or sent anew
+	Gaps          uint64  `json:"gaps"`          // changes that came before the one before them
+	Wants         uint64  `json:"asked_again"`   // times that a balancer asked for what it lacks
 	Conflicts     uint64  `json:"conflicts"`
 	Steady        bool    `json:"steady"`      // all were current and evenly spread in the end
 	Even          string  `json:"even_spread"` // connections of balancers at a control process
@@ -123,6 +127,7 @@
 // Print writes the table.
 func (f *Figures) Print(to io.Writer, t *Targets) error {
 	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	n := float64(max(1, f.Balancers))
 	row := func(what, format string, args ...any) { fmt.Fprintf(w, "%s\t%s\n", what, fmt.Sprintf(format, args...)) }
 	row("balancers, control, voters", "%d, %d, %d in %d zones of %d regions", f.Balancers, f.Control, f.Voters, f.Zones, f.Regions)
 	row("faults", "%s", f.FaultsSay)
@@ -134,6 +139,7 @@
 		t.BalancerCore, t.BalancerMB, t.BalancerBytes)
 	row("a control process, worst", "%.2f%% of a core, %.1f MB, %.0f bytes a second (allowed %.0f%%, %.0f MB)", f.ControlCore, f.ControlMB, f.ControlBytes, t.ControlCore, t.ControlMB)
 	row("snapshots taken, lapses, refused", "%d, %d, %d", f.Snapshots, f.Lapses, f.Refused)
+	row("changes at a balancer", "%.1f taken, %.1f had already, %.1f too early; asked again %.2f times", float64(f.Taken)/n, float64(f.Had)/n, float64(f.Gaps)/n, float64(f.Wants)/n)
 	row("together after the start", "%.0f ms", f.TogetherMs)
 	row("steady after the last fault", "%.0f ms; %s", f.SteadyAfter, f.Even)
 	row("memory of all processes", "%.0f MB", f.MemoryMB)
