--- a/cmd/sablelab/scale_test.go
+++ b/cmd/sablelab/scale_test.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,6 +18,7 @@
 	"time"
 
 	"sabletally/internal/lab/scale"
+	"sabletally/internal/lab/standin"
 )
 
 // told is a follower that a test moves.
@@ -142,6 +145,69 @@
 	}
 }
 
+// TestFrontsStandInAProcess starts one, as a scale test does, and has it cut a way and heal it.
+func TestFrontsStandInAProcess(t *testing.T) {
+	t.Setenv("SABLELAB_CHILD", "1")
+	var members []netip.AddrPort
+	for range 2 {
+		ln, err := net.Listen("tcp", standin.Loopback())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		members = append(members, ln.Addr().(*net.TCPAddr).AddrPort())
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer c.Close()
+					io.Copy(c, c)
+				}()
+			}
+		}()
+	}
+	p, reached, err := startFronts(os.Args[0], members, []int{0})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.close()
+	// From the other member's address, which a front knows it by.
+	c, err := (&net.Dialer{LocalAddr: &net.TCPAddr{IP: members[1].Addr().AsSlice()}}).Dial("tcp", reached[0].String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	says := func(text string, within time.Duration) error {
+		io.WriteString(c, text)
+		c.SetReadDeadline(time.Now().Add(within))
+		_, err := io.ReadFull(c, make([]byte, len(text)))
+		return err
+	}
+	if err := says("one", 10*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.order(frontOrder{Cut: []int{0}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := says("two", 100*time.Millisecond); err == nil {
+		t.Error("the way is not cut")
+	}
+	if _, err := p.order(frontOrder{}); err != nil {
+		t.Fatal(err)
+	}
+	if err := says("three", 10*time.Second); err != nil { // "two" and a half of it: what was held back comes first
+		t.Errorf("the way is not healed: %v", err)
+	}
+	p.close()
+	if c, err := net.Dial("tcp", reached[0].String()); err == nil {
+		c.Close()
+		t.Error("a front stands after its process")
+	}
+}
+
 // program builds the balancer.
 func program(t *testing.T) string {
 	t.Helper()
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -380,14 +380,24 @@
 func TestWhatTheMachineDoesNotBear(t *testing.T) {
 	p := made(t, options())
 	n := p.Needed(p.Hosts(300))
+	long := options()
+	long.For, long.Balancers = 24*time.Hour, 4600
+	if l := made(t, long); l.Needed(l.Hosts(300)).Check(20000, 16000, 16000) == nil {
+		t.Error("what is booked in a day counts for nothing")
+	}
+	region := options()
+	region.Faults, region.Balancers = FaultsRegion, 5000
+	if r := made(t, region); r.Needed(r.Hosts(300)).Check(20000, 24000, 16000) == nil {
+		t.Error("fronts need no descriptors")
+	}
 	if err := n.Check(20000, 24000, 16000); err != nil {
 		t.Error(err)
 	}
 	for want, err := range map[string]error{
-		"--balancers: a process may need 1456 descriptors; this machine allows 1024": n.Check(1024, 24000, 16000),
-		"--balancers: some 1432 MB in all; half of this machine's memory is 1000 MB": n.Check(20000, 2000, 16000),
-		"--balancers: some 1432 MB in all; 1400 MB are free":                         n.Check(20000, 24000, 1400),
-		"--control: 301 processes in all; 300 at the most":                           Needs{Processes: 301}.Check(20000, 24000, 16000),
+		"--balancers: a process may need 1456 descriptors; this machine allows 1024":                                     n.Check(1024, 24000, 16000),
+		"--balancers: some 1435 MB in all, with what is booked of 122 changes; half of this machine's memory is 1000 MB": n.Check(20000, 2000, 16000),
+		"--balancers: some 1435 MB in all; 1400 MB are free":                                                             n.Check(20000, 24000, 1400),
+		"--control: 301 processes in all; 300 at the most":                                                               Needs{Processes: 301}.Check(20000, 24000, 16000),
 	} {
 		if err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("got %v, wanted %q", err, want)
--- a/internal/lab/scale/verdict.go
+++ b/internal/lab/scale/verdict.go
@@ -176,12 +176,14 @@
 // Needs is what a run will take of the machine.
 type Needs struct {
 	MemoryMB  float64 // of all processes together, roughly
-	Files     int     // descriptors of the process that has most
+	Changes   int
+	Files     int // descriptors of the process that has most
 	Processes int
 }
 
 const (
 	mostProcesses = 300
+	markBytes     = 48 // of what is booked for a change at a balancer, as its table grows
 	// Rough, and high: what is seen is checked while the run goes on.
 	controlMB, controlPerBalancerMB = 60, 0.1
 	hostMB, hostPerBalancerMB       = 20, 0.5
@@ -191,9 +193,10 @@
 
 // Needed reckons what a plan takes, with so many processes of balancers.
 func (p *Plan) Needed(hosts [][]int) Needs {
-	n := Needs{Processes: 1 + len(hosts) + p.Options.Control}
+	n := Needs{Changes: len(p.Changes), Processes: 1 + len(hosts) + p.Options.Control}
 	n.MemoryMB = 50 + float64(p.Options.Control)*controlMB + controlPerBalancerMB*2*float64(p.Options.Balancers) +
-		float64(len(hosts))*hostMB + hostPerBalancerMB*float64(p.Options.Balancers)
+		float64(len(hosts))*hostMB + hostPerBalancerMB*float64(p.Options.Balancers) +
+		markBytes*float64(len(p.Changes))*float64(p.Options.Balancers)/1e6
 	for _, h := range hosts {
 		n.Files = max(n.Files, ownFiles+4*len(h)) // two connections, and two on their way
 	}
@@ -215,7 +218,7 @@
 	case n.Files > files:
 		return BadArgument{"balancers", fmt.Sprintf("a process may need %d descriptors; this machine allows %d (ulimit -n)", n.Files, files)}
 	case n.MemoryMB > total/2:
-		return BadArgument{"balancers", fmt.Sprintf("some %.0f MB in all; half of this machine's memory is %.0f MB", n.MemoryMB, total/2)}
+		return BadArgument{"balancers", fmt.Sprintf("some %.0f MB in all, with what is booked of %d changes; half of this machine's memory is %.0f MB", n.MemoryMB, n.Changes, total/2)}
 	case n.MemoryMB > available:
 		return BadArgument{"balancers", fmt.Sprintf("some %.0f MB in all; %.0f MB are free on this machine now", n.MemoryMB, available)}
 	}
