--- a/cmd/sablelab/scale.go
+++ b/cmd/sablelab/scale.go
@@ -239,7 +239,7 @@
 		is, spread := r.steady(last, want)
 		progress("scale: %v of %v, %d of %d changes accepted, %d of %d balancers up, %d current; %v", max(0, now-r.begin).Round(time.Second), r.For, done,
 			len(r.plan.Changes), last.Up, r.Balancers, last.Current, spread)
-		r.f.Even = spread.String()
+		r.f.Even = fmt.Sprintf("%d of %d balancers up, %d current; %v", last.Up, r.Balancers, last.Current, spread)
 		if is && over > 0 && steady == 0 {
 			steady = now
 		}
--- a/internal/lab/scale/verdict.go
+++ b/internal/lab/scale/verdict.go
@@ -52,7 +52,7 @@
 	Wants         uint64  `json:"asked_again"`   // times that a balancer asked for what it lacks
 	Conflicts     uint64  `json:"conflicts"`
 	Steady        bool    `json:"steady"`      // all were current and evenly spread in the end
-	Even          string  `json:"even_spread"` // connections of balancers at a control process
+	Even          string  `json:"even_spread"` // in words: how many are current, and their connections at a control process
 	TogetherMs    float64 `json:"together_ms"` // from the balancers' start until all were current
 	LateMs        float64 `json:"late_ms"`     // how late the test itself put a change at worst
 	Partial       string  `json:"partial,omitempty"`
