Scale test: steady means the control tier is whole as well

Cause: balancers are current again long before a killed control process is a member again, so steady_after_ms was one look (250 ms) for rack and zone. Change: steady asks all control processes, once balancers are steady, whether they see each other, are members of the epoch and current.

--- a/cmd/sablelab/scale.go
+++ b/cmd/sablelab/scale.go
@@ -240,8 +240,12 @@
 		progress("scale: %v of %v, %d of %d changes accepted, %d of %d balancers up, %d current; %v", max(0, now-r.begin).Round(time.Second), r.For, done,
 			len(r.plan.Changes), last.Up, r.Balancers, last.Current, spread)
 		r.f.Even = fmt.Sprintf("%d of %d balancers up, %d current; %v", last.Up, r.Balancers, last.Current, spread)
-		if is && over > 0 && steady == 0 {
-			steady = now
+		if is && (over > 0 && steady == 0 || after != nil || now >= end) { // asked then alone: it costs them something
+			if not := w.whole(want); not != "" {
+				is, r.f.Even = false, r.f.Even+"; "+not
+			} else if over > 0 && steady == 0 {
+				steady = boottime.Now()
+			}
 		}
 		if after == nil && now >= end {
 			after, seconds = last, (now - r.begin).Seconds()
--- a/cmd/sablelab/scale_world.go
+++ b/cmd/sablelab/scale_world.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +25,7 @@
 
 	"sabletally/internal/fleet"
 	"sabletally/internal/fleet/boottime"
+	"sabletally/internal/fleet/feed"
 	"sabletally/internal/lab/field"
 	"sabletally/internal/lab/scale"
 	"sabletally/internal/lab/standin"
@@ -723,6 +725,29 @@
 	return int(min(l.Cur, 1<<30)), nil
 }
 
+// whole tells whether all control processes run, see each other, are members of the epoch and have a version; "" if so, else who does not.
+func (w *scaleWorld) whole(version uint64) string {
+	not := make([]string, len(w.control))
+	var all sync.WaitGroup
+	for i, c := range w.control {
+		all.Go(func() {
+			r, err := c.Fleet()
+			switch {
+			case !c.runs():
+				not[i] = c.Name + " does not run"
+			case err != nil:
+				not[i] = err.Error()
+			case r.Here != len(w.control) || r.Held == nil || r.Held.Members != len(w.control):
+				not[i] = fmt.Sprintf("%s sees %d control processes here", c.Name, r.Here)
+			case r.Publishing == nil || r.Publishing.Version < version || r.Publishing.Age < 0 || r.Publishing.Age > feed.Lease.Seconds():
+				not[i] = c.Name + " is not current"
+			}
+		})
+	}
+	all.Wait()
+	return strings.Join(slices.DeleteFunc(not, func(s string) bool { return s == "" }), ", ")
+}
+
 // agreed is what all control processes that run have, once that is the same.
 func (w *scaleWorld) agreed() (s hollowState, err error) {
 	for end := time.Now().Add(agreedIn); ; time.Sleep(pollEach) {
