Scale test: whatever breaks a run off, it ends with a verdict, and no table of zeros

Cause: 4,600 balancers on a machine at load 150 were not together within two minutes, and the run ended with an error instead of a verdict (trial). Change: cmd/sablelab/scale.go takes every error after the start as partial; internal/lab/scale/verdict.go says that alone. Result: go test -run 'Ended|BadArg|Twin' ./cmd/sablelab green.

--- a/cmd/sablelab/scale.go
+++ b/cmd/sablelab/scale.go
@@ -61,7 +61,7 @@
 	late      time.Duration
 	balancers float64 // MB at most
 	controls  []float64
-	stopped   string // why the run can't go on
+	stopped   string // why the run was broken off
 }
 
 func (c *scaleCmd) Run(l *lab) error {
@@ -93,11 +93,13 @@
 		Seed: c.Seed, Faults: c.Faults, FaultsSay: plan.Says}
 	err = r.run(l, hosts)
 	progress("")
-	if err != nil && l.ctx.Err() == nil {
-		return err
-	}
-	if l.ctx.Err() != nil {
+	switch { // whatever breaks it off, there is a verdict
+	case l.ctx.Err() != nil:
 		r.f.Partial = "interrupted"
+	case r.stopped != "":
+		r.f.Partial = r.stopped
+	case err != nil:
+		r.f.Partial = err.Error()
 	}
 	targets := &scale.Size
 	if c.Judge == "counts" {
@@ -105,8 +107,10 @@
 	}
 	not := r.f.Judge(targets)
 	r.f.Verdict = scale.Verdict(not)
-	if err := r.f.Print(os.Stdout, &scale.Size); err != nil {
-		return err
+	if r.f.Partial == "" { // a table of what wasn't measured would read as if nothing was missed
+		if err := r.f.Print(os.Stdout, &scale.Size); err != nil {
+			return err
+		}
 	}
 	if c.JSON != "" {
 		text, err := json.MarshalIndent(&r.f, "", "  ")
@@ -155,20 +159,9 @@
 	tools := openTools(w.seeds(), r.Seed)
 	defer tools.close()
 	if err := pause(ctx, restFor); err != nil {
-		return r.partial(err)
-	}
-	return r.partial(r.measured(ctx, tools))
-}
-
-// partial says why a run was broken off, if that was this process's own doing: what was measured until then is still told.
-func (r *scaleRun) partial(err error) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.stopped != "" {
-		r.f.Partial = r.stopped
-		return nil
+		return err
 	}
-	return err
+	return r.measured(ctx, tools)
 }
 
 // measured is the run itself.
--- a/internal/lab/scale/verdict.go
+++ b/internal/lab/scale/verdict.go
@@ -90,7 +90,9 @@
 			not = append(not, fmt.Sprintf(format, args...))
 		}
 	}
-	say(f.Partial != "", "partial: %s", f.Partial)
+	if f.Partial != "" { // what wasn't measured is neither kept nor broken
+		return []string{"partial: " + f.Partial}
+	}
 	say(f.Samples == 0, "no change was timed")
 	say(f.Missed > 0, "%d changes missed, at %d balancers that are behind, %d that differ and %d that are silent", f.Missed, f.Behind, f.Differ, f.Silent)
 	say(f.Differ > 0 && f.Missed == 0, "%d balancers differ", f.Differ)
