Scale test: one count of a control process's bytes

Cause: four fields and a flag for one sum in cmd/sablelab/scale_world.go. Change: three fields, no flag.

--- a/cmd/sablelab/scale.go
+++ b/cmd/sablelab/scale.go
@@ -173,7 +173,7 @@
 	}
 	cpu, bytes := make([]time.Duration, len(w.control)), make([]int64, len(w.control))
 	for i, c := range w.control {
-		c.meter(true)
+		c.meter()
 		cpu[i], bytes[i] = c.used(), c.bytes()
 	}
 	r.begin = boottime.Now()
@@ -243,7 +243,7 @@
 		if after == nil && now >= end {
 			after, seconds = last, (now - r.begin).Seconds()
 			for i, c := range w.control {
-				c.meter(true)
+				c.meter()
 				r.f.ControlBytes = max(r.f.ControlBytes, float64(c.bytes()-bytes[i])/seconds)
 				r.f.ControlCore = max(r.f.ControlCore, 100*(c.used()-cpu[i]).Seconds()/seconds)
 			}
--- a/cmd/sablelab/scale_world.go
+++ b/cmd/sablelab/scale_world.go
@@ -50,11 +50,10 @@
 	Addr  netip.AddrPort // where it is reached
 	place scale.Place
 
-	mu     sync.Mutex
-	io     int64 // bytes of lives that are over
-	ioLife int64 // and of the running one, when it was looked at last
-	data   int64 // bytes of datagrams, the same
-	now    int64
+	mu        sync.Mutex
+	before    int64 // bytes of lives that are over
+	streams   int64 // and of the running one, when it was looked at last: read and written,
+	datagrams int64 // and sent and heard beside that
 }
 
 // freeAddress takes an address that is free for datagrams and connections.
@@ -173,7 +172,7 @@
 
 // meter reads how many bytes its running life has read and written so far, over connections and files alike, and with its own count of
 // datagrams, which the former leave out.
-func (c *control) meter(datagrams bool) {
+func (c *control) meter() {
 	if !c.runs() {
 		return
 	}
@@ -190,40 +189,38 @@
 			}
 		}
 	}
-	var sent int64
-	if datagrams {
-		if r, err := c.Fleet(); err == nil {
-			sent = r.Sent + r.Heard
-		}
+	var datagrams int64
+	if r, err := c.Fleet(); err == nil {
+		datagrams = r.Sent + r.Heard
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ioLife, c.now = n, max(c.now, sent)
+	c.streams, c.datagrams = n, max(c.datagrams, datagrams)
 }
 
 // lifeOver keeps what the life that ended has read and written.
 func (c *control) lifeOver() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.io, c.data, c.ioLife, c.now = c.io+c.ioLife, c.data+c.now, 0, 0
+	c.before, c.streams, c.datagrams = c.before+c.streams+c.datagrams, 0, 0
 }
 
 func (c *control) bytes() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.io + c.data + c.ioLife + c.now
+	return c.before + c.streams + c.datagrams
 }
 
 // kill ends it outright.
 func (c *control) kill() {
-	c.meter(true)
+	c.meter()
 	c.Kill()
 	c.lifeOver()
 }
 
 // end ends it as planned.
 func (c *control) end() {
-	c.meter(true)
+	c.meter()
 	c.Signal(syscall.SIGTERM)
 	select {
 	case <-c.Exited():
