A follower whose window is full counts as blocked

Cause: internal/fleet/feed/relay.go:562 asked whether a message of no bytes has room, which is so while the bytes that are out come to the window or less; what comes next has none. So `blocked` in `fleet status` stayed 0.

Test: TestABlockedFollowerIsCounted; with the old line it fails with Blocked:0 (GOMAXPROCS=1 go test ./internal/fleet/feed -run TestABlocked).

--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -977,3 +977,45 @@
 		t.Errorf("%+v, told %d times", c.f.Count, r.said(Mismatch))
 	}
 }
+
+// TestABlockedFollowerIsCounted has followers that acknowledge nothing. Guards against a full window that operators see as none: a follower
+// whose window has room for nothing but an empty message takes nothing either.
+func TestABlockedFollowerIsCounted(t *testing.T) {
+	log := NewLog(LogConfig{Most: 100, Bytes: 1 << 20})
+	if _, err := log.Next([]Item{{Key: FleetKey, Value: []byte("f")}}); err != nil {
+		t.Fatal(err)
+	}
+	relay := NewRelay(RelayConfig{Most: 10, Window: 200, SnapshotBytes: 1 << 20}, log, 0)
+	hello := Hello{Fleet: "f", Form: Form, Version: log.Version(), Digest: log.Digest()}
+	for i, id := range []string{"slow", "swift"} {
+		hello.ID = id
+		if err := relay.Opened(0, uint64(i), hello); err != nil {
+			t.Fatal(err)
+		}
+	}
+	next := func() {
+		if _, err := log.Next([]Item{config(1)}); err != nil {
+			t.Fatal(err)
+		}
+		relay.Published()
+		if err := relay.Step(0, 1, Msg{Ack: &Ack{Version: log.Version(), Digest: log.Digest()}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	next()
+	if f := relay.Followers(); f.Blocked != 0 || f.Current != 1 || f.Lowest != 1 {
+		t.Errorf("one message is out: %+v", f)
+	}
+	for range 10 {
+		next()
+	}
+	if f := relay.Followers(); f.Blocked != 1 || f.Current != 1 || f.Lowest != 1 {
+		t.Errorf("the window is full: %+v", f)
+	}
+	if err := relay.Step(0, 0, Msg{Ack: &Ack{Version: log.Version(), Digest: log.Digest()}}); err != nil {
+		t.Fatal(err)
+	}
+	if f := relay.Followers(); f.Blocked != 0 || f.Current != 2 {
+		t.Errorf("it has acknowledged all: %+v", f)
+	}
+}
--- a/internal/fleet/feed/relay.go
+++ b/internal/fleet/feed/relay.go
@@ -559,7 +559,7 @@
 			f.Waiting++
 		case p.parked:
 			f.Parked++
-		case len(p.out) > 0 && !r.room(p, 0):
+		case p.sent < r.log.Version(): // what comes next has no room in its window, or is behind what is out
 			f.Blocked++
 		}
 	}
