Balancers are not sent the slots' views

Cause: internal/fleet/publish/publish.go:265-270 put the core's changes into the log of the relay as they are, views of slots among them, some 600 bytes each to each follower over both relays. A balancer's operations go through a control process; it reads no view.

Change: publish/trim.go leaves view/SLOT out and keeps the agreed version, so a change of views alone is one without items. The digest is of what is sent; each change is checked against the digest of the whole besides. Freshness is told of the same versions as before.

With views sent TestTheSameHoweverItIsComeBy and TestViewsAreNoMatterOfFollowers fail.

Ruled out: a count of the feed's own in the agreed state (epochs and puts). A follower of a build before would be ahead of the new number and hear nothing. The feed was in no release yet: beside control processes of a build before this one followers tell of two histories until a newer version comes from a new one.

--- a/internal/fleet/publish/publish.go
+++ b/internal/fleet/publish/publish.go
@@ -87,6 +87,7 @@
 
 	mu    sync.Mutex // the relay and what belongs to it
 	log   *feed.Log
+	state trimmed // of log
 	relay *feed.Relay
 	conns map[uint64]*conn
 	last  uint64 // connection's number
@@ -116,6 +117,7 @@
 func New(opt Options) *Publisher {
 	p := &Publisher{opt: opt, wake: make(chan struct{}, 1), conns: map[uint64]*conn{}, ops: map[string]asked{}, done: make(chan struct{})}
 	p.log = feed.NewLog(feed.LogConfig{Most: changesMost, Bytes: changesBytes})
+	p.state.log = p.log
 	p.relay = feed.NewRelay(feed.RelayConfig{ID: opt.ID, Most: opt.Most, Window: window, SnapshotBytes: snapshotBytes, Lease: feed.Lease, Seed: opt.Seed},
 		p.log, opt.Now())
 	p.status.Store(&published{})
@@ -262,12 +264,12 @@
 // take follows the core's state. What does not fit is told, and leaves the state as it was: nothing is published then but what was.
 func (p *Publisher) take(whole *feed.Snapshot, changes []*feed.Change) {
 	if whole != nil {
-		if err := p.log.Install(*whole); err != nil {
+		if err := p.state.install(whole); err != nil {
 			p.opt.Log.Error("fleet: the agreed state is not published", zap.Uint64("version", whole.Version), zap.Error(err))
 		}
 	}
 	for _, one := range changes {
-		if err := p.log.Apply(*one); err != nil {
+		if err := p.state.apply(one); err != nil {
 			p.opt.Log.Error("fleet: the agreed state is not published", zap.Uint64("version", one.Version), zap.Error(err))
 		}
 	}
--- a/internal/fleet/publish/publish_test.go
+++ b/internal/fleet/publish/publish_test.go
@@ -370,3 +370,64 @@
 		f.check(t)
 	}
 }
+
+// TestViewsAreNoMatterOfFollowers changes many slots' views, as the loss of a control process does. Guards against bytes that grow with
+// what only members need, and against a follower that is not current as its version lags behind what was agreed.
+func TestViewsAreNoMatterOfFollowers(t *testing.T) {
+	r := newTier(t, 2, 10)
+	f := r.follower(0)
+	until(t, "it follows two", func() bool { s := f.Status(); return s.Current && len(s.Relays) == 2 && s.Version == 1 })
+	value := make([]byte, 600)
+	before := f.Status().Got
+	for i := range 240 {
+		r.change(feed.Item{Key: fmt.Sprint("view/", i), Value: value})
+	}
+	last := r.change(feed.Item{Key: "config/last", Value: []byte("x")})
+	until(t, "it has the newest by both", func() bool {
+		return f.Status().Version == last && r.all[0].Status().Followers.Lowest == last && r.all[1].Status().Followers.Lowest == last
+	})
+	if got := f.Status().Got - before; got > 240*2*60 {
+		t.Errorf("%d bytes for 240 changes of views, over two relays", got)
+	}
+	if _, is := f.Get("view/7"); is {
+		t.Error("a view was sent")
+	}
+	// One that begins now, and one whose control process was told all at once, have the same.
+	r.mu.Lock()
+	whole := r.log.Snapshot()
+	r.mu.Unlock()
+	for _, p := range r.all {
+		if s := p.Status(); s.Version != last || s.Digest != f.Status().Digest {
+			t.Errorf("version %d with %016x; the follower has %016x", s.Version, s.Digest, f.Status().Digest)
+		}
+		p.Changed(whole, nil)
+	}
+	late := r.follower(1)
+	until(t, "both are current", every([]*follower{f, late}, func(s follow.Status) bool { return s.Current && s.Version == last && len(s.Relays) == 2 }))
+	if a, b := f.Status(), late.Status(); a.Digest != b.Digest || a.Count.Conflicts+b.Count.Conflicts+a.Count.Mismatches+b.Count.Mismatches > 0 {
+		t.Errorf("%+v\n%+v", a, b)
+	}
+	f.check(t)
+	late.check(t)
+}
+
+// TestFreshnessWaitsForItsVersion tells of a time for a version that is not here yet, which then turns out to be one of views alone.
+// Guards against followers that count as current without what was agreed.
+func TestFreshnessWaitsForItsVersion(t *testing.T) {
+	r := newTier(t, 1, 10)
+	f, p := r.follower(0), r.all[0]
+	until(t, "it is current", func() bool { return f.Status().Current })
+	r.stale.Store(true)
+	until(t, "a version that is not here makes nothing younger", func() bool {
+		p.Fresh(boottime.Now(), 2)
+		return p.Status().Age > time.Second && f.Status().Age > time.Second
+	})
+	if s := f.Status(); s.Version != 1 {
+		t.Fatalf("%+v", s)
+	}
+	r.change(feed.Item{Key: "view/1", Value: []byte("v")})
+	until(t, "the version makes it young", func() bool {
+		p.Fresh(boottime.Now(), 2)
+		return p.Status().Age < time.Second/2 && f.Status().Version == 2 && f.Status().Age < time.Second/2
+	})
+}
--- /dev/null
+++ b/internal/fleet/publish/trim.go
@@ -0,0 +1,54 @@
+package publish
+
+import (
+	"fmt"
+	"slices"
+
+	"sabletally/internal/fleet/feed"
+	"sabletally/internal/fleet/views"
+)
+
+// trimmed is the agreed state as followers are sent it: without the slots' views, which only members need, as a follower's operations go
+// through a control process. Versions are those of the agreed state, each of them: a change of views alone leads from one to the next
+// with no items. So the number is the same at each control process whatever way its state was come by, what answers a put is the number
+// that a follower shows, and who has a version here has what was agreed up to it. The digests are those of what is sent.
+type trimmed struct {
+	log    *feed.Log
+	digest uint64 // of the whole agreed state at the log's version, as the member's core has it
+}
+
+func kept(items []feed.Item) []feed.Item {
+	return slices.DeleteFunc(slices.Clone(items), func(i feed.Item) bool {
+		_, is := views.SlotKey(i.Key)
+		return is
+	})
+}
+
+// install takes a whole state; an error leaves all as it was.
+func (t *trimmed) install(s *feed.Snapshot) error {
+	if s.Version == t.log.Version() && s.Digest != t.digest {
+		return fmt.Errorf("%w: a snapshot of version %d with digest %016x, here %016x", feed.ErrConflict, s.Version, s.Digest, t.digest)
+	}
+	if err := t.log.Install(*feed.NewSnapshot(s.Fleet, s.Version, kept(s.Items))); err != nil {
+		return err
+	}
+	t.digest = s.Digest
+	return nil
+}
+
+// apply takes the next change of the agreed state; an error leaves all as it was.
+func (t *trimmed) apply(c *feed.Change) error {
+	switch {
+	case c.Version == t.log.Version() && c.After != t.digest:
+		return fmt.Errorf("%w: version %d with digest %016x, here %016x", feed.ErrConflict, c.Version, c.After, t.digest)
+	case c.Version != t.log.Version()+1:
+		return fmt.Errorf("%w: version %d after %d", feed.ErrOrder, c.Version, t.log.Version())
+	case c.Before != t.digest:
+		return fmt.Errorf("%w: version %d is of %016x, here is %016x", feed.ErrDigest, c.Version, c.Before, t.digest)
+	}
+	if _, err := t.log.Next(kept(c.Items)); err != nil {
+		return err
+	}
+	t.digest = c.After
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/publish/trim_test.go
@@ -0,0 +1,121 @@
+package publish
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"sabletally/internal/fleet/feed"
+	"sabletally/internal/fleet/views"
+)
+
+// TestTheSameHoweverItIsComeBy plays a history to publishers' states that hear it by changes, by snapshots, and by both by chance, begun
+// anew now and then. Guards against a version that means other contents at another control process, and against one that covers less than
+// the agreed version of that number, which freshness is told of.
+func TestTheSameHoweverItIsComeBy(t *testing.T) {
+	for seed := range uint64(8) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		core := feed.NewLog(feed.LogConfig{Most: 100, Bytes: 1 << 20})
+		fresh := func() *trimmed {
+			return &trimmed{log: feed.NewLog(feed.LogConfig{Most: 100, Bytes: 1 << 20})}
+		}
+		byChanges, bySnapshots, mixed := fresh(), fresh(), fresh()
+		follower := feed.NewState()
+		for step := range 200 {
+			items := []feed.Item{{Key: feed.FleetKey, Value: []byte("f")}}
+			if step > 0 {
+				items = nil
+				for range 1 + rng.IntN(3) {
+					i := feed.Item{Key: fmt.Sprintf("%s%d", []string{"view/", "view/", "view/", views.Config, feed.MemberPrefix}[rng.IntN(5)], len(items)*50+rng.IntN(50)),
+						Value: fmt.Appendf(nil, "%d", rng.IntN(5))}
+					if rng.IntN(4) == 0 {
+						i.Value, i.Gone = nil, true
+					}
+					items = append(items, i)
+				}
+			}
+			c, err := core.Next(items)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := byChanges.apply(&c); err != nil {
+				t.Fatal(err)
+			}
+			if err := bySnapshots.install(core.Snapshot()); err != nil {
+				t.Fatal(err)
+			}
+			switch n := rng.IntN(4); {
+			case n == 0: // a restart
+				mixed = fresh()
+				err = mixed.install(core.Snapshot())
+			case n == 1 || mixed.log.Version()+1 != c.Version:
+				err = mixed.install(core.Snapshot())
+			default:
+				err = mixed.apply(&c)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			for name, one := range map[string]*trimmed{"changes": byChanges, "snapshots": bySnapshots, "both": mixed} {
+				if one.log.Version() != core.Version() || one.log.Digest() != byChanges.log.Digest() || one.digest != core.Digest() {
+					t.Fatalf("seed %d, by %s: version %d with %016x, agreed %d, by changes %016x", seed, name, one.log.Version(), one.log.Digest(), core.Version(), byChanges.log.Digest())
+				}
+				if got, want := one.log.State().All(""), kept(core.State().All("")); fmt.Sprint(got) != fmt.Sprint(want) {
+					t.Fatalf("seed %d, by %s: %v, agreed %v", seed, name, got, want)
+				}
+			}
+			if n := len(byChanges.log.State().All("view/")); n > 0 {
+				t.Fatalf("%d views are sent", n)
+			}
+			sent, is := byChanges.log.Since(follower.Version(), follower.Digest())
+			if !is || len(sent) != 1 {
+				t.Fatalf("%d changes after version %d", len(sent), follower.Version())
+			}
+			if err := follower.Apply(*sent[0]); err != nil {
+				t.Fatal(err)
+			}
+		}
+
+		other := feed.NewLog(feed.LogConfig{Most: 100, Bytes: 1 << 20}) // another history, which differs in a view alone
+		snap := core.Snapshot()
+		next, err := core.Next([]feed.Item{{Key: "view/7", Value: []byte("a")}})
+		if err == nil {
+			err = byChanges.apply(&next)
+		}
+		if err == nil {
+			err = other.Install(*snap)
+		}
+		var odd, after feed.Change
+		if err == nil {
+			odd, err = other.Next([]feed.Item{{Key: "view/7", Value: []byte("b")}})
+		}
+		if err == nil {
+			after, err = other.Next([]feed.Item{{Key: views.Config + "x", Value: []byte("b")}})
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		before := byChanges.log.Digest()
+		if err := byChanges.apply(&odd); !errors.Is(err, feed.ErrConflict) {
+			t.Errorf("a change of another history: %v", err)
+		}
+		if err := byChanges.apply(&after); !errors.Is(err, feed.ErrDigest) {
+			t.Errorf("a change that is of another history: %v", err)
+		}
+		if err := bySnapshots.install(snap); err != nil {
+			t.Errorf("what is there already: %v", err)
+		}
+		if err := byChanges.install(snap); !errors.Is(err, feed.ErrOrder) {
+			t.Errorf("an older snapshot: %v", err)
+		}
+		unlike := *snap
+		unlike.Digest++
+		if err := bySnapshots.install(&unlike); !errors.Is(err, feed.ErrConflict) {
+			t.Errorf("a snapshot of another history: %v", err)
+		}
+		if byChanges.log.Digest() != before || byChanges.digest != next.After {
+			t.Error("what was refused has changed something")
+		}
+	}
+}
