New versions go to followers in batches, all in one write

Cause: internal/fleet/publish/publish.go:226 handed each change on at its wake, and conn.go:86-92 made its header and checksum for each follower and woke a writer for each: 100 changes in a second were 100 writes to each follower over each relay.

Change: the first version goes out at once, those after it 0.1 s later, together. What one turn of the relay has for a connection goes into its queue at once, which is one write (writev); head and checksum are made once for all. A full window, acknowledgements and the order are as before: a follower acknowledged by its renewal each second and each 64 KiB already (feed/follower.go:324), not each change. Status and /control/fleet count `writes`.

A change after a pause still comes at once (within 60 ms).

--- a/internal/fleet/publish/conn.go
+++ b/internal/fleet/publish/conn.go
@@ -19,7 +19,7 @@
 	writeIn    = 30 * time.Second // of what is written at once; the relay ends who takes nothing for so long
 	endIn      = 2 * time.Second  // for the last words
 	readMost   = 1 << 20          // bytes of one word of a follower's
-	queueMost  = 4096             // words that wait for one, and their bytes beside the largest word that there is
+	queueMost  = 2 * 4096         // heads and bodies of words that wait for one, and their bytes beside the largest word that there is
 	queueBytes = 8 << 20
 	withinMost = 10 * time.Second // of an operation
 	putWithin  = 5 * time.Second
@@ -33,7 +33,7 @@
 	ops atomic.Int64
 
 	mu    sync.Mutex
-	queue [][]byte
+	queue [][]byte // heads and bodies, shared with other connections
 	bytes int
 	last  bool // nothing more is taken: what waits is written, and it ends
 	wake  chan struct{}
@@ -41,13 +41,16 @@
 	written chan struct{} // closed when nothing is written any more
 }
 
-// put has a word written; it never waits. A connection whose queue is full ends.
-func (c *conn) put(body []byte) {
+// put has words written, each a head and a body, in as few writes as there can be; it never waits. A connection whose queue is full
+// ends.
+func (c *conn) put(words ...[]byte) {
 	c.mu.Lock()
 	full := len(c.queue) >= queueMost || c.bytes > queueBytes
 	if !full && !c.last {
-		c.queue = append(c.queue, body)
-		c.bytes += len(body)
+		c.queue = append(c.queue, words...)
+		for _, part := range words {
+			c.bytes += len(part)
+		}
 	}
 	c.mu.Unlock()
 	if full {
@@ -58,6 +61,12 @@
 	c.poke()
 }
 
+// say has one message written to this follower alone.
+func (c *conn) say(m *feed.Msg) {
+	body := feed.Encode(m)
+	c.put(stream.Header(body), body)
+}
+
 // end has the connection end after what waits.
 func (c *conn) end() {
 	c.mu.Lock()
@@ -74,7 +83,7 @@
 }
 
 func (c *conn) result(number uint64, r copies.Result) {
-	c.put(feed.Encode(&feed.Msg{Result: &feed.Opaque{Number: number, Body: stream.Encode(r)}}))
+	c.say(&feed.Msg{Result: &feed.Opaque{Number: number, Body: stream.Encode(r)}})
 }
 
 // write is the writing goroutine; over is closed when the reading one ends.
@@ -82,7 +91,6 @@
 	defer c.of.all.Done()
 	defer close(c.written)
 	defer c.c.Close()
-	var out net.Buffers
 	for {
 		c.mu.Lock()
 		queue, last := c.queue, c.last
@@ -100,23 +108,20 @@
 			continue
 		}
 		size := int64(0)
-		out = out[:0]
-		for _, body := range queue {
-			out = append(out, stream.Header(body), body)
-			size += int64(stream.Head + len(body))
+		for _, part := range queue {
+			size += int64(len(part))
 		}
 		within := writeIn
 		if last {
 			within = endIn
 		}
 		c.c.SetWriteDeadline(time.Now().Add(within))
-		// WriteTo takes from its own list: guards against one that holds on to what was written.
-		left := out
-		if _, err := left.WriteTo(c.c); err != nil {
+		out := net.Buffers(queue) // nobody else's any more; WriteTo lets go of each part that is written
+		if _, err := out.WriteTo(c.c); err != nil {
 			return
 		}
-		clear(out)
 		c.of.sent.Add(size)
+		c.of.writes.Add(1)
 	}
 }
 
--- a/internal/fleet/publish/publish.go
+++ b/internal/fleet/publish/publish.go
@@ -15,12 +15,14 @@
 
 	"sabletally/internal/fleet/copies"
 	"sabletally/internal/fleet/feed"
+	"sabletally/internal/fleet/stream"
 	"sabletally/internal/fleet/views"
 )
 
 const (
 	beat     = 100 * time.Millisecond
 	tellEach = 200 * time.Millisecond
+	handEach = 100 * time.Millisecond // new versions go out at once, and the next ones so much later, all in one write to each follower
 
 	window        = 256 << 10 // bytes that are out unacknowledged to one follower
 	snapshotBytes = 32 << 20  // a second, to all of them
@@ -67,6 +69,7 @@
 	Age        time.Duration // of what is published, at the moment of the call
 	Known      bool          // whether it is known
 	Sent, Got  int64         // bytes
+	Writes     int64         // to followers, each of all that waited for one
 	Ops, Busy  int64         // operations and puts that were asked, and that found no room
 	Overflowed int64         // connections whose queue was full
 }
@@ -83,6 +86,7 @@
 	asOfVersion uint64
 	known       bool
 	claimed     time.Duration // the relay was told of it
+	hand        time.Duration // no new versions are handed on before
 	wake        chan struct{}
 
 	mu    sync.Mutex // the relay and what belongs to it
@@ -94,11 +98,11 @@
 	ops   map[string]asked
 	told  time.Duration
 
-	sent, got, asks, busy, overflow atomic.Int64
-	status                          atomic.Pointer[published]
-	done                            chan struct{}
-	once                            sync.Once
-	all                             sync.WaitGroup
+	sent, got, writes, asks, busy, overflow atomic.Int64
+	status                                  atomic.Pointer[published]
+	done                                    chan struct{}
+	once                                    sync.Once
+	all                                     sync.WaitGroup
 }
 
 // published is a status, with when its state was all there was.
@@ -172,7 +176,7 @@
 	s := p.status.Load()
 	out := s.Status
 	out.Age = p.opt.Now() - s.asOf
-	out.Sent, out.Got, out.Ops, out.Busy, out.Overflowed = p.sent.Load(), p.got.Load(), p.asks.Load(), p.busy.Load(), p.overflow.Load()
+	out.Sent, out.Got, out.Writes, out.Ops, out.Busy, out.Overflowed = p.sent.Load(), p.got.Load(), p.writes.Load(), p.asks.Load(), p.busy.Load(), p.overflow.Load()
 	return out
 }
 
@@ -219,28 +223,45 @@
 	defer p.all.Done()
 	tick := time.NewTicker(beat)
 	defer tick.Stop()
+	later := time.NewTimer(beat)
+	defer later.Stop()
 	for {
+		wait := time.Duration(0)
 		select {
 		case <-p.done:
 			return
 		case <-p.wake:
-			p.turn(false)
+			wait = p.turn(false)
+		case <-later.C:
+			wait = p.turn(false)
 		case <-tick.C:
-			p.turn(true)
+			wait = p.turn(true)
+		}
+		if wait > 0 {
+			later.Reset(wait)
 		}
 	}
 }
 
-func (p *Publisher) turn(ticks bool) {
+// turn answers how long what is new still has to wait, 0 where nothing does.
+func (p *Publisher) turn(ticks bool) (wait time.Duration) {
+	now := p.opt.Now()
 	p.news.Lock()
-	whole, changes, asOf, version, known := p.whole, p.fresh, p.asOf, p.asOfVersion, p.known && p.asOf != p.claimed
+	asOf, version, known := p.asOf, p.asOfVersion, p.known && p.asOf != p.claimed
 	p.claimed = p.asOf
-	p.whole, p.fresh = nil, nil
+	var whole *feed.Snapshot
+	var changes []*feed.Change
+	switch news := p.whole != nil || len(p.fresh) > 0; {
+	case news && now < p.hand:
+		wait = p.hand - now
+	case news:
+		whole, changes, p.whole, p.fresh = p.whole, p.fresh, nil, nil
+		p.hand = now + handEach
+	}
 	p.news.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.opt.Now()
-	if ticks {
+	if now = p.opt.Now(); ticks { // read after the lock was waited for
 		p.relay.Clock(now)
 	}
 	if whole != nil || len(changes) > 0 {
@@ -259,6 +280,7 @@
 		s.asOf = now - age
 		p.status.Store(s)
 	}
+	return wait
 }
 
 // take follows the core's state. What does not fit is told, and leaves the state as it was: nothing is published then but what was.
@@ -278,10 +300,22 @@
 // carryOut does what the relay asks for. mu is held.
 func (p *Publisher) carryOut() {
 	r := p.relay.Ready()
-	for _, s := range r.Sends {
+	heads := map[*feed.Out][]byte{} // each made once for all who are sent it
+	var words [][]byte
+	for i, s := range r.Sends {
+		head, is := heads[s.Out]
+		if !is {
+			head = stream.Header(s.Out.Text())
+			heads[s.Out] = head
+		}
+		words = append(words, head, s.Out.Text())
+		if i+1 < len(r.Sends) && r.Sends[i+1].Conn == s.Conn {
+			continue // what follows on the same connection goes out in the same write
+		}
 		if c := p.conns[s.Conn]; c != nil {
-			c.put(s.Out.Text())
+			c.put(words...)
 		}
+		words = words[:0]
 	}
 	for _, id := range r.Close {
 		if c := p.conns[id]; c != nil {
@@ -370,7 +404,7 @@
 // change passes a put on to the log's leader.
 func (p *Publisher) change(c *conn, m *feed.Put) {
 	answer := func(d views.Done) {
-		c.put(feed.Encode(&feed.Msg{PutDone: &feed.PutDone{Op: d.Op, Version: d.Version, Refused: d.Refused}}))
+		c.say(&feed.Msg{PutDone: &feed.PutDone{Op: d.Op, Version: d.Version, Refused: d.Refused}})
 	}
 	p.asks.Add(1)
 	if c.ops.Add(1) > opsEach {
--- a/internal/fleet/publish/publish_test.go
+++ b/internal/fleet/publish/publish_test.go
@@ -411,6 +411,47 @@
 	late.check(t)
 }
 
+// TestABurstIsHandedOnInBatches tells changes one by one, faster than they are handed on. Guards against a write, and so a wake on both
+// sides, for each change and follower; and against a change that waits although nothing went out just before.
+func TestABurstIsHandedOnInBatches(t *testing.T) {
+	r := newTier(t, 1, 10)
+	var all []*follower
+	for i := range 10 {
+		all = append(all, r.follower(i))
+	}
+	until(t, "all are current", every(all, func(s follow.Status) bool { return s.Current && s.Version == 1 }))
+	has := func(version uint64) func() bool {
+		return every(all, func(s follow.Status) bool { return s.Version == version })
+	}
+	before, began := r.all[0].Status().Writes, time.Now()
+	last := uint64(0)
+	for i := range 200 {
+		last = r.change(feed.Item{Key: fmt.Sprint("config/", i%7), Value: fmt.Append(nil, i)})
+		time.Sleep(2 * time.Millisecond) // the source's pace
+	}
+	until(t, "all have the burst", has(last))
+	took := time.Since(began)
+	// For each follower a write for each tenth of a second, one at each end, and the answers to its renewals.
+	most := int64(len(all)) * (2 + int64(took/(100*time.Millisecond)) + 2*(1+int64(took/time.Second)))
+	if n := r.all[0].Status().Writes - before; n > most {
+		t.Errorf("%d writes of 200 changes to %d followers in %v; %d are allowed", n, len(all), took, most)
+	}
+	soonest := bound
+	for i := range 10 { // the machine may be busy: one of ten tells
+		time.Sleep(250 * time.Millisecond) // idle for longer than a batch is gathered
+		began := time.Now()
+		last = r.change(feed.Item{Key: "config/a", Value: fmt.Append(nil, "idle ", i)})
+		until(t, "all have it", has(last))
+		soonest = min(soonest, time.Since(began))
+	}
+	if soonest > 60*time.Millisecond {
+		t.Errorf("a change after a pause took %v at the least", soonest)
+	}
+	for _, f := range all {
+		f.check(t)
+	}
+}
+
 // TestFreshnessWaitsForItsVersion tells of a time for a version that is not here yet, which then turns out to be one of views alone.
 // Guards against followers that count as current without what was agreed.
 func TestFreshnessWaitsForItsVersion(t *testing.T) {
--- a/internal/fleet/report.go
+++ b/internal/fleet/report.go
@@ -80,6 +80,7 @@
 	Bad       uint64  `json:"bad"`
 	Ops       int64   `json:"ops"`
 	Busy      int64   `json:"busy"`
+	Writes    int64   `json:"writes"` // to followers, each of all that waited for one
 	Sent      int64   `json:"sent"`
 	Got       int64   `json:"got"`
 }
@@ -192,7 +193,7 @@
 	c := s.Count
 	return &Publishing{Followers: s.Followers.Here, Most: most, Current: s.Followers.Current, Waiting: s.Followers.Waiting, Blocked: s.Followers.Blocked,
 		Lowest: s.Followers.Lowest, Version: s.Version, Digest: s.Digest, Age: seconds(s.Age, s.Known), Changes: c.Changes, Snapshots: c.Snapshots, Came: c.Came,
-		Lapsed: c.Lapsed, Slow: c.Slow, Full: c.Full, Bad: c.Bad, Ops: s.Ops, Busy: s.Busy, Sent: s.Sent, Got: s.Got}
+		Lapsed: c.Lapsed, Slow: c.Slow, Full: c.Full, Bad: c.Bad, Ops: s.Ops, Busy: s.Busy, Writes: s.Writes, Sent: s.Sent, Got: s.Got}
 }
 
 func seconds(age time.Duration, known bool) float64 {
