--- a/internal/fleet/publish/publish_test.go
+++ b/internal/fleet/publish/publish_test.go
@@ -370,3 +370,105 @@
 		f.check(t)
 	}
 }
+
+// TestViewsAreNoMatterOfFollowers changes many slots' views, as the loss of a control process does. Guards against bytes that grow with
+// what only members need, and against a follower that is not current as its version lags behind what was agreed.
+func TestViewsAreNoMatterOfFollowers(t *testing.T) {
+	r := newTier(t, 2, 10)
+	f := r.follower(0)
+	until(t, "it follows two", func() bool { s := f.Status(); return s.Current && len(s.Relays) == 2 && s.Version == 1 })
+	value := make([]byte, 600)
+	before := f.Status().Got
+	for i := range 240 {
+		r.change(feed.Item{Key: fmt.Sprint("view/", i), Value: value})
+	}
+	last := r.change(feed.Item{Key: "config/last", Value: []byte("x")})
+	until(t, "it has the newest by both", func() bool {
+		return f.Status().Version == last && r.all[0].Status().Followers.Lowest == last && r.all[1].Status().Followers.Lowest == last
+	})
+	if got := f.Status().Got - before; got > 240*2*60 {
+		t.Errorf("%d bytes for 240 changes of views, over two relays", got)
+	}
+	if _, is := f.Get("view/7"); is {
+		t.Error("a view was sent")
+	}
+	// One that begins now, and one whose control process was told all at once, have the same.
+	r.mu.Lock()
+	whole := r.log.Snapshot()
+	r.mu.Unlock()
+	for _, p := range r.all {
+		if s := p.Status(); s.Version != last || s.Digest != f.Status().Digest {
+			t.Errorf("version %d with %016x; the follower has %016x", s.Version, s.Digest, f.Status().Digest)
+		}
+		p.Changed(whole, nil)
+	}
+	late := r.follower(1)
+	until(t, "both are current", every([]*follower{f, late}, func(s follow.Status) bool { return s.Current && s.Version == last && len(s.Relays) == 2 }))
+	if a, b := f.Status(), late.Status(); a.Digest != b.Digest || a.Count.Conflicts+b.Count.Conflicts+a.Count.Mismatches+b.Count.Mismatches > 0 {
+		t.Errorf("%+v\n%+v", a, b)
+	}
+	f.check(t)
+	late.check(t)
+}
+
+// TestABurstIsHandedOnInBatches tells changes one by one, faster than they are handed on. Guards against a write, and so a wake on both
+// sides, for each change and follower; and against a change that waits although nothing went out just before.
+func TestABurstIsHandedOnInBatches(t *testing.T) {
+	r := newTier(t, 1, 10)
+	var all []*follower
+	for i := range 10 {
+		all = append(all, r.follower(i))
+	}
+	until(t, "all are current", every(all, func(s follow.Status) bool { return s.Current && s.Version == 1 }))
+	has := func(version uint64) func() bool {
+		return every(all, func(s follow.Status) bool { return s.Version == version })
+	}
+	before, began := r.all[0].Status().Writes, time.Now()
+	last := uint64(0)
+	for i := range 200 {
+		last = r.change(feed.Item{Key: fmt.Sprint("config/", i%7), Value: fmt.Append(nil, i)})
+		time.Sleep(2 * time.Millisecond) // the source's pace
+	}
+	until(t, "all have the burst", has(last))
+	took := time.Since(began)
+	// For each follower a write for each tenth of a second, one at each end, and the answers to its renewals.
+	most := int64(len(all)) * (2 + int64(took/(100*time.Millisecond)) + 2*(1+int64(took/time.Second)))
+	if n := r.all[0].Status().Writes - before; n > most {
+		t.Errorf("%d writes of 200 changes to %d followers in %v; %d are allowed", n, len(all), took, most)
+	}
+	soonest := bound
+	for i := range 10 { // the machine may be busy: one of ten tells
+		time.Sleep(250 * time.Millisecond) // idle for longer than a batch is gathered
+		began := time.Now()
+		last = r.change(feed.Item{Key: "config/a", Value: fmt.Append(nil, "idle ", i)})
+		until(t, "all have it", has(last))
+		soonest = min(soonest, time.Since(began))
+	}
+	if soonest > 60*time.Millisecond {
+		t.Errorf("a change after a pause took %v at the least", soonest)
+	}
+	for _, f := range all {
+		f.check(t)
+	}
+}
+
+// TestFreshnessWaitsForItsVersion tells of a time for a version that is not here yet, which then turns out to be one of views alone.
+// Guards against followers that count as current without what was agreed.
+func TestFreshnessWaitsForItsVersion(t *testing.T) {
+	r := newTier(t, 1, 10)
+	f, p := r.follower(0), r.all[0]
+	until(t, "it is current", func() bool { return f.Status().Current })
+	r.stale.Store(true)
+	until(t, "a version that is not here makes nothing younger", func() bool {
+		p.Fresh(boottime.Now(), 2)
+		return p.Status().Age > time.Second && f.Status().Age > time.Second
+	})
+	if s := f.Status(); s.Version != 1 {
+		t.Fatalf("%+v", s)
+	}
+	r.change(feed.Item{Key: "view/1", Value: []byte("v")})
+	until(t, "the version makes it young", func() bool {
+		p.Fresh(boottime.Now(), 2)
+		return p.Status().Age < time.Second/2 && f.Status().Version == 2 && f.Status().Age < time.Second/2
+	})
+}
