--- a/internal/fleet/agree/bench_test.go
+++ b/internal/fleet/agree/bench_test.go
@@ -164,7 +164,7 @@
 
 // BenchmarkProposeEpoch is a change of the list of members until five voters have it, by the list's length.
 func BenchmarkProposeEpoch(b *testing.B) {
-	for _, n := range []int{100, 300, 1000, 2300, 4600} {
+	for _, n := range []int{17, 100, 300, 1000, 2300, 4600} {
 		b.Run(fmt.Sprintf("voters=5/members=%d", n), func(b *testing.B) {
 			v := voting(b, 5)
 			var all []views.Member
--- a/internal/fleet/contact/bench_test.go
+++ b/internal/fleet/contact/bench_test.go
@@ -107,7 +107,7 @@
 // BenchmarkExchange is the library's full exchange between two members that both know all of n, the processor's time of both
 // together: each begins one in each exchange-s seconds, and is called for as many.
 func BenchmarkExchange(b *testing.B) {
-	for _, n := range []int{100, 300, 1000, 2300, 4600} {
+	for _, n := range []int{17, 100, 300, 1000, 2300, 4600} {
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
 			network := memnet.New(7, 0)
 			open := func(num int) (*memberlist.Memberlist, *counted) {
--- a/internal/fleet/core/bench_test.go
+++ b/internal/fleet/core/bench_test.go
@@ -34,7 +34,7 @@
 }
 
 // scales are the fleet sizes at which docs/CAPACITY.md takes its points.
-var scales = []int{100, 300, 1000, 2300, 4600}
+var scales = []int{17, 100, 300, 1000, 2300, 4600}
 
 func listed(n int) (all []views.Member) {
 	for i := range n {
--- a/internal/fleet/hold/bench_test.go
+++ b/internal/fleet/hold/bench_test.go
@@ -37,7 +37,7 @@
 // BenchmarkOut is what each turn does of the members though nothing is to go out: their agreed form (as seen makes it of what the
 // contact knows), and the map of their addresses. A turn comes each 50 ms, and with each packet.
 func BenchmarkOut(b *testing.B) {
-	for _, n := range []int{100, 300, 1000, 2300, 4600} {
+	for _, n := range []int{17, 100, 300, 1000, 2300, 4600} {
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
 			var known []members.Known
 			var all []views.Member
--- a/internal/fleet/members/bench_test.go
+++ b/internal/fleet/members/bench_test.go
@@ -30,7 +30,7 @@
 }
 
 // scales are the fleet sizes at which docs/CAPACITY.md takes its points.
-var scales = []int{100, 300, 1000, 2300, 4600}
+var scales = []int{17, 100, 300, 1000, 2300, 4600}
 
 // joined is member 0's table once all of a fleet of n are here, and the bytes that it holds.
 func joined(n int) (*Table, uint64) {
--- a/internal/fleet/steer/bench_test.go
+++ b/internal/fleet/steer/bench_test.go
@@ -31,7 +31,7 @@
 }
 
 // scales are the fleet sizes at which docs/CAPACITY.md takes its points.
-var scales = []int{100, 300, 1000, 2300, 4600}
+var scales = []int{17, 100, 300, 1000, 2300, 4600}
 
 // calm is a fleet of n in which all are here, with the views that its list asks for.
 func calm(n int) (*views.State, []Seen) {
--- a/internal/fleet/views/bench_test.go
+++ b/internal/fleet/views/bench_test.go
@@ -29,7 +29,7 @@
 }
 
 // scales are the fleet sizes at which docs/CAPACITY.md takes its points.
-var scales = []int{100, 300, 1000, 2300, 4600}
+var scales = []int{17, 100, 300, 1000, 2300, 4600}
 
 // listed are n members on machines of their own, in eleven zones of three sites.
 func listed(n int) (all []Member) {
