Cold servers: 1.6 times what one holds may come home again, as 1.0 fell in 2 of 288 cells

Cause: took homeMost out; go test ./policy -run TestColdServersStand -v -cold 2000 on it: groups home at 30 balancers fell once in 2,001 draws at N of 1 and of 3 (none in 700 draws, which is what leaned on). All other cells held. Change: homeMost 1.6 is back; the mean over a young process's life stays.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -45,6 +45,7 @@
 	fillEach     = 4 * time.Second        // how often a circuit may go home to a cold server
 	coldLeast    = 12.0                   // connections that a server is thought to hold, over all balancers
 	leastWarm    = 5.4                    // and warm ones where none has come until then
+	homeMost     = 1.6                    // so many times what it holds comes home to a cold server at once
 	evenMost     = 2.0                    // so many times an even share of the load a server takes unproven,
 	evenTold     = 1.2                    // and where the others tell what they hold
 	evenLeast    = 4.0                    // connections that an even share is taken for, at the least
@@ -680,10 +681,10 @@
 		c.wanted, b.wanted = true, b.wanted+1
 	}
 	whole := math.Floor(part + unit(mix(b.seed, uint64(b.id[i])^uint64(b.started[i]))))
-	if mean < 1 { // not even one each comes home: dealt out before it is lost
+	if home := homeMost * mean; home < 1 { // not even one each comes home: dealt out before it is lost
 		// The chance lies in the key, for a while: drawn anew at each report and move it left cold servers empty.
 		draw := unit(mix(mix(c.key, uint64(b.id[i])), uint64((b.now-b.started[i])/fillEach)))
-		whole = math.Ceil(min(part/mean, part*b.colds/b.heft[i]/min(1, coolMore*warmth)/max(b.wanted, 1)) - draw)
+		whole = math.Ceil(min(part/home, part*b.colds/b.heft[i]/min(1, coolMore*warmth)/max(b.wanted, 1)) - draw)
 	}
 	return b.now >= b.hush && float64(len(b.spent[i])) < whole
 }
