TestAHalfCloseIsNoDeath counts what was left with the other process

Change: it waits for the first to be on the way, wants what is left to come before what is back, and holds their number against what the other process finds in its socket: each there with its descriptor, and not one more. As strict as before about double holders, stricter about loss.

--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -223,23 +223,49 @@
 	}
 }
 
-// TestAHalfCloseIsNoDeath has another process end only what it sends: it may read on, so nothing of what it was sent comes back.
+// TestAHalfCloseIsNoDeath has another process end only what it sends: it may read on, so nothing of what it was sent comes back, and all
+// else does. How much was sent by then is the link's matter: what the other one finds is what was left with it.
 func TestAHalfCloseIsNoDeath(t *testing.T) {
 	_, gone, c, outcomes, fds, _ := deaf(t)
+	raw, err := c.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetReadDeadline(time.Now().Add(bound))
+	if err := raw.Read(func(fd uintptr) bool { // the first is on the way
+		_, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return err != unix.EAGAIN
+	}); err != nil {
+		t.Fatal(err)
+	}
 	c.CloseWrite()
+	left := 0
 	for n := range 2 * onTheWay {
-		want := Left
-		if n >= onTheWay {
-			want = Back
-		}
-		if o := get(t, outcomes[n]); o != want {
-			t.Fatalf("%d: outcome %d", n, o)
-		}
-		if want == Back {
+		switch o := get(t, outcomes[n]); {
+		case o == Left && left == n:
+			left++
+		case o == Back:
 			unix.Close(fds[n])
+		default:
+			t.Fatalf("%d: outcome %d, %d were left before", n, o, left)
 		}
 	}
+	if left == 0 || left > onTheWay {
+		t.Fatalf("%d are left", left)
+	}
 	get(t, gone)
+	text, rights := make([]byte, textMost), make([]byte, unix.CmsgSpace(fdsMost*4))
+	for n := range left {
+		_, m, _, _, err := c.ReadMsgUnix(text, rights)
+		its := descriptors(rights[:m])
+		if err != nil || len(its) != 1 {
+			t.Fatalf("%d of %d that are left: %v, %v", n, left, its, err)
+		}
+		unix.Close(its[0])
+	}
+	if n, _, _, _, err := c.ReadMsgUnix(text, rights); n != 0 {
+		t.Fatalf("one more than the %d that are left: %q, %v", left, text[:n], err)
+	}
 }
 
 // TestOddWordsEndTheLink has another version, no message, and one whose descriptors are missing.
