Cold servers get a lower bound of what they bear, worked out of settings and sight

Faulty lines of mayWarm: the mean of what servers hold was raised to coldLeast = 12 (five to six were held), taken three times over by coldFill = 3, and homeMost = 1.6 times that mean was taken for all that can come home, while two groups of some fifty members came. order ranked cold servers by the group, so most got nothing and one got all.

What a server bears is the most of three lower bounds: load that warm servers of its kind hold without a jam, now and for a while; the tenants' shares over the fleet; what one core does at the loads noted. Constants for a size of server (coldLeast, leastWarm, coldFill, homeMost) are gone. Tries count by the load of their class; of heavy classes a window has to bear three. Parts of one and more are rounded by the balancer's index, which the settings tell, so that they add up, and a restart draws the same. Where few of each group are held, cold servers are ranked by the client's key. New inputs: settings' Me, the list's model.

--- a/cmd/sablelab/main.go
+++ b/cmd/sablelab/main.go
@@ -58,6 +58,7 @@
 	Count      countCmd      `cmd:"" help:"Add up the debug logs of many balancers, over time or by server."`
 	Throughput throughputCmd `cmd:"" help:"Set-ups and lines a second, latency and memory, by cores and against no balancer at all."`
 	Scale      scaleCmd      `cmd:"" help:"Real control processes and many hollow balancers that follow them: how late changes are in force, and what it costs. Exit code 1: not kept; 2: a bad argument."`
+	DrawSite   drawSiteCmd   `cmd:"" help:"Draw a deployment for the bench by a seed, from wider ranges than any one has; printed."`
 	Hollow     hollowCmd     `cmd:"" hidden:"" help:"Hollow balancers of a scale test, told by standard input."`
 	Fronts     frontsCmd     `cmd:"" hidden:"" help:"What stands before the control processes of one region of a scale test, told by standard input."`
 	Balancer   balancerCmd   `cmd:"" hidden:"" help:"The lab's own balancer: a baseline policy, or one broken on purpose."`
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -379,7 +379,7 @@
 			started = s.Boot.Sub(l.start)
 		}
 		lines = append(lines, policy.Listed{
-			Server: id, Zone: zone, Cell: s.Cell, State: s.State, Heft: sv.heft(), Started: started,
+			Server: id, Zone: zone, Cell: s.Cell, Kind: line.Hash(s.Model), State: s.State, Heft: sv.heft(), Started: started,
 		})
 	}
 	if list.Whole {
--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -26,6 +26,7 @@
 
 type settings struct {
 	PeersTotal    *int
+	Me            int
 	Zone          *int
 	Areas         []string
 	RegistryMode  *string
@@ -109,7 +110,7 @@
 		return nil, fmt.Errorf("Guarantees.FallUs is missing or below 1")
 	}
 	p := &policy.Deployment{
-		Peers: min(*s.PeersTotal, 1<<20), Zone: *s.Zone, ExcessUtility: s.ExcessUtility,
+		Peers: min(*s.PeersTotal, 1<<20), Index: s.Me, Zone: *s.Zone, ExcessUtility: s.ExcessUtility,
 		MayProbe: l.Probes, MayTell: l.Peers, HeftExact: s.Weights == "nominal", MayAdvise: l.RetryAfter, LongestAdvice: us(l.MaxRetryAfterUs),
 		MostTries: *l.MostSetupTries, FallMultiple: *g.FallMultiple, ColdFrom: *g.ColdFrom, ColdFor: us(*g.ColdUs),
 		FallFor:       us(*g.FallUs),
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -57,6 +57,7 @@
 	Endpoint string
 	Zone     string
 	Cell     int
+	Model    string // of the machine
 	State    policy.State
 	Heft     float64
 	Boot     time.Time // zero for long ago
@@ -85,6 +86,7 @@
 	Endpoint string   `json:"endpoint"`
 	Zone     string   `json:"az"`
 	Cell     int      `json:"pod_group"`
+	Model    string   `json:"model,omitempty"`
 	State    string   `json:"state"`
 	Heft     *float64 `json:"capacity_hint"`
 	BootMs   int64    `json:"boot_ms"`
@@ -94,7 +96,7 @@
 func Encode(l List) []byte {
 	out := form{Rev: &l.Rev, All: &l.Whole, Targets: []target{}}
 	for _, s := range l.Servers {
-		t := target{UID: s.UID, Endpoint: s.Endpoint, Zone: s.Zone, Cell: s.Cell, Heft: &s.Heft}
+		t := target{UID: s.UID, Endpoint: s.Endpoint, Zone: s.Zone, Cell: s.Cell, Model: s.Model, Heft: &s.Heft}
 		for name, state := range states {
 			if state == s.State {
 				t.State = name
@@ -124,7 +126,7 @@
 	}
 	l := List{Rev: *in.Rev, Whole: *in.All}
 	for i, t := range in.Targets {
-		s := Server{UID: t.UID, Endpoint: t.Endpoint, Zone: t.Zone, Cell: t.Cell, Heft: 1}
+		s := Server{UID: t.UID, Endpoint: t.Endpoint, Zone: t.Zone, Cell: t.Cell, Model: t.Model, Heft: 1}
 		state, known := states[t.State]
 		switch {
 		case t.UID == "":
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -337,6 +337,7 @@
 	for ; len(entries) > 0; entries = entries[entrySize:] {
 		l := policy.Listed{
 			Server: serverAt(entries), Zone: int(le.Uint16(entries[6:])), Cell: int(le.Uint16(entries[10:])),
+			Kind: uint64(le.Uint16(entries[8:])),
 			Heft: float(entries[13:]), Started: policy.LongAgo,
 		}
 		if !(l.Heft > 0 && l.Heft < math.Inf(1)) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -8,7 +8,6 @@
 import (
 	"cmp"
 	"math"
-	"math/bits"
 	"slices"
 	"time"
 )
@@ -41,11 +40,7 @@
 	excessPart   = 0.8                    // of what a report tells over full, moved where that is more
 	spill        = 0.25                   // least share of a server in another zone in the limit
 	coolMore     = 1.7                    // so much of its least warmth a cold server is taken for
-	coldFill     = 3.0                    // so-many-th of the warm-up in which a cold server may fill
 	fillEach     = 4 * time.Second        // how often a circuit may go home to a cold server
-	coldLeast    = 12.0                   // connections that a server is thought to hold, over all balancers
-	leastWarm    = 5.4                    // and warm ones where none has come until then
-	homeMost     = 1.6                    // so many times what it holds comes home to a cold server at once
 	evenMost     = 2.0                    // so many times an even share of the load a server takes unproven,
 	evenTold     = 1.2                    // and where the others tell what they hold
 	evenLeast    = 4.0                    // connections that an even share is taken for, at the least
@@ -65,9 +60,6 @@
 	deniedMost   = 12                     // and the brake, where so many were nacked since: it would not end
 )
 
-// edge is what a message takes, as a part of the shortest message goal, and the reported load over capacity.
-type edge struct{ delay, asked float64 }
-
 var (
 	crowded = edge{0.30, 0.70} // from here newcomers pass it
 	jammed  = edge{0.55, 0.85} // from here connections are moved away
@@ -78,93 +70,12 @@
 // failsBy is what a setup try that ended so adds to a server's failures.
 var failsBy = [...]float64{Failed: 1, TimedOut: 0.5, ConnectFailed: 2, Reset: 1, NeverSent: 0}
 
-// version is one frozen pool: the ready servers of one list, sorted by id.
-type version struct {
-	servers []int // dense indices
-	heft    []float64
-	mark    uint32 // the same at every balancer that has the same list
-	users   int    // connections that were placed by it
-}
-
-// circuit is one circuit taken, from its arrival to its end.
-type circuit struct {
-	id                  CircuitID
-	key                 uint64 // the client's key
-	place               uint64 // what the ranking hashes: the group where there is one, else the client's key
-	grade               *Grade
-	row, tenant         int           // of its grade, of its tenant
-	until               time.Duration // the outer limit of this client's try
-	out, open, answered bool          // a setup try is out; the connection stands; the final answer is given
-	tried               []int         // servers already tried
-	server, slot        int           // of the newest try, -1 before the first; place in held[server]
-	pool                *version
-	load                float64
-	waits               time.Duration // for a report, until then at the latest
-	tries, most, asks   int           // made; that its settings allowed; reports it has waited for
-	moving, wanted      bool          // planned to move; it came to a cold server
-	sentAt, ranAt       time.Duration // when the newest try was sent, when the first that may have run
-	ranOn, waitsOn      int           // its server, -1 while none; whose report it waited for, or -1
-}
-
-// Balancer is one balancer's knowledge and decisions.
-type Balancer struct {
-	dep                *Deployment
-	now, triedAt       time.Duration // the newest setup try
-	seed, chance       uint64
-	away, across       float64       // weight of a server in another zone; for the circuit at hand
-	goal               time.Duration // the shortest message goal
-	index              map[ServerID]int
-	circuit            map[CircuitID]*circuit
-	pools              []*version // oldest first; the newest places new connections
-	queue              []*circuit // circuits that wait for a decision,
-	waiting            []*circuit // for a load report
-	due                []Decision // moves and probes
-	roundAt, tallyAt   time.Duration
-	trying, total      int             // setup tries out; connections and setup tries held
-	group              map[uint64]int  // the same by group
-	tenant             []int           // the same by tenant
-	warmMean, calm     float64         // connections held at a warm server; here, over a while
-	gloom, usual       float64         // part of servers holding something that is jammed; usual load
-	usualOf            []float64       // the same by grade
-	good, bad, late    float64         // setup tries that came to stand lately, that failed, that stood late
-	wanted, colds      float64         // circuits that came to a cold server lately; what those draw together
-	turn, hush         time.Duration   // no try so long after a time-out, 0 for few; none at cold ones till then
-	shut, shutTill     time.Duration   // the newest such wait, and its end
-	leaveFrom, leaveBy time.Duration   // all that is held is moved between these, never while it stays
-	tellAt             time.Duration   // when the others are told next, never where they are not,
-	arrived, denied    int             // circuits since the last time; nacked ones since the newest try
-	told               [][]float64     // what each did, by dense index of the servers,
-	toldAt             []time.Duration // and when
-	heard              bool            // most of them did lately
-
-	// Figures about servers, by dense index.
-	id               []ServerID
-	zone, cell       []int
-	state            []State
-	heft             []float64
-	started          []time.Duration
-	held             [][]*circuit // connections and setup tries out
-	load, fails      []float64    // load of the connections held; failures, less what successes took off
-	aside, probing   []bool
-	span, probeAt    []time.Duration   // how long it is set aside before the next probe, and when that is due
-	answers          []int             // answered probes in a row
-	delay, delayAt   []time.Duration   // what a message takes, by the newest note, and when that came
-	asked, others    []float64         // load over capacity, by the newest report; what other balancers hold
-	askedAt, movedAt []time.Duration   // when that report came; a move away from it was last considered
-	sentAt           []time.Duration   // when the newest setup try went there,
-	spent            [][]time.Duration // and all within one span while it is cold
-	room, shown      []float64         // load of own connections: before it is crowded; with room told since
-
-	untrue map[[2]int]time.Duration // by zone and cell: until then reports tell of no room
-	reach  int                      // how far down the ranking a circuit may go, so that its group is not spread
-	rank   []ranked                 // scratch of order
-}
-
 // New starts a balancer.
 func New(dep *Deployment, seed uint64) *Balancer {
 	b := &Balancer{
 		seed: seed, chance: seed&0xffffffff | 1<<32, pools: []*version{{}}, untrue: map[[2]int]time.Duration{},
 		index: map[ServerID]int{}, circuit: map[CircuitID]*circuit{}, group: map[uint64]int{}, leaveBy: never,
+		proven: map[uint64]proof{},
 	}
 	b.Reconfigure(dep, nil, nil)
 	b.roundAt, b.hush = time.Duration(b.random()*float64(roundEvery)), dep.FallFor // as Spent
@@ -174,7 +85,7 @@
 // Reconfigure has a Deployment hold; the other two tell the new rows of the old grades and tenants, -1 for
 // none. What is held stays, each circuit under the grade and the most tries that it came with.
 func (b *Balancer) Reconfigure(dep *Deployment, grades, tenants []int) {
-	usual := make([]float64, len(dep.Grades)+1)
+	usual := make([]average, len(dep.Grades)+1)
 	for row, now := range grades {
 		if now >= 0 {
 			usual[now] = b.usualOf[row]
@@ -196,23 +107,16 @@
 			b.turn = 0
 		}
 	}
-	b.tellAt, b.told, b.heard = never, nil, false
+	b.tellAt, b.told, b.heard, b.entitled = never, nil, false, 0
+	for _, t := range dep.Tenants {
+		b.entitled += t.Connections
+	}
 	if dep.MayTell {
 		b.told, b.toldAt = make([][]float64, dep.Peers), make([]time.Duration, dep.Peers)
 		b.tellAt = b.now + time.Duration(b.random()*float64(tellEvery))
 	}
 }
 
-// random draws from [0, 1) with a multiply-with-carry generator.
-func (b *Balancer) random() float64 {
-	b.chance = (b.chance&0xffffffff)*4294957665 + b.chance>>32
-	return float64(b.chance&0xffffffff) / (1 << 32)
-}
-
-func (b *Balancer) jitter(d time.Duration) time.Duration {
-	return time.Duration((0.5 + b.random()) * float64(d))
-}
-
 // Clock tells the time since the start.
 func (b *Balancer) Clock(now time.Duration) { b.now = max(b.now, now) }
 
@@ -226,6 +130,7 @@
 			b.fresh(i)
 		}
 		b.zone[i], b.cell[i], b.state[i], b.started[i], b.heft[i] = l.Zone, l.Cell, l.State, l.Started, l.Heft
+		b.kind[i] = l.Kind
 	}
 	for i := range b.id {
 		if whole && !named[i] {
@@ -244,6 +149,7 @@
 	b.index[id] = i
 	b.id = append(b.id, id)
 	b.zone, b.cell, b.state = append(b.zone, 0), append(b.cell, 0), append(b.state, Gone)
+	b.kind = append(b.kind, 0)
 	b.heft, b.started, b.held = append(b.heft, 1), append(b.started, LongAgo), append(b.held, nil)
 	b.fails, b.aside, b.span = append(b.fails, 0), append(b.aside, false), append(b.span, 0)
 	b.probing, b.answers, b.probeAt = append(b.probing, false), append(b.answers, 0), append(b.probeAt, 0)
@@ -285,13 +191,14 @@
 	}
 	slices.SortFunc(v.servers, func(i, j int) int { return cmp.Compare(b.id[i], b.id[j]) })
 	for _, i := range v.servers {
-		v.heft = append(v.heft, b.heft[i])
+		v.heft, v.size = append(v.heft, b.heft[i]), v.size+b.heft[i]
 		v.mark = uint32(mix(uint64(v.mark), uint64(b.id[i])))
 	}
 	if last := b.newest(); !slices.Equal(last.servers, v.servers) || !slices.Equal(last.heft, v.heft) {
 		b.pools = append(b.pools, v)
 		b.dropPools()
 	}
+	b.fleetSize = max(b.fleetSize, v.size)
 }
 
 // dropPools drops unused versions, and the oldest beyond the cap; connections keep their server.
@@ -303,6 +210,8 @@
 	})
 }
 
+func (v *version) meanHeft() float64 { return max(v.size, 1e-9) / float64(max(len(v.servers), 1)) }
+
 func (b *Balancer) newest() *version { return b.pools[len(b.pools)-1] }
 
 // Leave has all that is open moved, from the one time on, up to the other; Stay ends that.
@@ -317,7 +226,7 @@
 	c := &circuit{
 		id: a.ID, key: cmp.Or(a.Key, uint64(a.ID)), place: cmp.Or(a.Group, a.Key, uint64(a.ID)),
 		grade: &b.dep.Grades[a.Grade], row: a.Grade, tenant: a.Tenant, most: b.dep.MostTries,
-		until: b.now + a.Left, load: cmp.Or(a.Load, b.usualOf[a.Grade], 1), server: -1, ranOn: -1, waitsOn: -1,
+		until: b.now + a.Left, load: cmp.Or(a.Load, b.usualOf[a.Grade].mean, 1), server: -1, ranOn: -1, waitsOn: -1,
 	}
 	b.circuit[a.ID] = c
 	return c
@@ -433,13 +342,9 @@
 	}
 	b.load[c.server] = max(0, b.load[c.server]+load-c.load)
 	c.load = load
-	learn(&b.usual, load)
-	learn(&b.usualOf[c.row], load)
-}
-
-func learn(mean *float64, figure float64) {
-	*mean = cmp.Or(*mean, figure)
-	*mean += (figure - *mean) / 32
+	b.noted.learn(load)
+	b.usual = b.noted.mean
+	b.usualOf[c.row].learn(load)
 }
 
 // DelayNoted tells what a message takes at a server now.
@@ -667,41 +572,6 @@
 		c.grade.Effect == Deduplicated && c.grade.Scope == ScopeAll && b.now < c.ranAt+c.grade.Window
 }
 
-// mayWarm tells whether a circuit may go to a cold server. All balancers may send it, in any span in which it
-// could fall, what servers hold times the multiple and its warmth, over a part of the warm-up. A part under
-// one is a chance, less twice its sum's error; drawn once for each start, as of many draws one is unlucky.
-func (b *Balancer) mayWarm(c *circuit, i int) bool {
-	// What came just now counts later: whoever held it until then may have spent its part.
-	mean, warmth := min(float64(b.total), b.calm)/float64(max(len(b.newest().servers), 1)), b.warmth(i)
-	mean = max(math.Sqrt(mean*max(mean, b.warmMean)), min(coldLeast, leastWarm/warmth)/float64(b.dep.Peers))
-	part := b.dep.FallMultiple * warmth * mean / max(float64(b.dep.ColdFor)/coldFill/float64(b.dep.FallFor), 1)
-	part /= 1 + 2*math.Sqrt(max(0, 1-part)/part/float64(b.dep.Peers))
-	b.spent[i] = slices.DeleteFunc(b.spent[i], func(at time.Duration) bool { return at <= b.now-b.dep.FallFor })
-	if !c.wanted {
-		c.wanted, b.wanted = true, b.wanted+1
-	}
-	whole := math.Floor(part + unit(mix(b.seed, uint64(b.id[i])^uint64(b.started[i]))))
-	if home := homeMost * mean; home < 1 { // not even one each comes home: dealt out before it is lost
-		// The chance lies in the key, for a while: drawn anew at each report and move it left cold servers empty.
-		draw := unit(mix(mix(c.key, uint64(b.id[i])), uint64((b.now-b.started[i])/fillEach)))
-		whole = math.Ceil(min(part/home, part*b.colds/b.heft[i]/min(1, coolMore*warmth)/max(b.wanted, 1)) - draw)
-	}
-	return b.now >= b.hush && float64(len(b.spent[i])) < whole
-}
-
-func mix(a, z uint64) uint64 {
-	hi, lo := bits.Mul64(a^0x9e3779b97f4a7c15, z^0xd1b54a32d192ed03)
-	x := hi ^ lo
-	x = (x ^ x>>32) * 0xd6e8feb86659fd93
-	return x ^ x>>32
-}
-
-func unit(x uint64) float64 { return (float64(x>>11) + 0.5) / (1 << 53) }
-
-func score(weight float64, key uint64, id ServerID) float64 {
-	return -weight / math.Log(unit(mix(key, uint64(id))))
-}
-
 // weight of a server: less elsewhere, where crossings cost, but not under the least.
 func (b *Balancer) weight(i int, least float64) float64 {
 	if b.zone[i] != b.dep.Zone {
@@ -729,7 +599,11 @@
 	for _, i := range b.newest().servers {
 		w := b.weight(i, 0)
 		sum, top = sum+w, max(top, w)
-		b.rank = append(b.rank, ranked{i, score(w, c.place, b.id[i])})
+		key := c.place
+		if few && b.warmth(i) < 1 { // guards against all of a large group on one that has just started
+			key = c.key
+		}
+		b.rank = append(b.rank, ranked{i, score(w, key, b.id[i])})
 	}
 	slices.SortFunc(b.rank, higher)
 	if c.place != c.key && b.total > 0 {
@@ -911,7 +785,7 @@
 	}
 	b.hold(c, i)
 	if b.warmth(i) < 1 {
-		b.spent[i] = append(b.spent[i], b.now)
+		b.spent[i] = append(b.spent[i], spending{b.now, b.weightOf(c)})
 	}
 	c.tried, c.out, c.sentAt, b.sentAt[i] = append(c.tried, i), true, b.now, b.now
 	b.trying, b.denied, b.triedAt = b.trying+1, 0, b.now
@@ -940,22 +814,19 @@
 		b.leave()
 		return
 	}
-	held, warm, seen, bad := 0, 0, 0, 0
+	seen, bad := 0, 0
+	b.prove()
 	for _, i := range b.newest().servers {
 		if len(b.held[i]) > 0 {
 			if seen++; b.busy(i, jammed) {
 				bad++
 			}
 		}
-		if b.warmth(i) >= 1 {
-			held, warm = held+len(b.held[i]), warm+1
-		} else {
+		if b.warmth(i) < 1 {
 			b.colds += b.weight(i, 3*spill) * min(1, coolMore*b.warmth(i))
 		}
 	}
 	b.gloom = float64(bad) / float64(max(seen, 1))
-	// Of the warm ones alone: the mean of all sinks while many are cold, and those were never filled.
-	b.warmMean = float64(held) / float64(max(warm, 1))
 	b.tally(0, 0)
 	apart := b.dep.Peers // balancers that know nothing of each other's connections
 	if b.heard {
--- a/policy/types.go
+++ b/policy/types.go
@@ -38,6 +38,7 @@
 // Deployment is what is read at start.
 type Deployment struct {
 	Peers         int // balancers, this one included
+	Index         int // this one among them, the same after a restart
 	Zone          int
 	Grades        []Grade
 	Tenants       []Tenant
@@ -87,6 +88,7 @@
 	Server  ServerID
 	Zone    int
 	Cell    int
+	Kind    uint64 // of machine: servers of one kind are alike
 	State   State
 	Heft    float64
 	Started time.Duration // may lie before the balancer's own start
