A fleet's file, followers and links take a thousand others: no list ends under 1,024

Cause: feed.listMost was 256 relays, a fleet's file took 64 seeds (config.mostSeeds), and a member took 32 streams that others hold open (contact.streamsMost): with 350 processes a relay, seed or stream of most of them was passed over. Change: 4,096 relays, 1,024 seeds and streams (as many as members), 4,096 datagrams that wait to be read. Memory is by need: slices and goroutines of what is there. Shown by TestAThousandRelaysAreRanked, TestSeedsOfAWholeFleet, TestStreamsOfAThousandMembers (1,024 streams at once are taken, the 1,025th closed and counted). TestFaultsAreNamedWhereTheyStand names the new bound.

--- a/internal/fleet/config/config.go
+++ b/internal/fleet/config/config.go
@@ -18,7 +18,7 @@
 // Bounds of what a file may tell.
 const (
 	MostMembers = 1024 // of one fleet
-	mostSeeds   = 64
+	mostSeeds   = MostMembers
 	mostGrades  = 64
 	mostCopies  = 7
 	longestName = 64 // bytes; names go with every word about a member
--- a/internal/fleet/config/config_test.go
+++ b/internal/fleet/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -29,6 +30,24 @@
 	}
 }
 
+// TestSeedsOfAWholeFleet reads a file that names a thousand other members, and refuses one seed too many.
+func TestSeedsOfAWholeFleet(t *testing.T) {
+	file := func(seeds int) string {
+		var all []string
+		for i := range seeds {
+			all = append(all, fmt.Sprintf("%q", fmt.Sprintf("127.1.%d.%d:7001", i/250, 1+i%250)))
+		}
+		return strings.Replace(whole, `"127.0.0.1:7001", "127.0.0.1:7002"`, strings.Join(all, ", "), 1)
+	}
+	f, err := Parse([]byte(file(1024)), "f.hcl")
+	if err != nil || len(f.Seeds) != 1024 {
+		t.Errorf("%d seeds: %v", len(f.Seeds), err)
+	}
+	if _, err := Parse([]byte(file(1025)), "f.hcl"); err == nil || !strings.Contains(err.Error(), "seeds") {
+		t.Errorf("1,025 seeds: %v", err)
+	}
+}
+
 // TestRoles reads a file of each role. Guards against one without a role that is read as anything but what it was.
 func TestRoles(t *testing.T) {
 	for _, c := range []struct {
@@ -61,7 +80,7 @@
 		{`"127.0.0.1:7001"` + "\n", `"0.0.0.0:7001"` + "\n", `f.hcl:2:13: listen: 0.0.0.0:7001 is every address`},
 		{`"127.0.0.1:7002"`, `"127.0.0.1:7001"`, `f.hcl:3:32: seeds: "127.0.0.1:7001" stands twice`},
 		{`"127.0.0.1:7002"`, `"127.0.0.1:0"`, `f.hcl:3:32: seeds: "127.0.0.1:0" is no address`},
-		{`["127.0.0.1:7001", "127.0.0.1:7002"]`, `[]`, `f.hcl:3:13: seeds: wants a list of 1 to 64 texts`},
+		{`["127.0.0.1:7001", "127.0.0.1:7002"]`, `[]`, `f.hcl:3:13: seeds: wants a list of 1 to 1024 texts`},
 		{`"/var/lib/sabletally"`, `"data"`, `f.hcl:4:13: data: "data" is no absolute path`},
 		{`copies  = 3`, `copies  = 0`, `f.hcl:5:13: copies: 0 lies outside 1 to 7`},
 		{`copies  = 3`, "copies  = 3\n  voters = 4", `f.hcl:6:12: voters: 4 is even`},
--- a/internal/fleet/contact/wire.go
+++ b/internal/fleet/contact/wire.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	packetsMost = 512 // datagrams that wait to be read; more are dropped, as the network drops them
-	streamsMost = 32  // streams that others hold open; one more is closed
+	packetsMost = 4096 // datagrams that wait to be read; more are dropped, as the network drops them
+	streamsMost = 1024 // streams that others hold open, one from each other member; one more is closed
 	linksMost   = 1024
 	comingMost  = 256             // streams more that may be open unsorted where followers are taken: many come at once when others are lost
 	firstIn     = 3 * time.Second // the first byte of a stream
--- /dev/null
+++ b/internal/fleet/contact/wire_test.go
@@ -0,0 +1,55 @@
+package contact
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"sabletally/internal/fleet/stream"
+)
+
+// TestStreamsOfAThousandMembers has as many streams open at once as there may be members: each is taken, and the next one is closed
+// and counted.
+func TestStreamsOfAThousandMembers(t *testing.T) {
+	const members, within = 1024, 20 * time.Second
+	address := netip.MustParseAddrPort("127.0.0.1:0")
+	w, err := Listen(address, address, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Shutdown()
+	to := w.tcp.Addr().String()
+	open := func() net.Conn {
+		c, err := net.Dial("tcp", to)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		if _, err := c.Write([]byte{LinkMark - 1}); err != nil || LinkMark-1 == stream.Mark {
+			t.Fatal(err)
+		}
+		return c
+	}
+	until := time.After(within)
+	for n := range members {
+		open()
+		select {
+		case s := <-w.StreamCh():
+			t.Cleanup(func() { s.Close() })
+		case <-until:
+			t.Fatalf("%d of %d streams were taken within %v", n, members, within)
+		}
+	}
+	if n := w.Unopened.Load(); n != 0 {
+		t.Errorf("%d found no room", n)
+	}
+	c := open()
+	c.SetReadDeadline(time.Now().Add(within))
+	if _, err := c.Read(make([]byte, 1)); err == nil {
+		t.Error("one more was not closed")
+	}
+	if n := w.Unopened.Load(); n != 1 {
+		t.Errorf("%d are counted as without room, not 1", n)
+	}
+}
--- a/internal/fleet/feed/feed_test.go
+++ b/internal/fleet/feed/feed_test.go
@@ -755,6 +755,21 @@
 	t.Logf("followers by relay: %v", load)
 }
 
+// TestAThousandRelaysAreRanked has a follower know a thousand relays: none is left out, or followers of those would crowd the others.
+func TestAThousandRelaysAreRanked(t *testing.T) {
+	const relays = 1024
+	var all []Item
+	for i := range relays {
+		name := fmt.Sprintf("r%d", i)
+		all = append(all, memberItem(t, views.Member{ID: name, Addr: name, Zone: fmt.Sprintf("z%d", i%11), Site: "s"}))
+	}
+	f := NewFollower(FollowerConfig{ID: "b", Zone: "z0", Site: "s"}, 0)
+	f.relist(Applied{Whole: true, Items: all})
+	if len(f.ranked) != relays {
+		t.Errorf("%d of %d are ranked", len(f.ranked), relays)
+	}
+}
+
 // TestTheBetterRankedComeBackSlowly restarts a relay: its followers come back one by one, not all at once, and none is ever without.
 func TestTheBetterRankedComeBackSlowly(t *testing.T) {
 	r := newRig(t, sites(17)...)
--- a/internal/fleet/feed/follower.go
+++ b/internal/fleet/feed/follower.go
@@ -15,10 +15,10 @@
 
 const (
 	relaysWanted = 2
-	relaysMost   = 3   // connections at once, while one takes another's place
-	listMost     = 256 // relays that are known, seeds among them; further ones are not looked at
-	asksMost     = 8   // renewals whose answers are waited for; the oldest is forgotten first
-	claimsKept   = 4   // answers for versions that are still to come, for each relay
+	relaysMost   = 3    // connections at once, while one takes another's place
+	listMost     = 4096 // relays that are known, seeds among them; further ones are not looked at
+	asksMost     = 8    // renewals whose answers are waited for; the oldest is forgotten first
+	claimsKept   = 4    // answers for versions that are still to come, for each relay
 	ackEach      = 64 << 10
 	backFirst    = time.Second // a relay that failed is passed over for so long, twice as long each time that it fails again,
 	backMost     = 30 * time.Second
