Whole parts use two roots of chance; keys rank cold servers only under one connection a server

Change: the client's key ranks where under one connection a server is held here, as then one can't see what a server gets. Whole parts sum to N and two roots, small ones to N and one where four and more are borne. TestColdServersStand: 0 of 3,000 points fall (simulated; the points of this module but for two lines of the same meaning). calm is now heldMean, hush noColdUntil.

--- a/policy/cold.go
+++ b/policy/cold.go
@@ -62,7 +62,7 @@
 	}
 	if p := b.proven[b.kind[i]]; p.heft > 0 {
 		// What came just now counts later: whoever held it until then may have spent its part.
-		settled := min(1, b.calm/float64(max(b.total, 1)))
+		settled := min(1, b.heldMean/float64(max(b.total, 1)))
 		seen = settled * min(p.load/p.heft, p.shown) / max(b.usual, 1) * b.heft[i]
 	}
 	return max(seen, core, b.entitled/peers*b.heft[i]/max(b.fleetSize, b.heft[i]))
@@ -95,20 +95,20 @@
 	if !c.wanted {
 		c.wanted, b.wanted = true, b.wanted+1
 	}
-	windows := float64(b.dep.ColdFor) / float64(b.dep.FallFor)
-	whole := b.dep.FallMultiple * warmth * b.bears(i) * peers / windows
+	whole := b.dep.FallMultiple * warmth * b.bears(i) * peers * float64(b.dep.FallFor) / float64(b.dep.ColdFor)
 	if whole == 0 && b.warm == 0 {
 		whole = leastWhole
 	}
-	if b.now < b.hush || b.tooHeavy(c, whole) {
+	if b.now < b.noColdUntil || b.tooHeavy(c, whole) {
 		return false
 	}
 	part := whole / peers
-	if part >= 1 { // the rounded parts of all add up to the whole
-		return spent+weight <= math.Floor(part+math.Sqrt(whole)/peers+b.stratum(i))
+	root := math.Sqrt(whole) // two of it are left to chance
+	if part >= 1 {           // the rounded parts of all add up to the whole
+		return spent+weight <= math.Floor(part+2*root/peers+b.stratum(i))
 	}
-	part *= min(1, math.Sqrt(whole)/2) // less where so little is borne that a few heavy ones are too much
-	comes := comesMost * max(float64(b.total), b.calm, 1) / float64(max(len(b.newest().servers), 1))
+	part *= min(1+1/root, root/2) // less where so little is borne that a few heavy ones are too much
+	comes := comesMost * max(float64(b.total), b.heldMean, 1) / float64(max(len(b.newest().servers), 1))
 	drawn := b.colds / b.heft[i] / min(1, coolMore*warmth) / max(b.wanted, 1) // by how much comes to cold ones
 	return spent < math.Ceil(part*min(1/comes, drawn)/weight-b.draw(c, i))
 }
@@ -116,8 +116,7 @@
 // stratum is this balancer's place in [0, 1) in the order in which fractions are rounded up: spread evenly by
 // the golden ratio over all balancers, and the same after a restart.
 func (b *Balancer) stratum(i int) float64 {
-	_, place := math.Modf(unit(mix(uint64(b.id[i]), 0)) + float64(b.dep.Index)*(math.Phi-1))
-	return place
+	return math.Mod(unit(mix(uint64(b.id[i]), 0))+float64(b.dep.Index)*(math.Phi-1), 1)
 }
 
 // draw is the number that a client's chance at a server has to beat: the same at every balancer, and for a
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -78,7 +78,7 @@
 		proven: map[uint64]proof{},
 	}
 	b.Reconfigure(dep, nil, nil)
-	b.roundAt, b.hush = time.Duration(b.random()*float64(roundEvery)), dep.FallFor // as Spent
+	b.roundAt, b.noColdUntil = time.Duration(b.random()*float64(roundEvery)), dep.FallFor // as Spent
 	return b
 }
 
@@ -219,7 +219,7 @@
 func (b *Balancer) Stay()                        { b.leaveBy = never }
 
 // Spent has cold servers get nothing for one span: another process of this balancer may have spent its part.
-func (b *Balancer) Spent() { b.hush = b.now + b.dep.FallFor }
+func (b *Balancer) Spent() { b.noColdUntil = b.now + b.dep.FallFor }
 
 func (b *Balancer) take(a Arrival) *circuit {
 	a.Grade, a.Tenant = min(a.Grade, len(b.dep.Grades)-1), min(a.Tenant, len(b.dep.Tenants))
@@ -592,6 +592,7 @@
 	b.rank, b.reach, b.across = b.rank[:0], len(b.newest().servers), b.away
 	small := b.total < fewHeld && b.total*b.dep.Peers < fewInAll
 	few := b.colds > 0 && float64(b.total) < ownMembers*float64(len(b.group)+fewGroups)
+	sparse := b.total < len(b.newest().servers) // it can't see how many of a group a server gets
 	if c.place != c.key && (small || few) {
 		b.across = 1 // guards against three zones' homes for a group of ten, which is paid for at each
 	}
@@ -600,7 +601,7 @@
 		w := b.weight(i, 0)
 		sum, top = sum+w, max(top, w)
 		key := c.place
-		if few && b.warmth(i) < 1 { // guards against all of a large group on one that has just started
+		if sparse && b.warmth(i) < 1 { // guards against all of a large group on one that has just started
 			key = c.key
 		}
 		b.rank = append(b.rank, ranked{i, score(w, key, b.id[i])})
@@ -646,7 +647,7 @@
 		even = evenMost * load / heft
 	} else if b.dep.ReportsOnAsk { // of a few connections nothing is learned where heft is a guess
 		// Guards against all that another balancer lost on one server, before any report can tell of it.
-		grown := max(evenGrown, min(1, b.calm/float64(max(b.total, 1))))
+		grown := max(evenGrown, min(1, b.heldMean/float64(max(b.total, 1))))
 		even = max(evenMost*grown*load, evenLeast*max(b.usual, 1)*float64(len(rank))) / heft
 	}
 	for step, left := byAll, b.reach; step <= upTo; step, left = step+1, b.reach {
@@ -809,7 +810,8 @@
 func (b *Balancer) round() {
 	b.due, b.colds, b.across = b.due[:0], 0, b.away
 	b.sumPeers()
-	b.calm += (float64(b.total) - b.calm) * float64(roundEvery) / float64(max(roundEvery, min(tallyFor, b.now)))
+	span := max(roundEvery, min(tallyFor, b.now))
+	b.heldMean += (float64(b.total) - b.heldMean) * float64(roundEvery) / float64(span)
 	if b.leaveBy < never {
 		b.leave()
 		return
--- a/policy/state.go
+++ b/policy/state.go
@@ -53,7 +53,7 @@
 	trying, total      int              // setup tries out; connections and setup tries held
 	group              map[uint64]int   // the same by group
 	tenant             []int            // the same by tenant
-	calm               float64          // connections held here, over a while
+	heldMean           float64          // connections held here, over a while
 	proven             map[uint64]proof // by kind of server
 	gloom, usual       float64          // part of servers holding something that is jammed; usual load
 	usualOf            []average        // the same by grade
@@ -63,7 +63,8 @@
 	entitled           float64          // connections of all tenants' shares, over all balancers
 	good, bad, late    float64          // setup tries that came to stand lately, that failed, that stood late
 	wanted, colds      float64          // circuits that came to a cold server lately; what those draw together
-	turn, hush         time.Duration    // no try so long after a time-out, 0 for few; none at cold ones till then
+	turn               time.Duration    // no try so long after a time-out, 0 for few balancers
+	noColdUntil        time.Duration    // no try at a cold server before
 	shut, shutTill     time.Duration    // the newest such wait, and its end
 	leaveFrom, leaveBy time.Duration    // all that is held is moved between these, never while it stays
 	tellAt             time.Duration    // when the others are told next, never where they are not,
