--- a/cmd/sabletally/line_delivery_test.go
+++ b/cmd/sabletally/line_delivery_test.go
@@ -92,6 +92,17 @@
 	return sum
 }
 
+// afterSessions returns a function that each session calls once it is under way. Once all have, run is called.
+func afterSessions(run func()) (started func()) {
+	var sessions sync.WaitGroup
+	sessions.Add(deliverySessions)
+	go func() {
+		sessions.Wait()
+		run()
+	}()
+	return sessions.Done
+}
+
 // Guards against incident 0fd2d2: a server's last small lines were lost when it ended its session with a reset.
 func TestLastLinesBeforeAServersResetArrive(t *testing.T) {
 	for _, c := range []struct {
@@ -176,6 +187,19 @@
 	return bytes
 }
 
+// isEndedByPeer reports whether the other side's end of a connection has arrived, read or not.
+func isEndedByPeer(c net.Conn) (ended bool, err error) {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false, err
+	}
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		ended = err == nil && info.State != unix.BPF_TCP_ESTABLISHED && info.State != unix.BPF_TCP_FIN_WAIT1 && info.State != unix.BPF_TCP_FIN_WAIT2
+	})
+	return ended, err
+}
+
 // countBulk reads until the connection ends and returns how many lines arrived complete and in order.
 func countBulk(r *bufio.Reader) (lines int, err error) {
 	for ; ; lines++ {
--- a/cmd/sabletally/migration_delivery_test.go
+++ b/cmd/sabletally/migration_delivery_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -32,17 +31,6 @@
 	}
 }
 
-// afterSessions returns a function that each session calls once it is under way. Once all have, run is called.
-func afterSessions(run func()) (started func()) {
-	var sessions sync.WaitGroup
-	sessions.Add(deliverySessions)
-	go func() {
-		sessions.Wait()
-		run()
-	}()
-	return sessions.Done
-}
-
 // writeUntilEnded writes numbered lines until the balancer's end arrives, and ends the connection in turn.
 func writeUntilEnded(e *emulator.Session, pause time.Duration, written *atomic.Int64) {
 	ended := make(chan struct{})
--- a/cmd/sabletally/site_test.go
+++ b/cmd/sabletally/site_test.go
@@ -16,8 +16,6 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"sabletally/internal/lab/cluster"
 	"sabletally/internal/lab/emulator"
 	"sabletally/internal/lab/history"
@@ -326,16 +324,3 @@
 	}
 	return ended
 }
-
-// isEndedByPeer reports whether the other side's end of a connection has arrived, read or not.
-func isEndedByPeer(c net.Conn) (ended bool, err error) {
-	raw, err := c.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return false, err
-	}
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		ended = err == nil && info.State != unix.BPF_TCP_ESTABLISHED && info.State != unix.BPF_TCP_FIN_WAIT1 && info.State != unix.BPF_TCP_FIN_WAIT2
-	})
-	return ended, err
-}
