Small writes close behind one another go to the kernel as one

Cause: since clients' sockets have TCP_NODELAY, each small line is a segment of its own. Its bookkeeping takes four to seven times its bytes of the reader's receive buffer, while the window that the reader's kernel offers is reckoned by the relay's large writes beside them. The buffer overflows within the window, the kernel drops what arrives, and the sender waits for its retransmission timeout, doubled while the reader stops.

Change: a small write goes at once unless another went within the last 5 ms and the reader has written nothing since; then it waits for the rest of those 5 ms, or until 16 KiB have come together. It waits for no acknowledgement. An end, a migration's last line and a hot restart take along what waits.

--- /dev/null
+++ b/cmd/sabletally/line_delay_test.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"sabletally/internal/lab/emulator"
+)
+
+const smallLine = 170 // bytes of a line in these tests
+
+// timedReader is a client that stops reading now and then, and what is late for it.
+type timedReader struct {
+	rng *rand.Rand
+
+	mu      sync.Mutex
+	written []time.Time
+	late    int // lines
+	worst   time.Duration
+}
+
+// maxReaderDelay is how late a line may be, counted from when it was written or the reader last read on, whichever is later.
+const maxReaderDelay = maxLineDelay + soakSlack
+
+// writeBursts has a server write many small lines one right after the other, for a time.
+func (r *timedReader) writeBursts(server net.Conn, lasting time.Duration) error {
+	for end := time.Now().Add(lasting); time.Now().Before(end); {
+		time.Sleep(time.Duration(600+r.upTo(900)) * time.Millisecond)
+		for range 100 + r.upTo(1400) {
+			r.mu.Lock()
+			r.written = append(r.written, time.Now())
+			r.mu.Unlock()
+			if _, err := io.WriteString(server, strings.Repeat("x", smallLine-2)+"\r\n"); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (r *timedReader) upTo(most int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rng.IntN(most)
+}
+
+// read reads until the connection ends.
+func (r *timedReader) read(client io.Reader) error {
+	lines := bufio.NewReader(client)
+	resumed := time.Now()
+	stopAt := resumed.Add(200 * time.Millisecond)
+	for number := 0; ; number++ {
+		if time.Now().After(stopAt) {
+			time.Sleep(time.Duration(r.upTo(500)) * time.Millisecond)
+			resumed = time.Now()
+			stopAt = resumed.Add(time.Duration(200+r.upTo(800)) * time.Millisecond)
+		}
+		_, err := lines.ReadString('\n')
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("after %d lines: %w", number, err)
+		}
+		r.note(time.Now(), number, resumed)
+	}
+}
+
+func (r *timedReader) note(now time.Time, number int, resumed time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	from := r.written[number]
+	if resumed.After(from) {
+		from = resumed
+	}
+	delay := now.Sub(from)
+	r.worst = max(r.worst, delay)
+	if delay > maxReaderDelay {
+		r.late++
+	}
+}
+
+// Guards against report e8b126's class: lines for a reader that stops now and then waited for retransmissions and window probes.
+func TestLinesForAReaderThatStopsNowAndThenAreNotHeldBack(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		readBuffer int
+		restarts   int
+	}{
+		{"32 KB", 32 << 10, 0},
+		{"32 KB, hot restarts", 32 << 10, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := startSite(t, []string{"SHARED", "SLOW_MESSAGES=yes"}, "s-1")
+			var seeds sync.Mutex
+			seed := uint64(0)
+			var readers []*timedReader
+			started := afterSessions(func() {
+				for range c.restarts {
+					time.Sleep(1500 * time.Millisecond)
+					_ = s.newSuccessor().Signal(syscall.SIGTERM)
+				}
+			})
+			s.inSessions(func(a *testClient, e *emulator.Session) (int, error) {
+				_ = a.Conn.(*net.TCPConn).SetReadBuffer(c.readBuffer)
+				seeds.Lock()
+				seed++
+				r := &timedReader{rng: rand.New(rand.NewPCG(seed, 0))}
+				readers = append(readers, r)
+				seeds.Unlock()
+				started()
+				go func() { _, _ = io.Copy(io.Discard, e.R) }()
+				wrote := make(chan error, 1)
+				go func() {
+					wrote <- r.writeBursts(e, 5*time.Second)
+					_ = e.Conn.(*net.TCPConn).CloseWrite()
+				}()
+				return 0, errors.Join(r.read(a.r), <-wrote)
+			})
+			late, worst := 0, time.Duration(0)
+			for _, r := range readers {
+				late += r.late
+				worst = max(worst, r.worst)
+			}
+			t.Logf("worst %v", worst)
+			if late > 0 {
+				t.Errorf("%d lines late, the worst by %v", late, worst)
+			}
+		})
+	}
+}
+
+// segmentsReceived returns how many segments with data the kernel has received on a connection.
+func segmentsReceived(t *testing.T, c net.Conn) int {
+	t.Helper()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	segments := 0
+	err = raw.Control(func(fd uintptr) {
+		info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if infoErr != nil {
+			t.Error(infoErr)
+			return
+		}
+		segments = int(info.Data_segs_in)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return segments
+}
+
+// Guards against report e8b126's class: each small line was a segment of its own, which overflowed the receive buffer of a stopped reader.
+func TestSmallLinesForAStoppedReaderGoInFewSegments(t *testing.T) {
+	s := startSite(t, nil, "s-1")
+	a, e := s.establish()
+	before, began := segmentsReceived(t, a.Conn), time.Now()
+	const (
+		lines     = 300
+		atOnce    = 3                    // segments
+		otherwise = 4 * time.Millisecond // from one to the next
+	)
+	for range lines {
+		if _, err := io.WriteString(e, strings.Repeat("x", smallLine-2)+"\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond) // for the last one
+	segments, took := segmentsReceived(t, a.Conn)-before, time.Since(began)
+	if segments > atOnce+int(took/otherwise) {
+		t.Errorf("%d lines came in %d segments within %v", lines, segments, took)
+	}
+}
+
+// Guards against conversations that wait for others' small lines: each turn of one is written at once, however soon it comes.
+func TestTurnsOfAConversationAreWrittenAtOnce(t *testing.T) {
+	s := startSite(t, nil, "s-1")
+	a, e := s.establish()
+	go func() { _, _ = io.Copy(e, e.R) }()
+	var turns []time.Duration
+	for range 500 {
+		began := time.Now()
+		a.write("M 1\r\n")
+		a.expectLine("M 1\r\n")
+		turns = append(turns, time.Since(began))
+	}
+	slices.Sort(turns)
+	if median := turns[len(turns)/2]; median > 2*time.Millisecond {
+		t.Errorf("half of the turns take %v or more", median)
+	}
+}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -58,6 +58,11 @@
 	firstWrittenAt time.Duration
 	responseTime   time.Duration
 
+	// coalesceUntil is until when writeBuffer waits for more small writes, 0 if it does not wait for that. nextSmallWriteAt is when the next
+	// one need not wait.
+	coalesceUntil    time.Duration
+	nextSmallWriteAt time.Duration
+
 	pair atomic.Pointer[Pair]
 	side Side // set before pair
 
@@ -130,6 +135,7 @@
 	c.worker.relay.descriptors.Add(-1)
 	c.writeBuffer = nil
 	c.written = 0
+	c.coalesceUntil = 0
 }
 
 // Close closes the connection now.
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -84,6 +84,7 @@
 	if c.closed || c.closingWrite {
 		return
 	}
+	c.flushCoalescedLocked()
 	now := c.worker.relay.now()
 	c.closingWrite = true
 	c.resetWhenDrained = abrupt
--- a/internal/relay/read.go
+++ b/internal/relay/read.go
@@ -68,6 +68,7 @@
 		c.reportLine(raw, err)
 	case statePaired:
 		c.countMigratedLocked(n)
+		c.nextSmallWriteAt = 0 // a conversation goes on at its own pace
 		c.mu.Unlock()
 		c.forward(input)
 	default:
--- a/internal/relay/worker.go
+++ b/internal/relay/worker.go
@@ -27,11 +27,14 @@
 	wakeFD     int // an eventfd in the set
 	readBuffer []byte
 	hasLoads   atomic.Bool
+	awake      atomic.Bool // it looks at coalesced before it waits
 
 	mu     sync.Mutex // guards what follows
 	tasks  []func()   // for the worker's goroutine, between two events
 	closed bool
 	loads  []LoadLine
+	// coalesced is what is flushed later, in the order of its times.
+	coalesced []coalescedWrite
 
 	// The table of connections. Events carry a slot and its generation, so that those of a connection that was removed are recognised.
 	conns       []*Conn
@@ -126,18 +129,18 @@
 	defer closeDescriptor(w.epfd)
 	defer closeDescriptor(w.wakeFD)
 	events := make([]unix.EpollEvent, maxEvents)
-	timeout := -1
+	isBusy := false
 	for {
-		n, err := socket.EpollWait(w.epfd, events, timeout)
+		n, err := w.wait(events, isBusy)
 		if err != nil && !errors.Is(err, unix.EINTR) {
 			return
 		}
-		if n <= 0 { // let other goroutines run before it sleeps
-			timeout = -1
+		w.flushDue()
+		isBusy = n > 0
+		if !isBusy { // let other goroutines run before it sleeps
 			runtime.Gosched()
 			continue
 		}
-		timeout = 0
 		if !w.handleEvents(events[:n]) {
 			return
 		}
@@ -145,6 +148,17 @@
 	}
 }
 
+// wait waits for events. If it was busy just now it only looks for more.
+func (w *worker) wait(events []unix.EpollEvent, isBusy bool) (n int, err error) {
+	w.awake.Store(false)
+	defer w.awake.Store(true)
+	timeout := 0
+	if !isBusy {
+		timeout = w.waitMillis()
+	}
+	return socket.EpollWait(w.epfd, events, timeout)
+}
+
 // handleEvents handles a round of events; false once the worker is closed.
 func (w *worker) handleEvents(events []unix.EpollEvent) bool {
 	for _, event := range events {
--- a/internal/relay/write.go
+++ b/internal/relay/write.go
@@ -25,6 +25,19 @@
 	if c.closed || c.closingWrite || c.broken != nil {
 		return false
 	}
+	if len(text) > 0 && !c.coalesceLocked(text) {
+		c.writeNowLocked(text)
+	}
+	return c.writeBlocked.Load()
+}
+
+// writeNowLocked writes as much as is taken, behind what waits already, and keeps the rest.
+func (c *Conn) writeNowLocked(text []byte) {
+	if c.coalesceUntil > 0 {
+		c.bufferLocked(text)
+		c.flushCoalescedLocked()
+		return
+	}
 	var err error
 	if len(c.writeBuffer) == 0 {
 		var n int
@@ -32,13 +45,17 @@
 		text = text[n:]
 	}
 	if len(text) > 0 {
-		if c.writeBuffer == nil {
-			c.writeBuffer = c.worker.takeBuffer(&c.worker.writeBuffers, readBufferSize)
-		}
-		c.writeBuffer = append(c.writeBuffer, text...)
+		c.bufferLocked(text)
 		c.markBlockedLocked(err)
 	}
-	return len(c.writeBuffer) > 0
+}
+
+// bufferLocked keeps text behind what waits already.
+func (c *Conn) bufferLocked(text []byte) {
+	if c.writeBuffer == nil {
+		c.writeBuffer = c.worker.takeBuffer(&c.worker.writeBuffers, readBufferSize)
+	}
+	c.writeBuffer = append(c.writeBuffer, text...)
 }
 
 // markBlockedLocked notes that something waits to be written; err is why, nil behind what waits already.
@@ -133,15 +150,20 @@
 
 // clearWriteBufferLocked forgets what waited to be written: it was written, or can't be.
 func (c *Conn) clearWriteBufferLocked() {
+	c.releaseWriteBufferLocked()
+	c.blockedSince.Store(0)
+	c.flushedAt.Store(int64(c.worker.relay.now())) // first: others read both without the lock
+	c.writeBlocked.Store(false)
+	c.setInterestLocked(unix.EPOLLOUT, false)
+}
+
+func (c *Conn) releaseWriteBufferLocked() {
 	if c.writeBuffer != nil {
 		c.worker.returnBuffer(&c.worker.writeBuffers, c.writeBuffer, 4*readBufferSize)
 	}
 	c.writeBuffer = nil
 	c.written = 0
-	c.blockedSince.Store(0)
-	c.flushedAt.Store(int64(c.worker.relay.now())) // first: others read both without the lock
-	c.writeBlocked.Store(false)
-	c.setInterestLocked(unix.EPOLLOUT, false)
+	c.coalesceUntil = 0
 }
 
 // markFlushedLocked notes that nothing waits to be written any more.
