Segments are no larger than an Ethernet frame's, also on loopback

What callers saw: a reader with a receive buffer of 4 KB that stops now and then fell minutes behind its server, a window for each timeout.

Cause: on loopback a segment may be 64 KB. The kernel bounds it by half of the largest window that the peer has ever offered, and where the window is smaller by now it sends nothing of a larger segment before its window probe, 0.2 s later, each time anew.

TCP_INFO at a late line: mss 32768, nothing unacknowledged, 28,050 bytes not sent, window 4096, rwnd_limited 89%.

Change: TCP_MAXSEG on the listening socket, inherited or our own, and on connections to servers before they are begun.

Failed before, on: TestLinesForAReaderThatStopsNowAndThenAreNotHeldBack/4_KB, 20 of 20 readers still behind after 20 s, "23 lines late, the worst by 1.09 s" within what they read.

--- a/cmd/sabletally/line_delay_test.go
+++ b/cmd/sabletally/line_delay_test.go
@@ -99,6 +99,7 @@
 		readBuffer int
 		restarts   int
 	}{
+		{"4 KB", 4 << 10, 0},
 		{"32 KB", 32 << 10, 0},
 		{"32 KB, hot restarts", 32 << 10, 2},
 	} {
--- a/internal/balancer/listener.go
+++ b/internal/balancer/listener.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"sabletally/internal/relay"
 	"sabletally/internal/socket"
 )
 
@@ -45,6 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
+	relay.LimitSegments(listener.fd)
 	return listener, nil
 }
 
@@ -66,6 +68,7 @@
 		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
 	}
 	unix.CloseOnExec(fd)
+	relay.LimitSegments(fd)
 	listener := &Listener{fd: fd, addr: tcpAddr(address), shared: true}
 	if listener.addr == nil {
 		return nil, fmt.Errorf("descriptor %d: %w", fd, errNotTCP)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -174,6 +174,7 @@
 		return nil, os.NewSyscallError("socket", err)
 	}
 	SendAtOnce(fd)
+	LimitSegments(fd)
 	if !wanted() {
 		closeDescriptor(fd)
 		return nil, ErrDialCancelled
--- a/internal/relay/socket_options.go
+++ b/internal/relay/socket_options.go
@@ -13,3 +13,13 @@
 func growReceiveBuffer(fd int) {
 	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_BUF_LOCK, 0) // fails before Linux 5.14, where the size stays
 }
+
+// maxSegmentBytes is what an Ethernet frame carries.
+const maxSegmentBytes = 1460
+
+// LimitSegments has the connections of a socket that listens, or is not connected yet, send no larger segments than a network's. On
+// loopback one is up to half of the largest window a reader has had: where the window is smaller by then, the kernel sends nothing until a
+// timeout, for each window anew.
+func LimitSegments(fd int) {
+	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_MAXSEG, maxSegmentBytes) // fails only on a descriptor that is no TCP socket
+}
