A rejection without a descriptor is not followed by a reset when the client has said more

What callers saw: a client that is rejected because descriptors run short, and had sent more than 4 KiB behind its request, got BUSY and then a reset. A reset may overtake the answer, and discards what the kernel still holds of it.

Cause: writeUnbuffered drops the error of one read of 4 KiB ("there may be nothing"); what lay behind it stayed unread, and a close over unread bytes is a reset.

Change: it reads until nothing is left, within twice what a connection may have queued, through internal/socket as all other reads.

Failed before: TestAClientThatSaysMoreIsRejectedWithoutADescriptor, 5 of 5: "BUSY\r\n", read: connection reset by peer. Passed after: 20 of 20.

--- a/internal/balancer/conn_write.go
+++ b/internal/balancer/conn_write.go
@@ -19,6 +19,8 @@
 	maxWriteRetryDelay = 20 * time.Millisecond
 
 	maxUnbufferedWrites = 5
+	// maxUnreadRounds bounds what is read of a client that is rejected at once: twice what its kernel and ours hold at first.
+	maxUnreadRounds = 2 * maxQueuedInput / protocol.MaxLineBytes
 )
 
 // send queues bytes to be written; false if too many wait already.
@@ -154,8 +156,7 @@
 	if c.closed {
 		return
 	}
-	var unread [protocol.MaxLineBytes]byte
-	_, _, _ = unix.Recvfrom(c.fd(), unread[:], unix.MSG_DONTWAIT) // there may be nothing
+	c.discardUnreadLocked()
 	for range maxUnbufferedWrites {
 		n, err := socket.WriteAvailable(c.fd(), line)
 		if !socket.IsTemporary(err) {
@@ -165,6 +166,16 @@
 	}
 }
 
+// discardUnreadLocked reads what the client has sent, as far as that is bounded.
+func (c *conn) discardUnreadLocked() {
+	var unread [protocol.MaxLineBytes]byte
+	for range maxUnreadRounds {
+		if n, err := socket.Read(c.fd(), unread[:]); n <= 0 && !errors.Is(err, unix.EINTR) && !socket.IsTemporary(err) {
+			return
+		}
+	}
+}
+
 // close closes the connection now.
 func (c *conn) close() { _ = c.netConn.Close() } // closed either way
 
--- a/internal/balancer/race_test.go
+++ b/internal/balancer/race_test.go
@@ -268,6 +268,16 @@
 // TestAClientWithoutADescriptorIsRejected has a client's line arrive before it is accepted, and no connection that could be evicted: the client
 // reads its rejection and an orderly end.
 func TestAClientWithoutADescriptorIsRejected(t *testing.T) {
+	testRejectionWithoutADescriptor(t, "OPEN 1 2 c=feed,d=20000\r\n")
+}
+
+// Guards against a rejection that a reset overtakes: what a client had sent behind its request was left unread at the close.
+func TestAClientThatSaysMoreIsRejectedWithoutADescriptor(t *testing.T) {
+	testRejectionWithoutADescriptor(t, "OPEN 1 2 c=feed,d=20000\r\n"+strings.Repeat("M 1\r\n", 4000))
+}
+
+func testRejectionWithoutADescriptor(t *testing.T, text string) {
+	t.Helper()
 	dep := &deployment.Settings{Policy: &policy.Config{Balancers: 1, Classes: []policy.Class{{}}}}
 	l, err := New(zap.NewNop(), dep, 7, discovery.List{Complete: true}, 1024)
 	if err != nil {
@@ -284,7 +294,7 @@
 	}
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(testTimeout))
-	_, _ = io.WriteString(c, "OPEN 1 2 c=feed,d=20000\r\n")
+	_, _ = io.WriteString(c, text)
 	serve(l, door)
 	if got, err := io.ReadAll(c); !strings.HasPrefix(string(got), "BUSY") || err != nil {
 		t.Fatalf("%q, %v", got, err)
