--- a/cmd/sabletally/line_delivery_test.go
+++ b/cmd/sabletally/line_delivery_test.go
@@ -114,6 +114,8 @@
 		{"at once", []time.Duration{0, 5 * time.Millisecond, 29 * time.Millisecond}, 0, false},
 		{"15 ms later", []time.Duration{0, 5 * time.Millisecond, 25 * time.Millisecond}, 15 * time.Millisecond, false},
 		{"as in record 2", []time.Duration{0, 30 * time.Millisecond}, 0, false},
+		{"close behind one another", []time.Duration{0, time.Millisecond, 2 * time.Millisecond}, 0, false},
+		{"close behind one another, in order", []time.Duration{0, time.Millisecond, 2 * time.Millisecond}, 0, true},
 		{"in order", []time.Duration{0, 5 * time.Millisecond, 29 * time.Millisecond}, 0, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
