The relay's end of a connection is one state, not three fields

closingWrite and resetWhenDrained were set together with drain, and read as if they could differ. The end is begun where drain is not nil, and drain says whether it will be a reset.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -43,17 +43,14 @@
 	// edgeTriggered has events arrive once for each change. An end is reported whatever is waited for, again and again without it.
 	edgeTriggered bool
 	// partial is input that makes no complete line yet, or that the handler has not asked for.
-	partial      []byte
-	writeBuffer  []byte // waits to be written, from written on
-	written      int
-	closingWrite bool // no more is written once writeBuffer is empty
-	// resetWhenDrained has the connection end with a reset, once its peer has received everything.
-	resetWhenDrained bool
-	peerEnded        bool       // the peer has ended its sending: nothing more is read
-	migration        *migration // not nil while what it sends until its own end is still forwarded
-	closed           bool
-	drain            *drain // nil until the end is begun
-	broken           error  // of a write that failed for good: a read may only see an orderly end after it
+	partial     []byte
+	writeBuffer []byte // waits to be written, from written on
+	written     int
+	peerEnded   bool       // the peer has ended its sending: nothing more is read
+	migration   *migration // not nil while what it sends until its own end is still forwarded
+	closed      bool
+	drain       *drain // nil until the end is begun; nothing more is written then
+	broken      error  // of a write that failed for good: a read may only see an orderly end after it
 	// firstWrittenAt is when WriteFirst wrote, responseTime how long after that the newest line was read.
 	firstWrittenAt time.Duration
 	responseTime   time.Duration
--- a/internal/relay/detach.go
+++ b/internal/relay/detach.go
@@ -112,7 +112,7 @@
 func (c *Conn) resumeForwarding(other *Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closed && !c.closingWrite {
+	if !c.closed && c.drain == nil {
 		c.state = statePaired
 		c.setInterestLocked(unix.EPOLLIN, !other.writeBlocked.Load())
 	}
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -17,8 +17,9 @@
 	maxDrainCheckInterval = 20 * time.Millisecond
 )
 
-// drain is how far the end of a connection has come.
+// drain is how far the end of a connection has come: written, then received by its peer, then waiting for the peer's own end.
 type drain struct {
+	reset      bool        // it ends with a reset, once its peer has received everything; in order otherwise
 	timer      *time.Timer // nil until there is something to wait for
 	interval   time.Duration
 	startedAt  time.Duration
@@ -44,7 +45,7 @@
 	c.mu.Lock()
 	wasClosed := c.closed
 	step()
-	closedNow, abrupt := c.closed && !wasClosed, c.resetWhenDrained
+	closedNow, abrupt := c.closed && !wasClosed, c.endsByResetLocked()
 	c.mu.Unlock()
 	if p := c.pair.Load(); closedNow && p != nil {
 		p.finishOther(c, abrupt)
@@ -70,8 +71,11 @@
 	})
 }
 
+// endsByResetLocked reports whether the connection's end is begun, and will be a reset.
+func (c *Conn) endsByResetLocked() bool { return c.drain != nil && c.drain.reset }
+
 func (c *Conn) finishLocked(abrupt bool) {
-	if c.closed || c.closingWrite {
+	if c.closed || c.drain != nil {
 		return
 	}
 	c.state = stateDraining
@@ -81,14 +85,12 @@
 
 // startDrainLocked ends the sending, and closes the connection once its peer has received everything.
 func (c *Conn) startDrainLocked(abrupt bool) {
-	if c.closed || c.closingWrite {
+	if c.closed || c.drain != nil {
 		return
 	}
 	c.flushCoalescedLocked()
 	now := c.worker.relay.now()
-	c.closingWrite = true
-	c.resetWhenDrained = abrupt
-	c.drain = &drain{interval: minDrainCheckInterval, startedAt: now, progressAt: now}
+	c.drain = &drain{reset: abrupt, interval: minDrainCheckInterval, startedAt: now, progressAt: now}
 	if len(c.writeBuffer) == 0 {
 		c.endSendingLocked()
 	}
@@ -97,7 +99,7 @@
 
 // endSendingLocked ends the sending in order, behind what the kernel holds.
 func (c *Conn) endSendingLocked() {
-	if !c.resetWhenDrained {
+	if !c.drain.reset {
 		_ = unix.Shutdown(c.fd, unix.SHUT_WR) // fails only if the other side has ended it
 	}
 }
@@ -120,7 +122,7 @@
 	case c.drain.left > 0:
 		c.scheduleDrainCheckLocked(c.drain.interval)
 		c.drain.interval = min(2*c.drain.interval, maxDrainCheckInterval)
-	case c.resetWhenDrained:
+	case c.drain.reset:
 		c.abortLocked()
 	case c.peerEnded, c.broken != nil && !c.forwardsInputLocked():
 		c.closeLocked()
@@ -162,7 +164,7 @@
 	pending := c.pendingLocked()
 	left := pending.Buffered
 	switch {
-	case c.resetWhenDrained:
+	case c.drain.reset:
 		left += pending.Unacknowledged
 	case !c.peerEnded && left == 0:
 		left = max(0, pending.Unacknowledged-1) // the end itself counts as one
@@ -186,7 +188,7 @@
 // giveUpDrainLocked closes a connection whose peer does not take everything in time. Lines that are cut are shown by a reset; those that
 // the kernel holds already, it goes on delivering.
 func (c *Conn) giveUpDrainLocked() {
-	if c.resetWhenDrained || c.written < len(c.writeBuffer) {
+	if c.drain.reset || c.written < len(c.writeBuffer) {
 		c.abortLocked()
 	} else {
 		c.closeLocked()
@@ -218,7 +220,7 @@
 			c.closeLocked()
 		default:
 			c.endReadingLocked()
-			if c.closingWrite {
+			if c.drain != nil {
 				c.checkDrainedLocked()
 			}
 		}
--- a/internal/relay/pair.go
+++ b/internal/relay/pair.go
@@ -83,7 +83,7 @@
 func (c *Conn) startForwarding() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closed && !c.closingWrite {
+	if !c.closed && c.drain == nil {
 		c.state = statePaired
 	}
 	c.setInterestLocked(unix.EPOLLIN, true)
--- a/internal/relay/write.go
+++ b/internal/relay/write.go
@@ -22,7 +22,7 @@
 }
 
 func (c *Conn) writeLocked(text []byte) bool {
-	if c.closed || c.closingWrite || c.broken != nil {
+	if c.closed || c.drain != nil || c.broken != nil {
 		return false
 	}
 	if len(text) > 0 && !c.coalesceLocked(text) {
@@ -169,7 +169,7 @@
 // markFlushedLocked notes that nothing waits to be written any more.
 func (c *Conn) markFlushedLocked() {
 	c.clearWriteBufferLocked()
-	if c.closingWrite {
+	if c.drain != nil {
 		c.endSendingLocked()
 		c.checkDrainedLocked()
 	}
