The soak's servers write bursts at any time, and read while a write has to wait

What the soak missed: bursts came at a session's end alone, so passed it.

It reads beside its writes now, and records the end when it has read it. A line whose write has failed half-way is followed by nothing.

--- a/cmd/sabletally/soak_client_test.go
+++ b/cmd/sabletally/soak_client_test.go
@@ -45,11 +45,14 @@
 		return // never accepted
 	}
 	defer func() { _ = conn.Close() }()
-	if c.rng.Float64() < 0.1 {
-		_ = conn.(*net.TCPConn).SetReadBuffer(soakSmallBuffer)
-	}
 	class := soakClasses[c.rng.IntN(len(soakClasses))]
 	s := &soakSession{id: c.next(), class: class, node: node.Name, nonIdempotent: class == "pay", pause: slowPause(c.rng.Float64())}
+	switch draw := c.rng.Float64(); {
+	case draw < 0.2 && s.pause == 0: // a slow reader would take a burst for longer than the soak lasts
+		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	case draw < 0.5:
+		_ = conn.(*net.TCPConn).SetReadBuffer(32 << 10)
+	}
 	node.enter(s)
 	defer node.leave(s)
 	c.model.add(s)
--- a/cmd/sabletally/soak_peers_test.go
+++ b/cmd/sabletally/soak_peers_test.go
@@ -8,11 +8,12 @@
 )
 
 const (
-	soakMaxGap      = 60 * time.Millisecond // between the halves of a line
-	soakBulk        = 1500                  // lines of a burst
-	soakSmallBuffer = 4 << 10               // receive buffer of some clients, in bytes
-	soakWithSignal  = 0.3                   // of the sessions end in the moment of a signal or a change of the list
-	slowReadTime    = 20 * time.Millisecond // how long a slow reader reads between two pauses
+	soakMaxGap     = 60 * time.Millisecond // between the halves of a line
+	maxSoakLines   = 10000                 // of a client in one session
+	soakBulk       = 1500                  // lines of a burst
+	soakWithBurst  = 0.06                  // of a server's lines are many small ones one right after the other
+	soakWithSignal = 0.3                   // of the sessions end in the moment of a signal or a change of the list
+	slowReadTime   = 20 * time.Millisecond // how long a slow reader reads between two pauses
 )
 
 // slowPause draws how long a slow reader pauses, 0 for one that is not slow.
--- a/cmd/sabletally/soak_server_test.go
+++ b/cmd/sabletally/soak_server_test.go
@@ -98,8 +98,9 @@
 	if _, err := io.WriteString(c, answer); err != nil || !strings.HasPrefix(answer, "UP ") {
 		return
 	}
-	t := &soakTalk{server: v, conn: c, session: s, attempt: a, ended: make(chan struct{})}
+	t := &soakTalk{server: v, conn: c, session: s, attempt: a, ended: make(chan struct{}), echoes: make(chan string, maxSoakLines)}
 	go t.read(r)
+	go t.echo()
 	t.talk()
 	<-t.ended
 }
@@ -111,6 +112,7 @@
 	session *soakSession
 	attempt *soakAttempt
 	ended   chan struct{} // closed once the balancer's end was read
+	echoes  chan string   // lines of the client, which are written back while others are read
 
 	writeMu sync.Mutex
 	done    bool // nothing more is written
@@ -118,9 +120,17 @@
 	lines   int
 }
 
-// read records the client's lines and echoes them, until the balancer ends the connection.
+// echo writes the client's lines back.
+func (t *soakTalk) echo() {
+	for line := range t.echoes {
+		t.write(strings.Replace(line, "C ", "M ", 1))
+	}
+}
+
+// read records the client's lines and has them echoed, until the balancer ends the connection. It goes on while a write has to wait.
 func (t *soakTalk) read(r *bufio.Reader) {
 	defer close(t.ended)
+	defer close(t.echoes)
 	for pacer := newPacer(t.attempt.pause); ; {
 		pacer.wait()
 		line, err := r.ReadString('\n')
@@ -131,20 +141,21 @@
 		t.session.mu.Lock()
 		t.attempt.received = append(t.attempt.received, line)
 		t.session.mu.Unlock()
-		t.write(strings.Replace(line, "C ", "M ", 1))
+		t.echoes <- line
 	}
 }
 
-// sawEnd records the balancer's end, and ends the connection in turn.
+// sawEnd records the balancer's end, and ends the connection in turn once the line that is being written is, or can't be.
 func (t *soakTalk) sawEnd(err error) {
-	t.writeMu.Lock()
-	defer t.writeMu.Unlock()
 	t.session.mu.Lock()
-	defer t.session.mu.Unlock()
-	t.done = true
 	if t.attempt.ownEnd == endNone {
 		t.attempt.end, t.attempt.endAt = kindOfEnd(err), time.Now()
 	}
+	t.session.mu.Unlock()
+	_ = t.conn.SetWriteDeadline(time.Now().Add(2 * soakMaxGap))
+	t.writeMu.Lock()
+	defer t.writeMu.Unlock()
+	t.done = true
 	_ = t.conn.Close()
 }
 
@@ -161,9 +172,11 @@
 		_, _ = io.WriteString(t.conn, line[:half])
 		time.Sleep(t.server.upTo(soakMaxGap))
 		if _, err := io.WriteString(t.conn, line[half:]); err != nil {
+			t.torn = true
 			return
 		}
 	} else if _, err := io.WriteString(t.conn, line); err != nil {
+		t.torn = true
 		return
 	}
 	t.session.mu.Lock()
@@ -221,6 +234,9 @@
 			continue
 		case <-time.After(v.upTo(200 * time.Millisecond)):
 		}
+		if v.float() < soakWithBurst {
+			t.burst(100+int(v.float()*soakBulk), smallLine)
+		}
 		t.writeNumbered(int(v.upTo(200)))
 	}
 	switch draw := v.float(); {
