A quarter of the soak's clients come over a link that splits, delays and holds back

Lines arrive in pieces of any size, some up to 20 ms late, none for up to 0.3 s now and then; an end arrives behind what was sent, as it was. Such a session's bounds are longer by what the link may add, 0.5 s, the others' are as they were.

--- a/cmd/sabletally/soak_client_test.go
+++ b/cmd/sabletally/soak_client_test.go
@@ -40,14 +40,19 @@
 
 // open opens a session and plays it to its end.
 func (c *soakClient) open(node *soakNode) {
-	conn, err := net.Dial("tcp", node.address)
+	address, linkDelay := node.address, time.Duration(0)
+	if c.rng.Float64() < soakOverLink {
+		address, linkDelay = node.link.address(), soakLinkDelay
+	}
+	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		return // never accepted
 	}
 	defer func() { _ = conn.Close() }()
 	class := soakClasses[c.rng.IntN(len(soakClasses))]
-	s := &soakSession{id: c.next(), class: class, node: node.Name, nonIdempotent: class == "pay", pause: slowPause(c.rng.Float64())}
+	s := &soakSession{id: c.next(), class: class, node: node.Name, nonIdempotent: class == "pay", pause: slowPause(c.rng.Float64()), linkDelay: linkDelay}
 	switch draw := c.rng.Float64(); {
+	case linkDelay > 0: // the link's own kernel would wait for a small buffer
 	case draw < 0.2 && s.pause == 0: // a slow reader would take a burst for longer than the soak lasts
 		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
 	case draw < 0.5:
--- a/cmd/sabletally/soak_model_test.go
+++ b/cmd/sabletally/soak_model_test.go
@@ -71,6 +71,7 @@
 	node          string
 	nonIdempotent bool
 	pause         time.Duration // for which its client does not read now and then, 0 for none
+	linkDelay     time.Duration // that the link between its client and its balancer may add, 0 without one
 
 	mu         sync.Mutex
 	openedAt   time.Time
@@ -280,7 +281,7 @@
 		}
 	}
 	if s.ownEnd != endNone {
-		m.judgeLater(boundedDelay{s, s.ownEndAt, a.beganAt, maxLeftDelay, "its client left, an attempt began"})
+		m.judgeLater(boundedDelay{s, s.ownEndAt, a.beganAt, maxLeftDelay + s.linkDelay, "its client left, an attempt began"})
 	}
 	if at, gone := m.goneSince(a.server); gone {
 		m.judgeLater(boundedDelay{s, at, a.beganAt, soakDrainGrace, a.server + " drained, the session was sent there"})
@@ -333,7 +334,7 @@
 	case s.ownEnd != endNone && s.answer == "":
 	case s.answer == "":
 		m.violate(s, "no answer, %v after %v, held when its balancer was killed: %t", s.end, s.endAt.Sub(s.openedAt), s.heldAtKill)
-	case m.isLate(s.openedAt, s.answeredAt, soakDeadline):
+	case m.isLate(s.openedAt, s.answeredAt, soakDeadline+s.linkDelay):
 		m.violate(s, "answered %q after %v", s.answer, s.answeredAt.Sub(s.openedAt))
 	case strings.HasPrefix(s.answer, "UP ") && s.establishedAttempt() == nil:
 		m.violate(s, "answered %q, which no server said", s.answer)
@@ -351,7 +352,7 @@
 		if line.readingSince.After(from) {
 			from = line.readingSince
 		}
-		if m.isLate(from, line.at, maxLineDelay) {
+		if m.isLate(from, line.at, maxLineDelay+s.linkDelay) {
 			m.violate(s, "line %d of %d of %s, written at %v, took %v; the session began at %v, its server ended it by %v at %v, %s", i, len(a.written),
 				a.server, writtenAt.Format(soakTime), line.at.Sub(from), s.openedAt.Format(soakTime), a.ownEnd, a.ownEndAt.Format(soakTime), a.tcp)
 		}
@@ -388,14 +389,14 @@
 	}
 	switch {
 	case s.ownEnd != endNone && a.ownEnd == endNone:
-		if a.end == endNone || a.pause == 0 && m.isLate(s.ownEndAt, a.endAt, maxEndDelay) {
+		if a.end == endNone || a.pause == 0 && m.isLate(s.ownEndAt, a.endAt, maxEndDelay+s.linkDelay) {
 			m.violate(s, "its client ended by %v, %s saw %v after %v", s.ownEnd, a.server, a.end, a.endAt.Sub(s.ownEndAt))
 		}
 	case s.ownEnd != endNone:
 	case !s.movedAt.IsZero():
 	case a.ownEnd == endNone:
 		m.violate(s, "cut off by %v without MOVE while %s still served it, held when its balancer was killed: %t", s.end, a.server, s.heldAtKill)
-	case s.pause == 0 && m.isLate(a.ownEndAt, s.endAt, maxEndDelay):
+	case s.pause == 0 && m.isLate(a.ownEndAt, s.endAt, maxEndDelay+s.linkDelay):
 		m.violate(s, "%s ended by %v, its client saw %v after %v", a.server, a.ownEnd, s.end, s.endAt.Sub(a.ownEndAt))
 	case s.end != a.ownEnd:
 		m.violate(s, "%s ended by %v, its client saw %v", a.server, a.ownEnd, s.end)
--- a/cmd/sabletally/soak_peers_test.go
+++ b/cmd/sabletally/soak_peers_test.go
@@ -11,6 +11,7 @@
 	soakMaxGap     = 60 * time.Millisecond // between the halves of a line
 	maxSoakLines   = 10000                 // of a client in one session
 	soakBulk       = 1500                  // lines of a burst
+	soakOverLink   = 0.25                  // of the clients come over a link
 	soakWithBurst  = 0.06                  // of a server's lines are many small ones one right after the other
 	soakWithSignal = 0.3                   // of the sessions end in the moment of a signal or a change of the list
 	slowReadTime   = 20 * time.Millisecond // how long a slow reader reads between two pauses
--- a/cmd/sabletally/soak_test.go
+++ b/cmd/sabletally/soak_test.go
@@ -42,6 +42,7 @@
 type soakNode struct {
 	*cluster.Process
 	address string
+	link    *soakLink   // another way to it
 	isOpen  atomic.Bool // the front deals out connections to it
 
 	mu       sync.Mutex
@@ -128,6 +129,9 @@
 		k.startNode(i, plan, upgrades)
 	}
 	done, judging := make(chan struct{}), make(chan struct{})
+	for i, n := range k.nodes {
+		n.link = newSoakLink(listen(t), n.address, seed+uint64(i)<<32, done)
+	}
 	go k.model.watchStalls(judging)
 	for _, n := range k.nodes {
 		go k.model.watchProcess(n.pid, judging)
