The last migrations of a shutdown begin 350 ms before its end

What callers saw: a line that a server had begun, and whose rest was 0.3 s on its way, was lost to clients that were migrated in the last tenth of a shutdown.

Cause: migrations are spread evenly up to the shutdown's end, and those begun there wait for their server for 150 ms only, as the kill is near.

Change: they are spread up to 350 ms before that end, or all at once after the grace for late clients where the deadlines are too short for that.

Failed before: TestALineOnItsWayAtTheEndOfAShutdownArrives, 2 of 2 runs, 2 of 20 sessions lost the line ("0 lines arrived", then MOVE). Passed after: 3 of 3.

--- a/cmd/sabletally/migration_delivery_test.go
+++ b/cmd/sabletally/migration_delivery_test.go
@@ -93,6 +93,32 @@
 	})
 }
 
+// Guards against report e8b126's class: a line on its way for 0.3 s was lost when its session was migrated at the end of a shutdown.
+func TestALineOnItsWayAtTheEndOfAShutdownArrives(t *testing.T) {
+	s := startSite(t, []string{"SLOW_MESSAGES=yes", "SABLETALLY_FILES=1024"}, "s-1")
+	started := afterSessions(func() {
+		killed := time.After(soakKillDelay)
+		_ = s.child.Signal(syscall.SIGTERM)
+		<-killed
+		s.child.Kill()
+	})
+	s.inSessions(func(a *testClient, e *emulator.Session) (int, error) {
+		go func() {
+			defer func() { _ = e.Close() }()
+			line := bulkLine(0)
+			_, _ = io.WriteString(e, line[:len(line)/2])
+			started()
+			_, _ = io.Copy(io.Discard, e.R)
+			time.Sleep(300 * time.Millisecond)
+			_, _ = io.WriteString(e, line[len(line)/2:])
+		}()
+		if lines, err := readUntilMigrated(a.r); lines != 1 || err != nil {
+			return 0, fmt.Errorf("%d lines arrived, then %w", lines, err)
+		}
+		return 0, nil
+	})
+}
+
 // slowReader reads at a bounded rate.
 type slowReader struct{ io.Reader }
 
--- a/internal/balancer/lifecycle.go
+++ b/internal/balancer/lifecycle.go
@@ -17,6 +17,8 @@
 	drainDelay         = 400 * time.Millisecond // clients still arrive for so long, and who is migrated earlier would come back
 	drainTimeout       = 3500 * time.Millisecond
 	emptyCheckInterval = 20 * time.Millisecond
+	// lastMigrationLead is how long before a shutdown's end the last sessions are migrated: lines of their servers may be on their way.
+	lastMigrationLead = 350 * time.Millisecond
 )
 
 // OutOfService drains the balancer, which goes on running. Whatever is asked after it has returned finds it draining.
@@ -98,7 +100,7 @@
 	if l.readySuccessor() != nil {
 		l.handOverAll()
 	}
-	l.drain(delay, timeout)
+	l.drain(delay, max(delay, timeout-lastMigrationLead))
 	l.relay.EndMigrations(timeout)
 	l.after(timeout, l.endWaiting)
 	if sharesListener {
