--- a/cmd/sabletally/soak_stalls_test.go
+++ b/cmd/sabletally/soak_stalls_test.go
@@ -60,6 +60,22 @@
 	return to.Sub(from) > bound+soakSlack+min(heldUp, m.longestStall())
 }
 
+// wasHeldUp reports whether the test, and so its servers, was held up just before a time for longer than lines on their way are waited for.
+func (m *model) wasHeldUp(at time.Time) bool {
+	const (
+		waitedFor = 300 * time.Millisecond
+		before    = time.Second
+	)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.stalls {
+		if s.to.Sub(s.from) > waitedFor && s.overlaps(at.Add(-before), at) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s stall) overlaps(from, to time.Time) bool { return s.from.Before(to) && s.to.After(from) }
 
 // watchProcess notes for how long a balancer's busiest thread waited for a processor in each short while.
