--- a/review/rig/refused.go
+++ b/review/rig/refused.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -33,17 +34,20 @@
 	c.effects[key] = append(c.effects[key], id+" at "+uid)
 }
 
-// ranAndRefused: three balancers are a fleet that records the sessions of a class whose repeats the servers of one cell drop. At two of
-// four servers connections are reset under requests that have begun. One balancer is killed. Without the trouble none is.
+// ranAndRefused: three balancers are a fleet that records the sessions of a class whose repeats the servers of one cell drop. At one of five
+// servers three of four connections are reset under requests that have begun, for six seconds. Half a second after that has begun one
+// balancer is killed. Without the trouble none is.
 func ranAndRefused(r *rig) string {
 	a := r.startAgent()
 	known := &cell{ran: map[string]time.Time{}, at: map[string]string{}, effects: map[string][]string{}}
-	for n := range 4 {
+	var failing atomic.Bool
+	var count atomic.Int64
+	for n := range 5 {
 		s := r.serve(fmt.Sprintf("s%d", n))
 		s.onOpen = func(s *server, c net.Conn, line string) {
 			words := strings.Fields(line)
 			known.run(s.uid, words[1], words[2])
-			if n < 2 {
+			if n == 0 && failing.Load() && count.Add(1)%4 > 0 {
 				time.Sleep(600 * time.Millisecond)
 				r.note("server %s: resets %s", s.uid, words[1])
 				_ = c.(*net.TCPConn).SetLinger(0)
@@ -96,14 +100,19 @@
 			time.Sleep(time.Duration(wait) * time.Millisecond)
 		}
 	}
-	for n := range 80 {
-		if n == 40 && r.trouble {
+	for n := range 480 { // 60 a second
+		switch {
+		case n == 120:
+			failing.Store(true)
+			r.note("server s0 begins to fail")
+		case n == 150 && r.trouble:
 			procs[2].signal(syscall.SIGKILL)
 		}
 		clients.Add(1)
 		go operation(n)
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(time.Second / 60)
 	}
+	failing.Store(false)
 	clients.Wait()
 	twice := 0
 	known.mu.Lock()
