A hot restart's old process logs the state that it sends and what the link refuses

The logs could not tell whether the service state was never sent to the successor, or was sent and lost: the link drops a message without descriptors that is too large or comes too late without a line. Change: 'state sent to the other process' for each state, 'state not sent ...' where the link refuses it.

--- a/internal/balancer/handover_successor.go
+++ b/internal/balancer/handover_successor.go
@@ -54,7 +54,16 @@
 	l.successorLinked.Store(true)
 	l.log.Info("successor connected")
 	l.setMemoryShare(true)
-	link.Send(hotrestart.Message{Kind: hotrestart.Hello, State: l.stateForSuccessor()}, nil)
+	l.sendState(link, l.stateForSuccessor())
+}
+
+// sendState sends state to the other process, and logs what was sent or that the link has refused it.
+func (l *Loop) sendState(link *hotrestart.Link, state *hotrestart.State) {
+	fields := []zap.Field{zap.Bool("out", state.OutOfService), zap.Int("servers", len(state.Servers))}
+	l.log.Info("state sent to the other process", fields...)
+	link.Send(hotrestart.Message{Kind: hotrestart.Hello, State: state}, func(hotrestart.Outcome) {
+		l.log.Warn("state not sent to the other process: the message is too large or the link has ended", fields...)
+	})
 }
 
 // stateForSuccessor returns the state to hand over: the service state, and the probe times that a successor would be slow to measure.
