Both processes of a hot restart follow an operators' call made at either of them

Cause: the service state crossed once, in the first message when the link opened; no later request reached the other process, in neither direction. During the shutdown an out-of-service was answered 200 and dropped, an in-service refused. A request to either process is sent to the other one, and the newest is in force in both. A process that shuts down passes requests on to its successor and does not end before they are written; after that it refuses them (409). The message is the first one again, so a successor of an earlier release learns of a drain too; one that sends no time is taken over as before.

--- a/internal/balancer/handover.go
+++ b/internal/balancer/handover.go
@@ -33,6 +33,8 @@
 	pending int
 	// unconfirmed counts sessions and clients that were sent to the successor and that it never confirmed.
 	unconfirmed int
+	// stateApplied is set once the predecessor's state has been applied.
+	stateApplied bool
 }
 
 // StartHandover connects to the predecessor, the old process of this balancer, which may hand over its sessions. Once the predecessor
@@ -86,6 +88,33 @@
 	}
 }
 
+// otherProcess returns the link to the other process of a hot restart, nil if there is none. A process with a predecessor has no
+// successor.
+func (l *Loop) otherProcess() *hotrestart.Link {
+	switch {
+	case l.handover == nil:
+		return nil
+	case l.handover.predecessor != nil:
+		return l.handover.predecessor
+	}
+	return l.handover.successor
+}
+
+// sendState sends state to the other process, and logs what was sent or that the link has refused it. done, if not nil, is called once
+// the state was written or refused.
+func (l *Loop) sendState(link *hotrestart.Link, state *hotrestart.State, done func()) {
+	fields := []zap.Field{zap.Bool("out", state.OutOfService), zap.Int("servers", len(state.Servers))}
+	l.log.Info("state sent to the other process", fields...)
+	link.Send(hotrestart.Message{Kind: hotrestart.StateUpdate, State: state}, func(outcome hotrestart.Outcome) {
+		if outcome != hotrestart.Written {
+			l.log.Warn("state not sent to the other process: the message is too large or the link has ended", fields...)
+		}
+		if done != nil {
+			done()
+		}
+	})
+}
+
 // HasSuccessor reports whether a successor is connected to this process.
 func (l *Loop) HasSuccessor() bool { return l.successorLinked.Load() }
 
--- a/internal/balancer/handover_predecessor.go
+++ b/internal/balancer/handover_predecessor.go
@@ -65,7 +65,7 @@
 		m.Pair.Server.FD = descriptors[1]
 		l.takeOverSession(m)
 		return
-	case m.Kind == hotrestart.Hello && m.State != nil:
+	case m.Kind == hotrestart.StateUpdate && m.State != nil:
 		l.applyState(m.State)
 	case m.Kind == hotrestart.DescriptorCount:
 		l.peerDescriptors.Store(m.DescriptorCount)
@@ -73,15 +73,19 @@
 	closeDescriptors(descriptors)
 }
 
-// applyState applies the state that the predecessor hands over.
+// applyState applies the state that the predecessor hands over, and later changes of it.
 func (l *Loop) applyState(state *hotrestart.State) {
-	l.policy.PauseSlowStart() // the policy does not know the sessions that the predecessor has just sent to warming servers
+	l.mergeServiceState(state, true)
+	if l.handover.stateApplied && len(state.Servers) == 0 {
+		return
+	}
+	if !l.handover.stateApplied {
+		l.policy.PauseSlowStart() // the policy does not know the sessions that the predecessor has just sent to warming servers
+		l.handover.stateApplied = true
+	}
 	for _, times := range state.Servers {
 		l.applyProbeTimes(times)
 	}
-	if state.OutOfService {
-		l.inheritOutOfService()
-	}
 	l.log.Info("state of predecessor applied", zap.Int("servers", len(state.Servers)), zap.Bool("out", state.OutOfService))
 }
 
--- a/internal/balancer/handover_successor.go
+++ b/internal/balancer/handover_successor.go
@@ -54,21 +54,12 @@
 	l.successorLinked.Store(true)
 	l.log.Info("successor connected")
 	l.setMemoryShare(true)
-	l.sendState(link, l.stateForSuccessor())
-}
-
-// sendState sends state to the other process, and logs what was sent or that the link has refused it.
-func (l *Loop) sendState(link *hotrestart.Link, state *hotrestart.State) {
-	fields := []zap.Field{zap.Bool("out", state.OutOfService), zap.Int("servers", len(state.Servers))}
-	l.log.Info("state sent to the other process", fields...)
-	link.Send(hotrestart.Message{Kind: hotrestart.Hello, State: state}, func(hotrestart.Outcome) {
-		l.log.Warn("state not sent to the other process: the message is too large or the link has ended", fields...)
-	})
+	l.sendState(link, l.stateForSuccessor(), nil)
 }
 
 // stateForSuccessor returns the state to hand over: the service state, and the probe times that a successor would be slow to measure.
 func (l *Loop) stateForSuccessor() *hotrestart.State {
-	state := &hotrestart.State{OutOfService: l.isOutOfService()}
+	state := l.announcedState()
 	for _, server := range l.servers {
 		times := &server.probeTimes
 		if len(times.shortest) == 0 || server.state == policy.Removed {
@@ -100,6 +91,10 @@
 		if l.isShuttingDown() { // the shutdown began before this message arrived
 			l.handOverAll()
 		}
+	case hotrestart.StateUpdate:
+		if m.State != nil {
+			l.mergeServiceState(m.State, false)
+		}
 	case hotrestart.DescriptorCount:
 		l.peerDescriptors.Store(m.DescriptorCount)
 	}
--- a/internal/balancer/lifecycle.go
+++ b/internal/balancer/lifecycle.go
@@ -10,8 +10,8 @@
 	"sabletally/internal/protocol"
 )
 
-// This file drains a balancer, puts it back into service, and shuts it down. A drain, a shutdown and a hot restart all drain the
-// policy, which decides when each session is migrated.
+// This file drains a balancer and shuts it down. A drain, a shutdown and a hot restart all drain the policy, which decides when each
+// session is migrated.
 
 const (
 	// drainDelay is how long after the start of a drain the first sessions are migrated. New clients still arrive for that long, so
@@ -25,50 +25,6 @@
 	lastMigrationLead = 350 * time.Millisecond
 )
 
-// OutOfService drains the balancer, which keeps running. Any readiness check after it has returned sees the balancer out of service.
-func (l *Loop) OutOfService() error { return l.setOutOfService(true) }
-
-// InService makes the balancer accept clients again. It ends a drain, even an unfinished one.
-func (l *Loop) InService() error { return l.setOutOfService(false) }
-
-// setOutOfService posts its event under the lock, so that the loop handles concurrent calls in their order.
-func (l *Loop) setOutOfService(out bool) error {
-	l.serviceMu.Lock()
-	defer l.serviceMu.Unlock()
-	switch {
-	case l.service.shuttingDown && out: // a shutdown drains the balancer already
-		return nil
-	case l.service.shuttingDown:
-		return errShuttingDown
-	case l.service == serviceState{outOfService: out}: // nothing changes; an inherited drain differs in inherited
-		return nil
-	}
-	l.service.outOfService = out
-	l.service.inherited = false
-	if out {
-		l.post(event{run: l.startDrain})
-	} else {
-		l.post(event{run: l.stopDrain})
-	}
-	return nil
-}
-
-// startDrain starts the drain of a balancer that an operator has taken out of service.
-func (l *Loop) startDrain() {
-	l.Drains.Add(1)
-	l.log.Info("out of service",
-		zap.Duration("within", drainTimeout),
-		zap.Int("open", l.openSessions),
-		zap.Int("held", len(l.sessions)))
-	l.drain(drainDelay, drainTimeout)
-}
-
-// stopDrain ends the drain of a balancer that an operator has put back into service.
-func (l *Loop) stopDrain() {
-	l.log.Info("in service", zap.Int("open", l.openSessions))
-	l.policy.StopDraining()
-}
-
 // drain has the policy migrate all sessions, from delay until timeout after now.
 func (l *Loop) drain(delay, timeout time.Duration) {
 	l.policy.StartDraining(l.now+delay, l.now+timeout)
@@ -131,7 +87,7 @@
 
 // notifyWhenEmpty calls done once the balancer is empty.
 func (l *Loop) notifyWhenEmpty(done func()) {
-	if !l.isEmpty() {
+	if !l.isEmpty() || !l.closeServiceState() {
 		l.after(emptyCheckInterval, func() { l.notifyWhenEmpty(done) })
 		return
 	}
--- a/internal/balancer/readiness.go
+++ b/internal/balancer/readiness.go
@@ -7,10 +7,11 @@
 
 	"go.uber.org/zap"
 
+	"sabletally/internal/fleet/boottime"
 	"sabletally/internal/protocol"
 )
 
-// This file tracks whether the balancer is ready for clients, and the service state that operators set.
+// This file tracks whether the balancer is ready for clients.
 
 // readyTimeout is the time after its start at which a balancer becomes ready even without an endpoint list.
 const readyTimeout = 2 * time.Second
@@ -20,13 +21,6 @@
 	errShuttingDown = errors.New("leaving: this process was told to end and takes no clients any more")
 )
 
-// serviceState is the state that operators and the platform have requested for this process. It is read without waiting for the loop.
-type serviceState struct {
-	outOfService bool // an operator has taken the balancer out of service
-	inherited    bool // outOfService was set for the predecessor and taken over from it
-	shuttingDown bool // the process is ending, whatever operators request
-}
-
 // Ready returns nil if the balancer is ready for clients, otherwise an error with the reason.
 func (l *Loop) Ready() error {
 	l.serviceMu.Lock()
@@ -101,7 +95,7 @@
 // set for this process takes precedence.
 func (l *Loop) RestoreServiceState(outOfService bool) {
 	l.post(event{run: func() {
-		if outOfService && l.setInitialState(serviceState{outOfService: true}) {
+		if outOfService && l.setInitialState(serviceState{outOfService: true, requestedAt: boottime.Now()}) {
 			l.Drains.Add(1)
 			l.log.Info("out of service, by the stored service state")
 			l.drain(drainDelay, drainTimeout)
@@ -114,7 +108,7 @@
 func (l *Loop) setInitialState(state serviceState) bool {
 	l.serviceMu.Lock()
 	defer l.serviceMu.Unlock()
-	if l.service != (serviceState{}) {
+	if l.service.requestedAt != 0 || l.service.shuttingDown {
 		return false
 	}
 	l.service = state
@@ -128,10 +122,3 @@
 		l.markReady()
 	}
 }
-
-// inheritOutOfService takes this process out of service, as its predecessor was.
-func (l *Loop) inheritOutOfService() {
-	if l.setInitialState(serviceState{outOfService: true, inherited: true}) {
-		l.drain(drainDelay, drainTimeout)
-	}
-}
--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -15,7 +15,7 @@
 // goldenMessages returns messages of each kind, with all fields set and with none, in the order of testdata/messages.jsonl.
 func goldenMessages() []Message {
 	return []Message{
-		{Version: protocolVersion, Kind: Hello, State: &State{
+		{Version: protocolVersion, Kind: StateUpdate, State: &State{
 			OutOfService: true,
 			Servers: []ProbeTimes{
 				{UID: "s-1", BootMillis: 1700000000123, LastDuration: 3 * time.Millisecond, PreviousDuration: 5 * time.Millisecond,
@@ -23,7 +23,7 @@
 				{UID: "s-2"},
 			},
 		}},
-		{Version: protocolVersion, Kind: Hello, State: &State{}},
+		{Version: protocolVersion, Kind: StateUpdate, State: &State{}},
 		{Version: protocolVersion, Kind: Ready, Confirms: true},
 		{Version: protocolVersion, Kind: Ready},
 		{Version: protocolVersion, Kind: DescriptorCount, DescriptorCount: 321},
@@ -39,6 +39,7 @@
 		{Version: protocolVersion, Kind: Client, Input: []byte("PING\r\nOP")},
 		{Version: protocolVersion, Kind: Client},
 		{Version: protocolVersion, Kind: confirmation},
+		{Version: protocolVersion, Kind: StateUpdate, State: &State{OutOfService: true, RequestedAt: 90 * time.Second}},
 	}
 }
 
--- a/internal/hotrestart/message.go
+++ b/internal/hotrestart/message.go
@@ -14,8 +14,9 @@
 
 // Kinds of messages. The old process is the one that is being replaced, the new process the one that replaces it.
 const (
-	// Hello goes from old to new, once, with state that the new process would otherwise learn slowly.
-	Hello Kind = 1 + iota
+	// StateUpdate goes both ways, with the service state: from old to new when the link opens, with all that the new process would
+	// otherwise learn slowly, and from either to the other at each request of an operator. Earlier releases send and expect only the first.
+	StateUpdate Kind = 1 + iota
 	// Ready goes from new to old: the new process can take over sessions and clients.
 	Ready
 	// DescriptorCount goes both ways, with the number of descriptors that the sender holds open.
@@ -35,7 +36,7 @@
 type Message struct {
 	Version int    `json:"V"`
 	Kind    Kind   `json:"Kind"`
-	State   *State `json:"Known,omitempty"` // state that a Hello message carries
+	State   *State `json:"Known,omitempty"` // state that a StateUpdate carries
 	// DescriptorCount is the number of descriptors that the sender holds open.
 	DescriptorCount int64 `json:"Descriptors,omitempty"`
 	// Confirms is set in Ready if the sender confirms each message with descriptors before it uses them.
@@ -50,10 +51,13 @@
 	Pair *relay.PairState `json:"Pair,omitempty"`
 }
 
-// State is what a new process would otherwise learn slowly.
+// State is what the processes of a hot restart tell each other: the service state, and what a new process would otherwise learn slowly.
 type State struct {
-	OutOfService bool         `json:"Out"` // whether an operator has taken the balancer out of service
-	Servers      []ProbeTimes `json:"Servers"`
+	OutOfService bool `json:"Out"` // whether an operator has taken the balancer out of service
+	// RequestedAt is the boot time of the operators' latest request, which orders the requests to both processes. It is 0 if there was
+	// none, and in messages of earlier releases.
+	RequestedAt time.Duration `json:"OutAt,omitempty"`
+	Servers     []ProbeTimes  `json:"Servers"`
 }
 
 // ProbeTimes is what the old process has learned about a server from its probes.
@@ -69,17 +73,21 @@
 	SpeedStep int `json:"Pace"`
 }
 
-// Outcome is the result of sending a message with descriptors.
+// Outcome is the result of sending a message.
 type Outcome uint8
 
 const (
-	// Confirmed means that the other process has received the descriptors and has confirmed them.
+	// Confirmed means that the other process has received the message's descriptors and has confirmed them.
 	Confirmed Outcome = iota
-	// Returned means that the other process does not have the descriptors and will not receive them. The caller owns them again.
+	// Returned means that the other process does not have the message and its descriptors and will not receive them. The caller owns the
+	// descriptors again.
 	Returned
 	// Unconfirmed means that the message was sent, but the other process neither confirmed it nor ended in time. It may still use the
 	// descriptors.
 	Unconfirmed
+	// Written means that a message without descriptors was written to the link. The other process reads it, unless it ends or hangs, even
+	// if this process ends.
+	Written
 )
 
 func (o Outcome) String() string {
@@ -88,6 +96,8 @@
 		return "confirmed"
 	case Returned:
 		return "returned"
+	case Written:
+		return "written"
 	}
 	return "unconfirmed"
 }
--- a/internal/hotrestart/sender.go
+++ b/internal/hotrestart/sender.go
@@ -61,6 +61,9 @@
 	_ = l.conn.SetWriteDeadline(time.Now().Add(confirmTimeout)) // the call fails only on a closed connection, which the write reports
 	_, _, err := l.conn.WriteMsgUnix(out.payload, controlData, nil)
 	if err == nil {
+		if len(out.descriptors) == 0 {
+			out.settle(Written)
+		}
 		return
 	}
 	if len(out.descriptors) > 0 {
