An operators' drain keeps its time over a hot restart and a SIGTERM

Cause: the service state crossed without its time, so the new process drained for 3.5 s from when it learned of it; and a shutdown replaced a drain's window by its own, up to 3.05 s from the signal. Change: the state carries the boot time of the request that began the drain (a repeated one does not prolong it), and the window is computed from that in both processes. A shutdown's window ends no later than that of the operators' drain. Test: TestADrainEndsInTime, 2 s into a drain of 48 sessions. TestARepeatedRequestKeepsTheDrainsTime holds the rule by value.

--- a/cmd/sabletally/service_state_test.go
+++ b/cmd/sabletally/service_state_test.go
@@ -55,11 +55,17 @@
 // expectMigrated waits until each client has got MOVE, which must come until the given time.
 func (s *site) expectMigrated(clients []*testClient, until time.Time) {
 	s.t.Helper()
-	held := 0
+	lines := make(chan string, len(clients))
 	for _, a := range clients {
 		_ = a.SetReadDeadline(until)
-		if got, err := a.r.ReadString('\n'); got != "MOVE\r\n" {
-			s.t.Logf("a client got %q, %v, want MOVE", got, err)
+		go func() { // a read after the deadline fails even if the line has come
+			line, _ := a.r.ReadString('\n')
+			lines <- line
+		}()
+	}
+	held := 0
+	for range clients {
+		if <-lines != "MOVE\r\n" {
 			held++
 		}
 	}
@@ -193,3 +199,35 @@
 	waitForExit(t, old)
 	s.expectPings("NO", time.Now())
 }
+
+// TestADrainEndsInTime restarts a balancer hot, or ends it, two seconds into an operator's drain. It guards against a drain whose time begins anew, so
+// that clients are held for longer than the operators' 4 s.
+func TestADrainEndsInTime(t *testing.T) {
+	for name, c := range map[string]struct {
+		env []string
+		end func(s *site)
+	}{
+		"a hot restart": {
+			env: []string{"MGMT", "SHARED", "SABLETALLY_FILES=1024"},
+			end: func(s *site) { _ = s.newSuccessor().Signal(syscall.SIGTERM) },
+		},
+		"the end of a process whose classes have long deadlines": {
+			env: []string{"MGMT", "LONG", "SABLETALLY_FILES=1024"},
+			end: func(s *site) { _ = s.child.Signal(syscall.SIGTERM) },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startSite(t, c.env, "s-1")
+			var clients []*testClient
+			for range 48 {
+				a, _ := s.establish()
+				clients = append(clients, a)
+			}
+			until := time.Now().Add(drainedWithin)
+			s.expectOK("PUT", "/control/out-of-service")
+			time.Sleep(2 * time.Second)
+			c.end(s)
+			s.expectMigrated(clients, until)
+		})
+	}
+}
--- a/internal/balancer/handover_successor.go
+++ b/internal/balancer/handover_successor.go
@@ -59,7 +59,7 @@
 
 // stateForSuccessor returns the state to hand over: the service state, and the probe times that a successor would be slow to measure.
 func (l *Loop) stateForSuccessor() *hotrestart.State {
-	state := l.announcedState()
+	state := l.currentService().announcement()
 	for _, server := range l.servers {
 		times := &server.probeTimes
 		if len(times.shortest) == 0 || server.state == policy.Removed {
--- a/internal/balancer/lifecycle.go
+++ b/internal/balancer/lifecycle.go
@@ -25,9 +25,17 @@
 	lastMigrationLead = 350 * time.Millisecond
 )
 
-// drain has the policy migrate all sessions, from delay until timeout after now.
-func (l *Loop) drain(delay, timeout time.Duration) {
-	l.policy.StartDraining(l.now+delay, l.now+timeout)
+// drainWindow is the loop time in which a drain migrates all sessions, evenly from its start to its end. Either may have passed.
+type drainWindow struct{ from, until time.Duration }
+
+// orEarlier returns a window that begins and ends no later than either window.
+func (w drainWindow) orEarlier(other drainWindow) drainWindow {
+	return drainWindow{from: min(w.from, other.from), until: min(w.until, other.until)}
+}
+
+// drain has the policy migrate all sessions within a window.
+func (l *Loop) drain(window drainWindow) {
+	l.policy.StartDraining(window.from, window.until)
 	for _, session := range l.sessions {
 		if session.reattaching { // the policy does not know the session, which could wait for longer than the drain lasts
 			l.failSession(session, protocol.FailLine)
@@ -51,6 +59,7 @@
 }
 
 func (l *Loop) startShutdown(delay, timeout time.Duration, sharesListener bool, done func()) {
+	state := l.currentService()
 	l.log.Info("shutting down",
 		zap.Duration("within", timeout),
 		zap.Bool("shared", sharesListener),
@@ -62,7 +71,11 @@
 	if l.readySuccessor() != nil {
 		l.handOverAll()
 	}
-	l.drain(delay, max(delay, timeout-lastMigrationLead))
+	window := drainWindow{from: l.now + delay, until: l.now + max(delay, timeout-lastMigrationLead)}
+	if state.outOfService { // the sessions are due by the end of the operators' drain
+		window = window.orEarlier(l.operatorsDrain(state))
+	}
+	l.drain(window)
 	l.relay.SetMigrationDeadline(timeout)
 	l.after(timeout, l.endPendingSessions)
 	if sharesListener {
--- a/internal/balancer/readiness.go
+++ b/internal/balancer/readiness.go
@@ -39,17 +39,9 @@
 	}
 }
 
-func (l *Loop) isOutOfService() bool {
-	l.serviceMu.Lock()
-	defer l.serviceMu.Unlock()
-	return l.service.outOfService
-}
+func (l *Loop) isOutOfService() bool { return l.currentService().outOfService }
 
-func (l *Loop) isShuttingDown() bool {
-	l.serviceMu.Lock()
-	defer l.serviceMu.Unlock()
-	return l.service.shuttingDown
-}
+func (l *Loop) isShuttingDown() bool { return l.currentService().shuttingDown }
 
 // markReady makes the balancer ready and answers pending PINGs. While the service state is still awaited, it only records that the
 // balancer is otherwise ready.
@@ -95,10 +87,11 @@
 // set for this process takes precedence.
 func (l *Loop) RestoreServiceState(outOfService bool) {
 	l.post(event{run: func() {
-		if outOfService && l.setInitialState(serviceState{outOfService: true, requestedAt: boottime.Now()}) {
+		now := boottime.Now()
+		if outOfService && l.setInitialState(serviceState{outOfService: true, requestedAt: now, drainSince: now}) {
 			l.Drains.Add(1)
 			l.log.Info("out of service, by the stored service state")
-			l.drain(drainDelay, drainTimeout)
+			l.followServiceState(serviceState{})
 		}
 		l.serviceStateKnown()
 	}})
--- a/internal/balancer/service_state.go
+++ b/internal/balancer/service_state.go
@@ -21,11 +21,15 @@
 	closed bool
 
 	requestedAt   time.Duration // boot time of the operators' latest request to either process; 0 without a request
+	drainSince    time.Duration // boot time of the request that took the balancer out of service, which later ones do not change
 	announcements int           // requests that are still to be sent to the other process
 }
 
 // request returns the state after an operator's request at boot time now.
 func (s serviceState) request(outOfService bool, now time.Duration) serviceState {
+	if outOfService && !s.outOfService {
+		s.drainSince = now
+	}
 	s.outOfService = outOfService
 	s.inherited = false
 	s.requestedAt = now
@@ -41,14 +45,20 @@
 	s.outOfService = announced.OutOfService
 	s.inherited = announced.OutOfService && fromPredecessor
 	s.requestedAt = announced.RequestedAt
+	s.drainSince = announced.DrainSince
 	return s
 }
 
-// announcedState returns the service state as a message to the other process of a hot restart.
-func (l *Loop) announcedState() *hotrestart.State {
+// announcement returns the state as a message to the other process of a hot restart.
+func (s serviceState) announcement() *hotrestart.State {
+	return &hotrestart.State{OutOfService: s.outOfService, RequestedAt: s.requestedAt, DrainSince: s.drainSince}
+}
+
+// currentService returns the service state as of now.
+func (l *Loop) currentService() serviceState {
 	l.serviceMu.Lock()
 	defer l.serviceMu.Unlock()
-	return &hotrestart.State{OutOfService: l.service.outOfService, RequestedAt: l.service.requestedAt}
+	return l.service
 }
 
 // OutOfService drains the balancer, which keeps running. Any readiness check after it has returned sees the balancer out of service.
@@ -101,7 +111,7 @@
 		l.announcementDone()
 		return
 	}
-	l.sendState(link, l.announcedState(), func() { l.post(event{run: l.announcementDone}) })
+	l.sendState(link, l.currentService().announcement(), func() { l.post(event{run: l.announcementDone}) })
 }
 
 // announcementDone records that a request was announced to the other process, or that there is none to announce it to.
@@ -125,7 +135,8 @@
 // mergeServiceState applies the service state that the other process of a hot restart has announced.
 func (l *Loop) mergeServiceState(announced *hotrestart.State, fromPredecessor bool) {
 	if announced.OutOfService && announced.RequestedAt == 0 { // announced by an earlier release, which does not send the time
-		if l.setInitialState(serviceState{outOfService: true, inherited: true, requestedAt: boottime.Now()}) {
+		now := boottime.Now()
+		if l.setInitialState(serviceState{outOfService: true, inherited: true, requestedAt: now, drainSince: now}) {
 			l.followServiceState(serviceState{})
 		}
 		return
@@ -147,14 +158,17 @@
 // followServiceState has the policy drain, or stop draining, where the service state differs from the previous one. A shutdown drains for
 // good.
 func (l *Loop) followServiceState(previous serviceState) {
-	l.serviceMu.Lock()
-	state := l.service
-	l.serviceMu.Unlock()
-	switch {
-	case state.shuttingDown || state.outOfService == previous.outOfService:
-	case state.outOfService:
-		l.drain(drainDelay, drainTimeout)
-	default:
+	switch state := l.currentService(); {
+	case state.shuttingDown:
+	case state.outOfService && (!previous.outOfService || state.drainSince != previous.drainSince):
+		l.drain(l.operatorsDrain(state))
+	case !state.outOfService && previous.outOfService:
 		l.policy.StopDraining()
 	}
 }
+
+// operatorsDrain returns the window of a drain that an operator has requested from this process, or from the other one of a hot restart.
+func (l *Loop) operatorsDrain(state serviceState) drainWindow {
+	start := l.now - max(0, boottime.Now()-state.drainSince)
+	return drainWindow{from: start + drainDelay, until: start + drainTimeout}
+}
--- a/internal/balancer/service_state_test.go
+++ b/internal/balancer/service_state_test.go
@@ -72,3 +72,18 @@
 		t.Error("the predecessor's state has replaced a request to this process")
 	}
 }
+
+// TestARepeatedRequestKeepsTheDrainsTime guards against a drain that an operator, or the other process, prolongs by asking for it again.
+func TestARepeatedRequestKeepsTheDrainsTime(t *testing.T) {
+	drained := serviceState{}.request(true, 3*time.Second)
+	repeated := drained.request(true, 5*time.Second)
+	if repeated.drainSince != 3*time.Second || repeated.requestedAt != 5*time.Second {
+		t.Errorf("requested at 3s and 5s: %+v", repeated)
+	}
+	if got := drained.merge(repeated.announcement(), false); got != repeated {
+		t.Errorf("the other process has %+v, want %+v", got, repeated)
+	}
+	if again := repeated.request(false, 6*time.Second).request(true, 7*time.Second); again.drainSince != 7*time.Second {
+		t.Errorf("drained again at 7s: %+v", again)
+	}
+}
--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -39,7 +39,7 @@
 		{Version: protocolVersion, Kind: Client, Input: []byte("PING\r\nOP")},
 		{Version: protocolVersion, Kind: Client},
 		{Version: protocolVersion, Kind: confirmation},
-		{Version: protocolVersion, Kind: StateUpdate, State: &State{OutOfService: true, RequestedAt: 90 * time.Second}},
+		{Version: protocolVersion, Kind: StateUpdate, State: &State{OutOfService: true, RequestedAt: 90 * time.Second, DrainSince: 80 * time.Second}},
 	}
 }
 
--- a/internal/hotrestart/message.go
+++ b/internal/hotrestart/message.go
@@ -57,7 +57,10 @@
 	// RequestedAt is the boot time of the operators' latest request, which orders the requests to both processes. It is 0 if there was
 	// none, and in messages of earlier releases.
 	RequestedAt time.Duration `json:"OutAt,omitempty"`
-	Servers     []ProbeTimes  `json:"Servers"`
+	// DrainSince is the boot time of the request that took the balancer out of service. It is 0 if there was none, and in messages of
+	// earlier releases.
+	DrainSince time.Duration `json:"OutSince,omitempty"`
+	Servers    []ProbeTimes  `json:"Servers"`
 }
 
 // ProbeTimes is what the old process has learned about a server from its probes.
