The state of a hot restart goes in parts, so that none is too large for the link

A balancer with some 1,500 servers or more whose probe times are known, drained and then upgraded, came back into service: the new process was told nothing. Cause: the service state shared one message with the probe times of all servers; the link refuses one over 160 KiB, without a line. Change: State.Parts. Each part fits and has the service state; a successor of an earlier release takes each as it took the one. Test: TestTheStateOfManyServersArrives, 5,000 servers. Before: 'i/o timeout after 0 of 5000 servers'. After: passes. TestPartsOfAStateFitMessages holds size and completeness. internal/balancer and internal/hotrestart pass.

--- a/internal/balancer/handover_predecessor.go
+++ b/internal/balancer/handover_predecessor.go
@@ -76,9 +76,6 @@
 // applyState applies the state that the predecessor hands over, and later changes of it.
 func (l *Loop) applyState(state *hotrestart.State) {
 	l.mergeServiceState(state, true)
-	if l.handover.stateApplied && len(state.Servers) == 0 {
-		return
-	}
 	if !l.handover.stateApplied {
 		l.policy.PauseSlowStart() // the policy does not know the sessions that the predecessor has just sent to warming servers
 		l.handover.stateApplied = true
--- a/internal/balancer/handover_successor.go
+++ b/internal/balancer/handover_successor.go
@@ -54,7 +54,9 @@
 	l.successorLinked.Store(true)
 	l.log.Info("successor connected")
 	l.setMemoryShare(true)
-	l.sendState(link, l.stateForSuccessor(), nil)
+	for _, part := range l.stateForSuccessor().Parts() {
+		l.sendState(link, part, nil)
+	}
 }
 
 // stateForSuccessor returns the state to hand over: the service state, and the probe times that a successor would be slow to measure.
--- a/internal/balancer/service_state_test.go
+++ b/internal/balancer/service_state_test.go
@@ -1,11 +1,15 @@
 package balancer
 
 import (
+	"encoding/json"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
+	"sabletally/internal/discovery"
 	"sabletally/internal/hotrestart"
+	"sabletally/policy"
 )
 
 // TestTheNewestServiceStateIsInForce guards against an announcement of the other process that replaces a newer request, or that is dropped although
@@ -87,3 +91,43 @@
 		t.Errorf("drained again at 7s: %+v", again)
 	}
 }
+
+// TestTheStateOfManyServersArrives hands over the state of more servers than one message has room for. It guards against a message that the link
+// refuses, with the service state in it.
+func TestTheStateOfManyServersArrives(t *testing.T) {
+	const servers = 5000
+	f := newHandoverFixture(t, 0)
+	if err := f.oldLoop.OutOfService(); err != nil {
+		t.Fatal(err)
+	}
+	runIn(f.oldLoop, func() {
+		for n := range servers {
+			server := &upstream{id: policy.EndpointID(1000 + n), entry: discovery.Endpoint{UID: fmt.Sprintf("server-%06d", n)}}
+			server.probeTimes = probeTimes{last: time.Second, previous: time.Second, shortest: []time.Duration{time.Second, time.Second, time.Second}}
+			f.oldLoop.servers[server.id] = server
+		}
+	})
+	successor := f.dialHangingSuccessor()
+	_ = successor.SetDeadline(time.Now().Add(testTimeout))
+	text := make([]byte, 256<<10)
+	named := map[string]bool{}
+	for len(named) < servers {
+		n, err := successor.Read(text)
+		if err != nil {
+			t.Fatalf("%v after %d of %d servers", err, len(named), servers)
+		}
+		var m hotrestart.Message
+		if err := json.Unmarshal(text[:n], &m); err != nil {
+			t.Fatal(err)
+		}
+		if m.State == nil {
+			continue
+		}
+		if !m.State.OutOfService {
+			t.Fatal("a part of the state does not say that the balancer is out of service")
+		}
+		for _, times := range m.State.Servers {
+			named[times.UID] = true
+		}
+	}
+}
--- a/internal/hotrestart/hotrestart_test.go
+++ b/internal/hotrestart/hotrestart_test.go
@@ -1,6 +1,7 @@
 package hotrestart
 
 import (
+	"encoding/json"
 	"io"
 	"net"
 	"os"
@@ -417,3 +418,40 @@
 		}
 	}
 }
+
+// Guards against a part of a state that exceeds the message limit, and against servers that are in no part or in two.
+func TestPartsOfAStateFitMessages(t *testing.T) {
+	for _, count := range []int{0, 1, 300, 5000} {
+		state := &State{OutOfService: true, RequestedAt: time.Second, DrainSince: time.Second}
+		for n := range count {
+			state.Servers = append(state.Servers, ProbeTimes{UID: strings.Repeat("u", n%300), BootMillis: int64(n), ShortestDurations: []time.Duration{1 << 60, 1 << 60, 1 << 60}})
+		}
+		next := int64(0)
+		for _, part := range state.Parts() {
+			if size := len(encode(t, Message{Version: protocolVersion, Kind: StateUpdate, State: part})); size > maxMessageSize {
+				t.Errorf("%d servers: a part has %d bytes", count, size)
+			}
+			if !part.OutOfService || part.RequestedAt != time.Second || part.DrainSince != time.Second {
+				t.Errorf("%d servers: a part has the service state %+v", count, part)
+			}
+			for _, times := range part.Servers {
+				if times.BootMillis != next {
+					t.Fatalf("%d servers: server %d where %d is next", count, times.BootMillis, next)
+				}
+				next++
+			}
+		}
+		if next != int64(count) {
+			t.Errorf("%d of %d servers", next, count)
+		}
+	}
+}
+
+func encode(t *testing.T, m Message) []byte {
+	t.Helper()
+	encoded, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return encoded
+}
--- a/internal/hotrestart/message.go
+++ b/internal/hotrestart/message.go
@@ -1,6 +1,7 @@
 package hotrestart
 
 import (
+	"encoding/json"
 	"time"
 
 	"sabletally/internal/relay"
@@ -9,6 +10,10 @@
 // protocolVersion is the version of the messages. A link ends when a message of another version arrives.
 const protocolVersion = 1
 
+// maxPartSize is the size in bytes up to which servers are put in one part of a state. It leaves room for the commas and the rest of the
+// message.
+const maxPartSize = maxMessageSize / 2
+
 // Kind is the kind of a message. The numbers are part of the wire format.
 type Kind uint8
 
@@ -63,6 +68,30 @@
 	Servers    []ProbeTimes  `json:"Servers"`
 }
 
+// Parts returns the state in messages that each fit the size limit. Every part has the service state, so that the first one that arrives
+// is enough for it.
+func (s *State) Parts() []*State {
+	newPart := func() *State {
+		return &State{OutOfService: s.OutOfService, RequestedAt: s.RequestedAt, DrainSince: s.DrainSince}
+	}
+	part := newPart()
+	parts := []*State{part}
+	size := 0
+	for _, times := range s.Servers {
+		encoded, err := json.Marshal(times)
+		if err != nil {
+			panic(err) // cannot happen: the fields are plain values
+		}
+		if size += len(encoded); size > maxPartSize && len(part.Servers) > 0 {
+			part = newPart()
+			parts = append(parts, part)
+			size = len(encoded)
+		}
+		part.Servers = append(part.Servers, times)
+	}
+	return parts
+}
+
 // ProbeTimes is what the old process has learned about a server from its probes.
 type ProbeTimes struct {
 	UID string `json:"UID"`
