A hot restart's old process hands its endpoint list over, and each later change

Cause: the two processes shared no list at all. The new one started from its configuration file's, which may be as old as the file, and discovery could not correct it. An earlier release at either end sees a message kind that it skips.

--- a/internal/balancer/endpoint_recovery.go
+++ b/internal/balancer/endpoint_recovery.go
@@ -28,13 +28,7 @@
 	if l.fleet == nil {
 		return
 	}
-	list := discovery.List{Revision: revision, Complete: true}
-	for _, server := range l.servers {
-		if server.state != policy.Removed {
-			list.Endpoints = append(list.Endpoints, server.entry)
-		}
-	}
-	l.fleet.SaveEndpointList(revision, discovery.Encode(list))
+	l.fleet.SaveEndpointList(revision, discovery.Encode(l.listInForce()))
 }
 
 // scheduleListRecovery loads the fleet's stored endpoint list if discovery has not answered within listRecoveryDelay.
--- a/internal/balancer/endpoints.go
+++ b/internal/balancer/endpoints.go
@@ -53,8 +53,10 @@
 		func(err error) { postIfWatched(func() { l.discoveryFailed(err) }) })
 	if isFirst { // the revisions of another discovery service are not comparable with those of the initial list
 		watch.StartFrom(l.initialList)
+		l.listPosition = listPosition{address: address, revision: l.initialList.Revision}
 		l.initialList = discovery.List{}
 	}
+	l.discoveryAddress = address
 	ctx, l.stopWatch = context.WithCancel(ctx)
 	l.watch = watch
 	if isFirst {
@@ -142,6 +144,12 @@
 		zap.Bool("whole", list.Complete),
 		zap.Int("entries", len(list.Endpoints)))
 	l.Lists.Add(1)
+	position := listPosition{address: l.discoveryAddress, revision: list.Revision}
+	isNew := position != l.listPosition
+	l.listPosition = position
+	if l.handover != nil && l.handover.successor != nil && isNew {
+		l.sendList(l.handover.successor, list)
+	}
 	l.saveList(list.Revision)
 	l.freshListDeadline = l.now
 	l.runDeferred()
--- a/internal/balancer/handover.go
+++ b/internal/balancer/handover.go
@@ -34,7 +34,8 @@
 	// unconfirmed counts sessions and clients that were sent to the successor and that it never confirmed.
 	unconfirmed int
 	// stateApplied is set once the predecessor's state has been applied.
-	stateApplied bool
+	stateApplied  bool
+	inheritedList inheritedList
 }
 
 // StartHandover connects to the predecessor, the old process of this balancer, which may hand over its sessions. Once the predecessor
--- a/internal/balancer/handover_predecessor.go
+++ b/internal/balancer/handover_predecessor.go
@@ -67,6 +67,8 @@
 		return
 	case m.Kind == hotrestart.StateUpdate && m.State != nil:
 		l.applyState(m.State)
+	case m.Kind == hotrestart.EndpointList && m.List != nil:
+		l.listPartReceived(m.List)
 	case m.Kind == hotrestart.DescriptorCount:
 		l.peerDescriptors.Store(m.DescriptorCount)
 	}
--- a/internal/balancer/handover_successor.go
+++ b/internal/balancer/handover_successor.go
@@ -57,6 +57,7 @@
 	for _, part := range l.stateForSuccessor().Parts() {
 		l.sendState(link, part, nil)
 	}
+	l.sendList(link, l.listInForce())
 }
 
 // stateForSuccessor returns the state to hand over: the service state, and the probe times that a successor would be slow to measure.
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -70,6 +70,8 @@
 	watch             *discovery.Watch
 	stopWatch         context.CancelFunc // stops watch
 	initialList       discovery.List     // endpoint list from before the start; empty once discovery is followed
+	listPosition      listPosition       // position of the endpoint list in force
+	discoveryAddress  string             // address of the discovery service that is followed
 	hasCurrentList    bool               // whether discovery has answered since the start
 	freshListDeadline time.Duration      // loop time until which requests wait for a fresh endpoint list
 	deferredRequests  []func()           // functions that wait for a fresh endpoint list
--- a/internal/hotrestart/message.go
+++ b/internal/hotrestart/message.go
@@ -32,6 +32,9 @@
 	Client
 	// confirmation goes from new to old: one Session or Client message has arrived.
 	confirmation
+	// EndpointList goes from old to new, with the endpoint list when the link opens and with each change that discovery announces later.
+	// Earlier releases neither send nor read it.
+	EndpointList
 )
 
 // descriptorsPerKind is the number of descriptors that accompany a message of each kind, none for kinds that are not listed.
@@ -44,6 +47,8 @@
 	State   *State `json:"Known,omitempty"` // state that a StateUpdate carries
 	// DescriptorCount is the number of descriptors that the sender holds open.
 	DescriptorCount int64 `json:"Descriptors,omitempty"`
+	// List is a part of the endpoint list.
+	List *ListPart `json:"List,omitempty"`
 	// Confirms is set in Ready if the sender confirms each message with descriptors before it uses them.
 	Confirms bool `json:"Confirms,omitempty"`
 	// Input is the complete first line of a session, or the input received so far from a client without a session.
@@ -92,6 +97,15 @@
 	return parts
 }
 
+// ListPart is a part of an endpoint list. The parts of a list are sent in order.
+type ListPart struct {
+	Discovery string `json:"Discovery"` // address of the discovery service that the list came from
+	Index     int    `json:"Part"`      // index of this part
+	Count     int    `json:"Parts"`     // number of parts of the list
+	// List has the revision and the part's endpoints, in the form of discovery's responses.
+	List json.RawMessage `json:"List"`
+}
+
 // ProbeTimes is what the old process has learned about a server from its probes.
 type ProbeTimes struct {
 	UID string `json:"UID"`
