--- a/internal/balancer/endpoint_recovery.go
+++ b/internal/balancer/endpoint_recovery.go
@@ -23,12 +23,13 @@
 	checkRoundInterval  = time.Second
 )
 
-// saveList saves the current endpoint list in the fleet, under discovery's revision.
-func (l *Loop) saveList(revision uint64) {
+// saveList saves the endpoint list in force in the fleet, under discovery's revision.
+func (l *Loop) saveList() {
 	if l.fleet == nil {
 		return
 	}
-	l.fleet.SaveEndpointList(revision, discovery.Encode(l.listInForce()))
+	list := l.listInForce()
+	l.fleet.SaveEndpointList(list.Revision, discovery.Encode(list))
 }
 
 // scheduleListRecovery loads the fleet's stored endpoint list if discovery has not answered within listRecoveryDelay.
@@ -62,10 +63,11 @@
 	switch {
 	case err != nil:
 		logUse("unreadable")
-	case l.hasCurrentList || l.hasInitialListSince(saved.Revision):
+	case l.hasCurrentList || l.hasListSince(saved.Revision):
 		logUse("not needed")
 	case age <= maxUncheckedAge:
 		logUse("used")
+		l.listPosition = listPosition{address: l.discoveryAddress, revision: saved.Revision}
 		l.useRecoveredList(list)
 	case age <= maxAge:
 		logUse("asked one by one")
@@ -75,9 +77,10 @@
 	}
 }
 
-// hasInitialListSince reports whether the list from before the start is at least as new as revision.
-func (l *Loop) hasInitialListSince(revision uint64) bool {
-	return l.initialList.Complete && l.initialList.Revision >= revision && len(l.initialList.Endpoints) > 0
+// hasListSince reports whether the list in force is at least as new as revision. It may be from the configuration file or the predecessor
+// of a hot restart.
+func (l *Loop) hasListSince(revision uint64) bool {
+	return l.listPosition.revision >= revision && len(l.listInForce().Endpoints) > 0
 }
 
 // useRecoveredList applies a recovered list, which is enough for the balancer to be ready.
--- a/internal/balancer/endpoints.go
+++ b/internal/balancer/endpoints.go
@@ -53,7 +53,10 @@
 		func(err error) { postIfWatched(func() { l.discoveryFailed(err) }) })
 	if isFirst { // the revisions of another discovery service are not comparable with those of the initial list
 		watch.StartFrom(l.initialList)
-		l.listPosition = listPosition{address: address, revision: l.initialList.Revision}
+		l.listPosition = listPosition{address: address}
+		if l.initialList.Complete {
+			l.listPosition.revision = l.initialList.Revision
+		}
 		l.initialList = discovery.List{}
 	}
 	l.discoveryAddress = address
@@ -150,7 +153,7 @@
 	if l.handover != nil && l.handover.successor != nil && isNew {
 		l.sendList(l.handover.successor, list)
 	}
-	l.saveList(list.Revision)
+	l.saveList()
 	l.freshListDeadline = l.now
 	l.runDeferred()
 	if !l.hasCurrentList {
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -69,7 +69,7 @@
 	serversByUID      map[string]*upstream
 	watch             *discovery.Watch
 	stopWatch         context.CancelFunc // stops watch
-	initialList       discovery.List     // endpoint list from before the start; empty once discovery is followed
+	initialList       discovery.List     // endpoint list from before the start, from which the first watch starts; then empty
 	listPosition      listPosition       // position of the endpoint list in force
 	discoveryAddress  string             // address of the discovery service that is followed
 	hasCurrentList    bool               // whether discovery has answered since the start
