A hot restart's new process leaves warming servers to the old one while that takes clients

What callers would see: by reading and by test, no caller is known. Both processes of an upgrade that lasts longer than one overload window (1.5 s at our sites) fill a warming server out of the whole share of their balancer, up to twice what it may send. Cause: the new process pauses its slow start for a window after the old one's first message and after its end, and knows nothing of the time between. Change: the descriptor counts, five times a second, say whether the sender has ceased to take clients; as long as the old process has not, the new one's pause begins anew. An earlier release does not say so and counts as taking clients until it has ended. Test: TestOneProcessOfAHotRestartFillsAWarmingServer, window of 1 s. Before, twice: 'beside the old process the new one has sent a session to a warming server'.

--- a/internal/balancer/handover.go
+++ b/internal/balancer/handover.go
@@ -85,6 +85,7 @@
 		link.Send(hotrestart.Message{
 			Kind:            hotrestart.DescriptorCount,
 			DescriptorCount: l.descriptors.Load() + h.baseDescriptors,
+			ShuttingDown:    l.isShuttingDown(),
 		}, nil)
 	}
 }
--- a/internal/balancer/handover_predecessor.go
+++ b/internal/balancer/handover_predecessor.go
@@ -71,6 +71,9 @@
 		l.listPartReceived(m.List)
 	case m.Kind == hotrestart.DescriptorCount:
 		l.peerDescriptors.Store(m.DescriptorCount)
+		if !m.ShuttingDown { // the predecessor still sends sessions to warming servers, out of the share of this balancer
+			l.policy.PauseSlowStart()
+		}
 	}
 	closeDescriptors(descriptors)
 }
--- a/internal/balancer/handover_rig_test.go
+++ b/internal/balancer/handover_rig_test.go
@@ -85,6 +85,13 @@
 func (f *handoverFixture) startProcess(dir string, g *Listener) *Loop {
 	f.t.Helper()
 	l := newLoopWithServer(f.t, f.servers.Addr().String(), policy.Idempotent)
+	f.runProcess(l, dir, g)
+	return l
+}
+
+// runProcess runs a loop with a listener and the handover socket in dir.
+func (f *handoverFixture) runProcess(l *Loop, dir string, g *Listener) {
+	f.t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	f.t.Cleanup(stop)
 	go l.Run(ctx.Done())
@@ -92,7 +99,6 @@
 		f.t.Fatal(err)
 	}
 	serve(l, g)
-	return l
 }
 
 // runIn calls a function on a loop's goroutine and waits for it.
--- a/internal/hotrestart/message.go
+++ b/internal/hotrestart/message.go
@@ -47,6 +47,8 @@
 	State   *State `json:"Known,omitempty"` // state that a StateUpdate carries
 	// DescriptorCount is the number of descriptors that the sender holds open.
 	DescriptorCount int64 `json:"Descriptors,omitempty"`
+	// ShuttingDown is set in DescriptorCount if the sender takes no clients any more. Earlier releases do not send it.
+	ShuttingDown bool `json:"Ending,omitempty"`
 	// List is a part of the endpoint list.
 	List *ListPart `json:"List,omitempty"`
 	// Confirms is set in Ready if the sender confirms each message with descriptors before it uses them.
