Tests of the loop: one function builds a loop with an endpoint and a slow start

Cause: the slow start's test had settings of its own beside newLoopWithServer's. Change: newLoopWithEndpoint builds both. No check, bound or value changed. Measured: internal/balancer passes.

--- a/internal/balancer/handover_slow_start_test.go
+++ b/internal/balancer/handover_slow_start_test.go
@@ -8,32 +8,10 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
-	"sabletally/internal/deployment"
 	"sabletally/internal/discovery"
 	"sabletally/policy"
 )
 
-// slowStartTestWindow is the overload window of the test's balancer.
-const slowStartTestWindow = time.Second
-
-// newLoopWithWarmingServer returns a loop whose only server has just been started. It is not running.
-func newLoopWithWarmingServer(t *testing.T, server string) *Loop {
-	t.Helper()
-	settings := &deployment.Settings{
-		Policy: &policy.Config{Balancers: 1, MaxAttempts: 4, OverloadMultiple: 3, OverloadWindow: slowStartTestWindow, SlowStartFloor: 0.1, SlowStartWindow: time.Minute,
-			Classes: []policy.Class{{SetupObjective: 5 * time.Second, PriorityWeight: 1, Idempotency: policy.Idempotent}}},
-		Classes: map[string]int{"feed": 0}, Deadlines: []time.Duration{20 * time.Second},
-	}
-	known := discovery.List{Complete: true, Endpoints: []discovery.Endpoint{{UID: "s-1", Address: server, Weight: 1, StartedAt: time.Now()}}}
-	l, err := New(zap.NewNop(), settings, 7, known, 1024)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return l
-}
-
 // firstAnswer returns the answer to a request at a listener.
 func firstAnswer(t *testing.T, listener *Listener, id int) string {
 	t.Helper()
@@ -60,10 +38,11 @@
 		t.Fatal(err)
 	}
 	listener.shared = true
-	next := newLoopWithWarmingServer(t, f.servers.Addr().String())
+	justStarted := discovery.Endpoint{UID: "s-1", Address: f.servers.Addr().String(), Weight: 1, StartedAt: time.Now()}
+	next := newLoopWithEndpoint(t, justStarted, &policy.Config{SlowStartFloor: 0.1, SlowStartWindow: time.Minute}, policy.Idempotent)
 	f.runProcess(next, f.dir, listener)
 	f.waitUntil("the new process is ready", func() bool { return f.oldLoop.readySuccessor() != nil })
-	time.Sleep(2 * slowStartTestWindow)
+	time.Sleep(2 * testOverloadWindow)
 	if got := firstAnswer(t, listener, 1); got == "UP 1\r\n" {
 		t.Errorf("beside the old process the new one has sent a session to a warming server")
 	}
@@ -74,6 +53,6 @@
 		if time.Now().After(end) {
 			t.Fatal("after the end of the old process the new one sends no session to a warming server")
 		}
-		time.Sleep(slowStartTestWindow / 4)
+		time.Sleep(testOverloadWindow / 4)
 	}
 }
--- a/internal/balancer/loop_test.go
+++ b/internal/balancer/loop_test.go
@@ -20,6 +20,9 @@
 	"sabletally/policy"
 )
 
+// testOverloadWindow is the overload window of the tests' loops.
+const testOverloadWindow = time.Second
+
 // serve accepts clients on another goroutine.
 func serve(l *Loop, listener *Listener) {
 	go func() { _ = l.Serve(listener) }() // ends when the listener is closed
@@ -28,13 +31,20 @@
 // newLoopWithServer returns a loop with one listed server and one class. It is not running.
 func newLoopWithServer(t *testing.T, server string, effect policy.Idempotency) *Loop {
 	t.Helper()
-	dep := &deployment.Settings{
-		Policy: &policy.Config{Balancers: 1, MaxAttempts: 4, OverloadMultiple: 3, OverloadWindow: time.Second, SlowStartFloor: 1, SlowStartWindow: time.Second,
-			Classes: []policy.Class{{SetupObjective: 5 * time.Second, PriorityWeight: 1, Idempotency: effect}}},
-		Classes: map[string]int{"feed": 0}, Deadlines: []time.Duration{20 * time.Second},
-	}
-	known := discovery.List{Complete: true, Endpoints: []discovery.Endpoint{{UID: "s-1", Address: server, Weight: 1}}}
-	l, err := New(zap.NewNop(), dep, 7, known, 1024)
+	endpoint := discovery.Endpoint{UID: "s-1", Address: server, Weight: 1}
+	return newLoopWithEndpoint(t, endpoint, &policy.Config{SlowStartFloor: 1, SlowStartWindow: time.Second}, effect)
+}
+
+// newLoopWithEndpoint returns a loop with one listed server and one class; config gives the slow start. It is not running.
+func newLoopWithEndpoint(t *testing.T, endpoint discovery.Endpoint, config *policy.Config, effect policy.Idempotency) *Loop {
+	t.Helper()
+	config.Balancers = 1
+	config.MaxAttempts = 4
+	config.OverloadMultiple = 3
+	config.OverloadWindow = testOverloadWindow
+	config.Classes = []policy.Class{{SetupObjective: 5 * time.Second, PriorityWeight: 1, Idempotency: effect}}
+	settings := &deployment.Settings{Policy: config, Classes: map[string]int{"feed": 0}, Deadlines: []time.Duration{20 * time.Second}}
+	l, err := New(zap.NewNop(), settings, 7, discovery.List{Complete: true, Endpoints: []discovery.Endpoint{endpoint}}, 1024)
 	if err != nil {
 		t.Fatal(err)
 	}
