A line that a server has not written fails its test in place of ending the test process

Change: recordLine reports the line, its number and the subtest as an error, and also a line of another length. Stricter than before.

--- a/cmd/sabletally/line_delay_test.go
+++ b/cmd/sabletally/line_delay_test.go
@@ -67,20 +67,26 @@
 			resumed = time.Now()
 			stopAt = resumed.Add(time.Duration(200+r.randomBelow(800)) * time.Millisecond)
 		}
-		_, err := lines.ReadString('\n')
+		line, err := lines.ReadString('\n')
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
 			return fmt.Errorf("after %d lines: %w", number, err)
 		}
-		r.recordLine(time.Now(), number, resumed)
+		if err := r.recordLine(time.Now(), line, number, resumed); err != nil {
+			return err
+		}
 	}
 }
 
-func (r *timedReader) recordLine(now time.Time, number int, resumed time.Time) {
+// recordLine records how late a line has arrived. A line that the server has not written is an error.
+func (r *timedReader) recordLine(now time.Time, line string, number int, resumed time.Time) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if number >= len(r.written) || len(line) != smallLine {
+		return fmt.Errorf("line %d of %d is %.20q, which the server has not written", number, len(r.written), line)
+	}
 	from := r.written[number]
 	if resumed.After(from) {
 		from = resumed
@@ -90,6 +96,7 @@
 	if delay > maxReaderDelay {
 		r.late++
 	}
+	return nil
 }
 
 // Guards against lines for a reader with pauses that were late because they waited for retransmissions and window probes (report e8b126).
