--- /dev/null
+++ b/review/rig2/hex.go
@@ -0,0 +1,6 @@
+package main
+
+import "strconv"
+
+// hex returns a number as an id or a key.
+func hex(n int) string { return strconv.FormatInt(int64(n), 16) }
