Review case 7: twenty upgrades, so that it fails in practically every run

Cause: with eight upgrades the case had 1 to 7 altered lines a run, and some runs could have had none.

--- a/review/rig2/case_pieces.go
+++ b/review/rig2/case_pieces.go
@@ -17,7 +17,7 @@
 
 const (
 	piecesClients  = 200
-	piecesUpgrades = 8
+	piecesUpgrades = 20
 	piecesPause    = 4 * time.Millisecond // longest pause between two bytes of a client
 	piecesFigures  = 60                   // number of further figures in a line
 	piecesLimit    = 1800 * time.Millisecond
