A repeat is not sent after the key's TTL, however late its connection comes up

Cause: the policy judged the key's TTL when it decided the attempt (isRepeatSafeAt). The loop writes the request later, after the dial, a fresh endpoint list and the fleet's permission, and knew nothing of the bound.

Change: a decision to start an attempt carries SendDeadline, from the same function that judges the TTL (repeatDeadline). The loop ends an attempt whose request is not written by then as never sent, and the policy gives the final answer. The goroutine that writes checks the bound as well.

--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -18,14 +18,15 @@
 	maxCheckAge      = 100 * time.Millisecond // maximum age of the loop's last check when a request is written
 )
 
-// startAttempt starts an attempt that the policy has decided. It ends after timeout at the latest.
-func (l *Loop) startAttempt(session *session, endpoint policy.EndpointID, timeout time.Duration) {
+// startAttempt starts an attempt that the policy has decided. It ends after the decision's timeout at the latest.
+func (l *Loop) startAttempt(session *session, decision policy.Decision) {
 	l.Attempts.Add(1)
 	session.attempts++
 	session.attemptActive = true
 	session.attemptStart = l.now
-	session.attemptDeadline = l.now + timeout
-	l.dialUpstream(session, l.servers[endpoint])
+	session.attemptDeadline = l.now + decision.Duration
+	session.sendDeadline = decision.SendDeadline
+	l.dialUpstream(session, l.servers[decision.Endpoint])
 }
 
 // dialUpstream dials the server of a session's attempt and, for a replicated session, asks the fleet at the same time for permission
@@ -41,6 +42,7 @@
 			l.attemptTimedOut(session, nil)
 		}
 	})
+	l.endUnsentAtDeadline(session, generation)
 	if session.record != nil {
 		l.requestWrite(session)
 	}
@@ -49,6 +51,18 @@
 	})
 }
 
+// endUnsentAtDeadline schedules the end of an attempt whose request was not sent by its send deadline, if it has one.
+func (l *Loop) endUnsentAtDeadline(session *session, generation int) {
+	if session.sendDeadline == 0 {
+		return
+	}
+	l.after(session.sendDeadline-l.now, func() {
+		if session.isActive(generation) && !session.requestSent {
+			l.attemptEnded(session, policy.NeverSent, nil)
+		}
+	})
+}
+
 // upstreamDialed handles the result of a dial: it sends the session's request on the new connection if the attempt is still active.
 // While the request has to wait, for a fresh endpoint list or for permission to write, it returns and is called again later.
 func (l *Loop) upstreamDialed(session *session, generation int, c *relay.Conn, err error) {
@@ -69,7 +83,7 @@
 		l.attemptEnded(session, policy.ConnectFailed, err)
 	case session.upstream.state != policy.Ready && !session.reattaching: // the endpoint list has changed during the dial
 		l.attemptEnded(session, policy.NeverSent, nil)
-	case l.now >= session.attemptDeadline: // after a stall, this event is handled before the timer of the attempt's timeout
+	case session.sendTimeout(l.now) <= 0: // after a stall or a wait, this event is handled before the timers of the attempt's deadlines
 		l.attemptEnded(session, policy.NeverSent, nil)
 	case !session.reattaching && l.deferUntilFresh(resume):
 	case !l.mayWrite(session, resume):
@@ -83,18 +97,19 @@
 
 // sendRequest writes the session's request on a separate goroutine, as the write is the most expensive part of an attempt. Just before
 // the write, it checks what the loop may not know yet: that the client has not disconnected, and that the process has not stalled
-// since the loop's checks.
+// since the loop's checks, for longer than they are valid.
 func (l *Loop) sendRequest(session *session, generation int, c *relay.Conn) {
 	session.requestSent = true
 	text := session.request.WithTimeout(session.attemptDeadline - l.now)
 	checkedAt := time.Now()
+	checkValidity := min(maxCheckAge, session.sendTimeout(l.now))
 	go func() {
 		err := c.CheckOpen()
 		if err == nil {
 			if !l.clientWaits(session, generation) {
 				return
 			}
-			if time.Since(checkedAt) > maxCheckAge {
+			if time.Since(checkedAt) >= checkValidity {
 				l.postIfActive(session, generation, func() { l.upstreamDialed(session, generation, c, nil) })
 				return
 			}
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -257,7 +257,7 @@
 	}
 	switch decision.Action {
 	case policy.StartAttempt:
-		l.startAttempt(session, decision.Endpoint, decision.Duration)
+		l.startAttempt(session, decision)
 	case policy.Reject:
 		l.Rejected.Add(1)
 		l.withdraw(session)
--- a/internal/balancer/loop_test.go
+++ b/internal/balancer/loop_test.go
@@ -20,8 +20,10 @@
 	"sabletally/policy"
 )
 
-// testOverloadWindow is the overload window of the tests' loops.
-const testOverloadWindow = time.Second
+const (
+	testOverloadWindow = time.Second     // overload window of the tests' loops
+	testKeyTTL         = 2 * time.Second // time for which servers drop repeats, in the tests' loops
+)
 
 // serve accepts clients on another goroutine.
 func serve(l *Loop, listener *Listener) {
@@ -42,7 +44,7 @@
 	config.MaxAttempts = 4
 	config.OverloadMultiple = 3
 	config.OverloadWindow = testOverloadWindow
-	config.Classes = []policy.Class{{SetupObjective: 5 * time.Second, PriorityWeight: 1, Idempotency: effect}}
+	config.Classes = []policy.Class{{SetupObjective: 5 * time.Second, PriorityWeight: 1, Idempotency: effect, KeyTTL: testKeyTTL}}
 	settings := &deployment.Settings{Policy: config, Classes: map[string]int{"feed": 0}, Deadlines: []time.Duration{20 * time.Second}}
 	l, err := New(zap.NewNop(), settings, 7, discovery.List{Complete: true, Endpoints: []discovery.Endpoint{endpoint}}, 1024)
 	if err != nil {
--- a/internal/balancer/session.go
+++ b/internal/balancer/session.go
@@ -35,6 +35,7 @@
 	requestSent     bool
 	attemptStart    time.Duration // loop time at which the newest attempt started
 	attemptDeadline time.Duration // loop time at which the newest attempt times out
+	sendDeadline    time.Duration // loop time before which the newest attempt's request must be written, 0 if there is none
 	upstream        *upstream     // server of the newest attempt
 	dial            *upstreamDial // dial of the newest attempt, nil once it is connected
 	upstreamConn    *relay.Conn   // server connection of the newest attempt, nil once the session is relayed
@@ -66,6 +67,15 @@
 	}
 }
 
+// sendTimeout returns the time that is left, as of the loop time now, to write the request of the newest attempt.
+func (s *session) sendTimeout(now time.Duration) time.Duration {
+	left := s.attemptDeadline - now
+	if s.sendDeadline > 0 {
+		left = min(left, s.sendDeadline-now)
+	}
+	return left
+}
+
 // isCurrent reports whether a session is still in the session table.
 func (l *Loop) isCurrent(session *session) bool { return l.sessions[session.id] == session }
 
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -73,7 +73,13 @@
 	b.pendingAttempts++
 	b.lastAttemptAt = b.now
 	b.rejectsInARow = 0
-	return Decision{Action: StartAttempt, Session: s.id, Endpoint: e.ID, Duration: b.attemptTimeout(s)}
+	return Decision{
+		Action:       StartAttempt,
+		Session:      s.id,
+		Endpoint:     e.ID,
+		Duration:     b.attemptTimeout(s),
+		SendDeadline: s.sendDeadline(),
+	}
 }
 
 // attemptTimeout returns the timeout of the next attempt. While a further attempt is possible, time is reserved
--- a/policy/attempt_rules.go
+++ b/policy/attempt_rules.go
@@ -1,5 +1,7 @@
 package policy
 
+import "time"
+
 // canAttempt reports whether the next attempt of a session may go to an endpoint. It enforces the four rules
 // that hold for every attempt: a session gets exactly one final answer, a request takes effect at most once
 // unless it is idempotent, an endpoint that is not ready gets no new sessions, and a warming endpoint is not
@@ -21,7 +23,7 @@
 	if firstEndpoint == nil || s.class.Idempotency == Idempotent {
 		return true
 	}
-	if s.class.Idempotency == NonIdempotent || b.now >= s.mayHaveRunAt+s.class.KeyTTL {
+	if s.class.Idempotency == NonIdempotent || b.now >= s.repeatDeadline() {
 		return false
 	}
 	switch s.class.KeyScope {
@@ -40,6 +42,22 @@
 	if s.mayHaveRunOn == nil || s.class.Idempotency == Idempotent {
 		return true
 	}
-	return s.class.Idempotency == IdempotentWithKey && s.class.KeyScope == KeyScopeAll &&
-		b.now < s.mayHaveRunAt+s.class.KeyTTL
+	return s.class.Idempotency == IdempotentWithKey && s.class.KeyScope == KeyScopeAll && b.now < s.repeatDeadline()
+}
+
+// repeatDeadline returns the time from which endpoints no longer drop a repeat of a session's request, never if no
+// repeat has to be dropped.
+func (s *session) repeatDeadline() time.Duration {
+	if s.mayHaveRunOn == nil || s.class.Idempotency != IdempotentWithKey {
+		return never
+	}
+	return s.mayHaveRunAt + s.class.KeyTTL
+}
+
+// sendDeadline returns the SendDeadline of the next attempt of a session.
+func (s *session) sendDeadline() time.Duration {
+	if deadline := s.repeatDeadline(); deadline < never {
+		return deadline
+	}
+	return 0
 }
--- a/policy/attempt_rules_test.go
+++ b/policy/attempt_rules_test.go
@@ -58,3 +58,31 @@
 		t.Fatalf("want a reject at the deadline, got %+v", d)
 	}
 }
+
+// TestARepeatHasASendDeadline guards against a repeat that the host sends when the endpoints no longer drop it, because its connection came
+// up late.
+func TestARepeatHasASendDeadline(t *testing.T) {
+	const keyTTL = 700 * time.Millisecond
+	for _, c := range []struct {
+		idempotency Idempotency
+		first       Outcome
+		want        time.Duration
+	}{
+		{IdempotentWithKey, Reset, 2*time.Second + keyTTL},
+		{IdempotentWithKey, Rejected, 0},
+		{Idempotent, Reset, 0},
+		{NonIdempotent, Rejected, 0},
+	} {
+		d := testConfig()
+		d.Classes[0].Idempotency, d.Classes[0].KeyTTL = c.idempotency, keyTTL
+		b := newBalancer(d, warmEndpointList(4))
+		b.AdvanceClock(2 * time.Second)
+		if first := addSession(t, b, SessionRequest{ID: 1, Key: 1, Timeout: 20 * time.Second}); first.SendDeadline != 0 {
+			t.Errorf("%+v: the first attempt has to be sent before %v", c, first.SendDeadline)
+		}
+		b.AdvanceClock(2*time.Second + keyTTL/2)
+		if then := endAttempt(t, b, 1, 0, c.first); then.Action != StartAttempt || then.SendDeadline != c.want {
+			t.Errorf("%+v: got %+v", c, then)
+		}
+	}
+}
--- a/policy/decision.go
+++ b/policy/decision.go
@@ -33,4 +33,7 @@
 	Endpoint EndpointID
 	Duration time.Duration // timeout of an attempt, or Retry-After of a reject (0 if there is none)
 	Gossip   GossipMessage
+	// SendDeadline is the time since the start before which the request of an attempt must be sent, as a later one could take effect a
+	// second time. It is 0 if there is no such time.
+	SendDeadline time.Duration
 }
