A replicated request is not written after the fleet's permission has ended

Change: sendCheck holds every bound of the loop's check: its greatest age, the send deadline, and the permission on the boot-time clock. A request that was not written counts as unsent when the loop checks it again. The writing of requests is now in a file of its own.

Evidence: TestAStallBeforeARecordedRequestIsWritten failed before the change (a server received "OPEN 1 2 c=feed,d=19989" 25 ms after the permission's end) and passes with it.

--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -15,7 +15,6 @@
 const (
 	reattachTimeout  = 38 * time.Second       // time in which a session from before the start is reattached to its server, or failed
 	reattachInterval = 300 * time.Millisecond // time between two tries to reattach a session
-	maxCheckAge      = 100 * time.Millisecond // maximum age of the loop's last check when a request is written
 )
 
 // startAttempt starts an attempt that the policy has decided. It ends after the decision's timeout at the latest.
@@ -95,34 +94,6 @@
 	}
 }
 
-// sendRequest writes the session's request on a separate goroutine, as the write is the most expensive part of an attempt. Just before
-// the write, it checks what the loop may not know yet: that the client has not disconnected, and that the process has not stalled
-// since the loop's checks, for longer than they are valid.
-func (l *Loop) sendRequest(session *session, generation int, c *relay.Conn) {
-	session.requestSent = true
-	text := session.request.WithTimeout(session.attemptDeadline - l.now)
-	checkedAt := time.Now()
-	checkValidity := min(maxCheckAge, session.sendTimeout(l.now))
-	go func() {
-		err := c.CheckOpen()
-		if err == nil {
-			if !l.clientWaits(session, generation) {
-				return
-			}
-			if time.Since(checkedAt) >= checkValidity {
-				l.postIfActive(session, generation, func() { l.upstreamDialed(session, generation, c, nil) })
-				return
-			}
-			err = c.WriteFirst(text)
-		}
-		if err != nil { // the connection has ended, or the request was not written completely
-			l.postIfActive(session, generation, func() { l.attemptEnded(session, policy.ConnectFailed, err) })
-			return
-		}
-		c.AwaitLine()
-	}()
-}
-
 // postIfActive posts a function that the loop calls if the attempt is still active by then.
 func (l *Loop) postIfActive(session *session, generation int, run func()) {
 	l.post(event{session: session, run: func() {
@@ -132,22 +103,6 @@
 	}})
 }
 
-// clientWaits reports whether, by the state of its socket, the session's client still waits for its answer. If not, it has the loop
-// end the session, unless the attempt has ended by then. It is called from goroutines other than the loop's.
-func (l *Loop) clientWaits(session *session, generation int) bool {
-	switch session.client.presence() {
-	case clientWaiting:
-		return true
-	case clientSentMore:
-		l.postIfActive(session, generation, func() { l.unexpectedLine(session) })
-	default:
-		l.postIfActive(session, generation, func() {
-			l.clientDisconnected(session.client, &DisconnectError{Stage: StageWritten, Cause: errPeerClosed})
-		})
-	}
-	return false
-}
-
 // attemptTimedOut ends an attempt that has timed out. An attempt whose request was not sent had no effect on the server.
 func (l *Loop) attemptTimedOut(session *session, cause error) {
 	outcome := policy.NeverSent
--- a/internal/balancer/key_ttl_test.go
+++ b/internal/balancer/key_ttl_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"sabletally/internal/fleet/boottime"
 	"sabletally/policy"
 )
 
@@ -78,6 +79,22 @@
 	}
 }
 
+// TestAStallBeforeARecordedRequestIsWritten guards against a replicated request that is written after the fleet's permission has ended, by a
+// goroutine that was held since the loop's check. Another owner may have failed the session by then.
+func TestAStallBeforeARecordedRequestIsWritten(t *testing.T) {
+	sl := newSteppedLoop(t, policy.NonIdempotent)
+	c := sl.session.client
+	sl.session.record = &idempotencyRecord{writeAllowed: true, writeDeadline: boottime.Now() + maxCheckAge/4, requestInFlight: true}
+	c.mu.Lock() // blocks the check of the client, the last one before the write
+	sl.handleConnected()
+	time.Sleep(maxCheckAge / 2)
+	c.mu.Unlock()
+	sl.runUntil("the fleet is asked again", func() bool { return len(sl.session.record.onIdle) > 0 || len(sl.firstLines) > 0 })
+	if len(sl.firstLines) > 0 {
+		t.Errorf("a server received %q", <-sl.firstLines)
+	}
+}
+
 // expectAnswer steps the loop until the session has ended, and checks the beginning of the client's final answer.
 func (sl *steppedLoop) expectAnswer(want string) {
 	sl.t.Helper()
