A connection has one reader at each moment: clients are read by our own poller

Change: internal/poller reports input and never reads. conn reads under inputMu and passes its descriptor on under the same lock, so that each byte is either in the input that goes along or still in the socket. The same descriptor goes on; no duplicate is needed. Related paths: the relay's start, the hand-over to a new process, the client that comes back from it, close and eviction (an evicted client is marked before its next line can be read, so that no request of it is sent after its BUSY), and accept, which pauses after an error in place of being called at full speed. netpoll is no longer used.

TestANewConnectionIsEvictedAtOnce guarded against a panic of netpoll. It now checks that the evicted connection is closed at once, counted once, and never registered with a poller.

--- a/cmd/sabletally/start.go
+++ b/cmd/sabletally/start.go
@@ -10,7 +10,6 @@
 	"runtime/debug"
 	"time"
 
-	"github.com/cloudwego/netpoll"
 	"go.uber.org/zap"
 
 	"sabletally/internal/admin"
@@ -27,8 +26,6 @@
 
 	// serviceStateTimeout bounds the wait for the fleet to report whether operators have taken the balancer out of service.
 	serviceStateTimeout = 5 * time.Second
-
-	pollBufferSize = 4096 // size in bytes of a netpoll read buffer
 )
 
 // startError is an error that prevents the start, with the log field under which it is logged.
@@ -158,21 +155,12 @@
 	return file, nil
 }
 
-// setRuntimeLimits configures the Go scheduler, the memory limit and netpoll.
+// setRuntimeLimits configures the Go scheduler and the memory limit.
 func (p *process) setRuntimeLimits(cores int) {
-	// One processor for each core, one for netpoll's poller and one for each relay worker. Pollers and workers sleep in system calls and
+	// One processor for each core, one for the poller of clients' connections and one for each relay worker. Pollers and workers sleep in system calls and
 	// keep their processor for up to 10 ms meanwhile; without the extra processors the loop would have to wait for it.
 	runtime.GOMAXPROCS(2*cores + 1)
 	debug.SetMemoryLimit(int64(p.config.MemoryMB) << 20 * 3 / 4)
-	_ = netpoll.Configure(netpoll.Config{ // the call fails only after netpoll has started
-		PollerNum:    balancer.PollerCount(cores),
-		BufferSize:   pollBufferSize,
-		LoggerOutput: libraryLog{p.log, "netpoll"},
-		Runner: func(_ context.Context, handle func()) {
-			go handle()
-			runtime.Gosched() // lets the handler run before the poller reads again
-		},
-	})
 }
 
 // openListener listens at the clients' address, or uses the listening socket that the platform has passed to the process.
--- a/internal/balancer/accept.go
+++ b/internal/balancer/accept.go
@@ -1,12 +1,13 @@
 package balancer
 
 import (
-	"context"
-	"runtime"
+	"errors"
+	"net"
 	"time"
 
-	"github.com/cloudwego/netpoll"
+	"go.uber.org/zap"
 
+	"sabletally/internal/poller"
 	"sabletally/internal/protocol"
 )
 
@@ -17,41 +18,73 @@
 	expireInterval   = 100 * time.Millisecond  // time between two checks for clients whose first line is late
 	// evictionReserveDivisor sets the descriptors that are kept free of connections without a session: 1/4 of all.
 	evictionReserveDivisor = 4
+
+	maxAccepts          = 16                     // maximum number of clients that are accepted before other connections are read
+	minAcceptRetryDelay = 10 * time.Millisecond  // time without an accept after one has failed
+	maxAcceptRetryDelay = 100 * time.Millisecond // the same after several in a row have failed
 )
 
-// connKey is the context key of a client's *conn.
-type connKey struct{}
+// acceptor accepts the clients of a listener. It implements poller.Handler.
+type acceptor struct {
+	loop       *Loop
+	listener   *Listener
+	retryDelay time.Duration // length of the pause after the newest failure, 0 after a success; accessed by the poller's goroutine only
+	stopped    chan struct{} // closed when the listener has been stopped
+}
 
-// Serve accepts clients until the listener fails. If the listener is shared with another process, it accepts the first client only once
-// this process is ready. It returns nil once Shutdown has stopped the listener, which it does only if the listener is shared.
+// Serve accepts clients until Shutdown has stopped the listener, which it does only if the listener is shared with another process. If the
+// listener is shared, it accepts the first client only once this process is ready. An error means that it accepts none.
 func (l *Loop) Serve(listener *Listener) error {
 	if listener.shared {
 		<-l.becameReady // before this process is ready, the predecessor, which knows the servers, accepts the clients
 	}
-	onRequest := func(ctx context.Context, netConn netpoll.Connection) error {
-		return ctx.Value(connKey{}).(*conn).onReadable(ctx, netConn)
-	}
-	onPrepare := func(netConn netpoll.Connection) context.Context {
-		c := l.addClient(netConn)
-		l.evictIdle(c)
-		return context.WithValue(context.Background(), connKey{}, c)
-	}
-	events, err := netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(onPrepare))
-	if err != nil {
+	a := &acceptor{loop: l, listener: listener, stopped: make(chan struct{})}
+	if _, err := l.nextPoller().Add(listener.fd, a); err != nil {
 		return err
 	}
-	err = events.Serve(listener)
-	if listener.stopped.Load() {
-		return nil
+	<-a.stopped
+	return nil
+}
+
+// OnReadable implements poller.Handler: it accepts the clients that wait.
+func (a *acceptor) OnReadable(registration *poller.Registration, _ []byte) {
+	for range maxAccepts {
+		fd, err := a.listener.accept()
+		switch {
+		case errors.Is(err, errNoClient):
+			return
+		case errors.Is(err, net.ErrClosed):
+			registration.Remove()
+			close(a.stopped)
+			return
+		case err != nil:
+			a.loop.log.Warn("cannot accept a client", zap.Error(err))
+			a.retryDelay = min(max(2*a.retryDelay, minAcceptRetryDelay), maxAcceptRetryDelay)
+			registration.Pause(a.retryDelay)
+			return
+		}
+		a.retryDelay = 0
+		a.loop.clientAccepted(fd)
 	}
-	return err
+}
+
+// clientAccepted starts to serve a client's connection that was just accepted.
+func (l *Loop) clientAccepted(fd int) {
+	c := l.addClient(fd)
+	l.evictIdle(c)
+	c.startReading(l.nextPoller())
+}
+
+// nextPoller returns the poller of the next client's connection.
+func (l *Loop) nextPoller() *poller.Poller {
+	return l.pollers[int(l.pollerCounter.Add(1))%len(l.pollers)]
 }
 
 // addClient counts a client's connection and adds it to the silent ones, until its first line arrives.
-func (l *Loop) addClient(netConn netpoll.Connection) *conn {
+func (l *Loop) addClient(fd int) *conn {
 	l.Accepted.Add(1)
 	l.descriptors.Add(1)
-	c := newConn(netConn, l, &l.descriptors)
+	c := newConn(fd, l, &l.descriptors)
 	c.idleConns = l.idleConns
 	l.idleConns.add(c, l.idleConns.silent)
 	return c
@@ -59,7 +92,7 @@
 
 // evictIdle closes connections without a session, and connections of ended sessions, until the reserve of descriptors is free again.
 // Thus clients that connect and send nothing can't use up the descriptors for other clients and for dials. c is the connection that was
-// accepted last. It runs on netpoll's goroutine.
+// accepted last, and is not read yet.
 func (l *Loop) evictIdle(c *conn) {
 	for l.descriptors.Load() > l.availableDescriptors()-l.descriptorLimit/evictionReserveDivisor {
 		if l.relay.CloseLingering() {
@@ -79,12 +112,7 @@
 		if silent {
 			oldest.writeUnbuffered(protocol.RejectLine(l.retryAfter()))
 		}
-		if oldest == c {
-			c.close() // synchronously: netpoll registers c next, and panics if it is closed during that
-			continue
-		}
-		oldest.closeAsync()
-		runtime.Gosched() // otherwise the poller, which runs this function, would accept more clients before the close
+		oldest.close()
 	}
 	if l.descriptors.Load() > l.availableDescriptors() { // all other connections have sessions
 		l.DescriptorShortages.Add(1)
--- a/internal/balancer/accept_test.go
+++ b/internal/balancer/accept_test.go
@@ -1,36 +1,22 @@
 package balancer
 
-import (
-	"sync/atomic"
-	"testing"
-	"time"
-)
+import "testing"
 
-// slowCloseConn is a connection whose close takes 100 ms.
-type slowCloseConn struct {
-	unpolledConn
-	closed atomic.Bool
-}
-
-func (c *slowCloseConn) Close() error {
-	time.Sleep(100 * time.Millisecond)
-	err := c.unpolledConn.Close()
-	c.closed.Store(true)
-	return err
-}
-
-// TestANewConnectionIsEvictedAtOnce guards against a panic of netpoll when the connection to evict is the one that is being accepted.
-// netpoll registers that connection as soon as evictIdle returns, and panics if another goroutine closes it meanwhile, so evictIdle must
-// close it before it returns.
+// TestANewConnectionIsEvictedAtOnce guards against a connection that is evicted while it is being accepted, and whose descriptor is then
+// read although it is closed. evictIdle must close it before it returns, and it must not be registered with a poller.
 func TestANewConnectionIsEvictedAtOnce(t *testing.T) {
 	_, l := newFullLoop(t)
 	_, far := tcpPipe(t)
-	netConn := &slowCloseConn{unpolledConn: unpolledConn{fd: detachDescriptor(t, far)}}
 	l.descriptors.Store(l.descriptorLimit - 1) // held by sessions
-	l.evictIdle(l.addClient(netConn))
-	if !netConn.closed.Load() {
+	c := l.addClient(detachDescriptor(t, far))
+	l.evictIdle(c)
+	if !c.closed {
 		t.Error("the connection is not closed yet")
 	}
+	c.startReading(l.nextPoller())
+	if c.registration != nil {
+		t.Error("the closed descriptor is registered")
+	}
 	if n := l.Evicted.Load(); n != 1 {
 		t.Errorf("%d connections were evicted, want 1", n)
 	}
--- a/internal/balancer/client_left_test.go
+++ b/internal/balancer/client_left_test.go
@@ -212,11 +212,7 @@
 	clients, conns := make([]*net.TCPConn, many), make([]*conn, many)
 	for i := range many {
 		near, far := tcpPipe(t)
-		u := &unpolledConn{fd: detachDescriptor(t, far)}
-		t.Cleanup(func() { _ = u.Close() })
-		l.descriptors.Add(1)
-		lc.conn = newConn(u, l, &l.descriptors)
-		lc.conn.idleConns = l.idleConns
+		lc.conn = newUnreadConn(t, l, detachDescriptor(t, far))
 		clients[i], conns[i] = near, lc.conn
 		lc.receiveLine(fmt.Sprintf(openLine, i+1))
 		if i == attempted-1 {
@@ -232,7 +228,7 @@
 		endConnection(ending, c)
 	}
 	for _, c := range conns {
-		for st, _ := kernelState(t, c.fd()); st == unix.BPF_TCP_ESTABLISHED; st, _ = kernelState(t, c.fd()) {
+		for st, _ := kernelState(t, c.fd); st == unix.BPF_TCP_ESTABLISHED; st, _ = kernelState(t, c.fd) {
 			if time.Since(began) > testTimeout {
 				t.Fatal("the kernel has not received a client's end")
 			}
--- a/internal/balancer/conn.go
+++ b/internal/balancer/conn.go
@@ -1,23 +1,26 @@
 package balancer
 
 import (
-	"context"
 	"errors"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
 
+	"sabletally/internal/poller"
 	"sabletally/internal/protocol"
 	"sabletally/internal/relay"
+	"sabletally/internal/socket"
 )
 
 const (
 	maxQueuedInput = 64 << 10 // maximum bytes of one connection that are posted to the loop and not handled yet
 	maxDiscarded   = 64 << 10 // maximum bytes that are read and dropped after the reading of lines has stopped
 	maxPings       = 4        // maximum PING lines that a client may send at once before its request
+
+	readRetryDelay = 10 * time.Millisecond // time until a read that failed because the kernel was short of memory is made again
 )
 
 // Values of conn.phase: what a client may send next.
@@ -27,10 +30,13 @@
 )
 
 // conn is a client's connection until its session is relayed. It reads lines and posts them to the loop, writes through a bounded
-// buffer (conn_write.go), and can be detached from netpoll (conn_detach.go). It never accesses a session or the policy, and it never
+// buffer (conn_write.go), and can be passed to another owner (conn_detach.go). It never accesses a session or the policy, and it never
 // blocks the loop.
+//
+// Its descriptor has one owner at each moment: the conn, until close or detach under mu sets closed, and then nobody or the new owner. Each
+// system call on the descriptor is made under mu while closed is not set.
 type conn struct {
-	netConn     netpoll.Connection
+	fd          int
 	sink        eventSink
 	descriptors *atomic.Int64 // counter of open descriptors that includes this connection's
 	idleConns   *idleConns
@@ -39,19 +45,20 @@
 	queuedBytes atomic.Int64 // bytes of lines that are posted to the loop and not handled yet
 	awaitsPong  atomic.Bool  // whether the client waits for the answer to a PING
 
-	// The fields below are accessed by netpoll's reading goroutine only.
+	// inputMu guards the fields below. It is held from a read until the lines of the input are posted, and may be locked before mu and
+	// before the lock of idleConns, but not while one of them is held.
+	inputMu        sync.Mutex
 	splitter       protocol.Splitter
 	readingStopped bool // whether further input is discarded
 	discardedBytes int  // bytes received since readingStopped was set
 
 	mu           sync.Mutex
-	outgoing     []byte // bytes that are queued for writing
-	writing      bool   // whether writeLoop is running
-	closingWrite bool   // the sending side is shut down once outgoing is written
-	closed       bool   // netpoll is closing the descriptor, which must not be used any more
-	detached     bool   // the connection continues under a duplicate of its descriptor
-	// onDetached, if it is not nil, is called after the connection is detached, with the input that is not a complete line.
-	onDetached func(unparsed []byte)
+	outgoing     []byte               // bytes that are queued for writing
+	writing      bool                 // whether writeLoop is running
+	closingWrite bool                 // the sending side is shut down once outgoing is written
+	closed       bool                 // the descriptor is closed or has another owner, and must not be used any more
+	evicted      bool                 // the client gets a rejection beside the loop, and must not be served
+	registration *poller.Registration // registration with a poller, nil before the connection is read
 
 	// The fields below are accessed by the loop only.
 	session         *session
@@ -61,41 +68,84 @@
 	handoverInput   []byte // input to hand over with the connection
 }
 
-// newConn wraps a client's connection. It must be called before the first byte is read.
-func newConn(netConn netpoll.Connection, to eventSink, descriptors *atomic.Int64) *conn {
-	c := &conn{netConn: netConn, sink: to, descriptors: descriptors}
+// newConn returns the connection of a client's descriptor, which it owns from then on. It reads nothing before startReading.
+func newConn(fd int, to eventSink, descriptors *atomic.Int64) *conn {
+	c := &conn{fd: fd, sink: to, descriptors: descriptors}
 	c.stage.Store(int32(StageConnected))
-	// netpoll reads everything that has arrived, even if its handler is behind: a small receive buffer bounds that. An error is ignored,
-	// as the connection works with a larger buffer too. The relay, which reads no more than it can write, lets the buffer grow again.
-	_ = unix.SetsockoptInt(c.fd(), unix.SOL_SOCKET, unix.SO_RCVBUF, maxQueuedInput/2)
-	relay.DisableNagle(c.fd())
-	_ = netConn.AddCloseCallback(func(netpoll.Connection) error { // returns an error only for a nil callback
-		c.onClosed()
-		return nil
-	})
+	// A small receive buffer bounds the input of a client that sends before it may. An error is ignored, as the connection works with a
+	// larger buffer too. The relay, which reads no more than it can write, lets the buffer grow again.
+	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, maxQueuedInput/2)
+	relay.DisableNagle(fd)
 	return c
 }
 
-func (c *conn) fd() int { return c.netConn.(netpoll.Conn).Fd() }
+// startReading has a poller report the connection's input. It closes the connection if that is not possible.
+func (c *conn) startReading(by *poller.Poller) {
+	if err := c.register(by); err != nil {
+		c.postDisconnect(&DisconnectError{Stage: c.currentStage(), Abrupt: true, Cause: err})
+		c.close()
+	}
+}
 
-// onReadable reads the input that has arrived and posts its complete lines. A panic ends this connection only.
-func (c *conn) onReadable(context.Context, netpoll.Connection) (err error) {
+// register registers the connection with a poller, unless it is closed already.
+func (c *conn) register(by *poller.Poller) (err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil
+	}
+	c.registration, err = by.Add(c.fd, c)
+	return err
+}
+
+// OnReadable implements poller.Handler: it reads the input that has arrived, up to the size of scratch, and posts its complete lines. A
+// panic ends this connection only.
+func (c *conn) OnReadable(registration *poller.Registration, scratch []byte) {
 	defer c.recoverPanic("reading a connection")
-	reader := c.netConn.Reader()
-	size := reader.Len()
-	input, err := reader.Next(size)
-	if err != nil {
-		return err
+	if hasEnded := c.readInput(registration, scratch); hasEnded {
+		c.close()
+	}
+}
+
+// readInput reads once and handles the input. It reports whether the connection has ended.
+func (c *conn) readInput(registration *poller.Registration, scratch []byte) (hasEnded bool) {
+	c.inputMu.Lock()
+	defer c.inputMu.Unlock()
+	n, err := c.read(scratch)
+	switch {
+	case errors.Is(err, os.ErrClosed), errors.Is(err, unix.EAGAIN), errors.Is(err, unix.EINTR):
+		return false
+	case socket.IsTemporary(err):
+		registration.Pause(readRetryDelay)
+		return false
+	case n <= 0 || err != nil:
+		return true
 	}
 	if c.readingStopped || c.queuedBytes.Load() > maxQueuedInput {
-		_ = reader.Release() // the input is discarded
-		c.discard(size)
-		return nil
+		c.discard(n)
+		return false
 	}
+	c.splitter.Add(scratch[:n])
+	c.postLines()
+	return false
+}
+
+// resumeInput handles input that another process has read from the connection. It must be called before startReading.
+func (c *conn) resumeInput(input []byte) {
+	c.inputMu.Lock()
+	defer c.inputMu.Unlock()
 	c.splitter.Add(input)
-	_ = reader.Release() // the splitter has copied the input
 	c.postLines()
-	return nil
+}
+
+// read reads from the descriptor. It returns os.ErrClosed if the connection does not own it any more.
+func (c *conn) read(scratch []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, os.ErrClosed
+	}
+	return socket.Read(c.fd, scratch)
 }
 
 // recoverPanic reports a panic and has the loop end the connection. It must be deferred.
@@ -171,34 +221,8 @@
 	c.readingStopped = true
 }
 
-// onClosed is netpoll's close callback. It runs once, after all input was read and before the descriptor is closed.
-func (c *conn) onClosed() {
-	disconnect := &DisconnectError{Stage: c.currentStage(), Cause: errPeerClosed}
-	c.mu.Lock()
-	detached, onDetached := c.detached, c.onDetached
-	c.closed = true
-	c.mu.Unlock()
-	c.descriptors.Add(-1)
-	c.idleConns.remove(c)
-	if onDetached != nil { // input that netpoll has read and nobody has handled is handed over too
-		reader := c.netConn.Reader()
-		if input, err := reader.Next(reader.Len()); err == nil {
-			c.splitter.Add(input)
-		}
-		onDetached(c.splitter.Buffered())
-	}
-	if detached {
-		return
-	}
-	// A read may have consumed the error of a reset, but the connection's state still shows it.
-	if info, err := c.tcpInfo(); err == nil {
-		disconnect.Abrupt = info.State == unix.BPF_TCP_CLOSE
-	}
-	c.postDisconnect(disconnect)
-}
-
 func (c *conn) tcpInfo() (*unix.TCPInfo, error) {
-	return unix.GetsockoptTCPInfo(c.fd(), unix.IPPROTO_TCP, unix.TCP_INFO)
+	return unix.GetsockoptTCPInfo(c.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 }
 
 // hasUnreadBytes reports whether the socket's receive buffer holds input.
@@ -208,7 +232,7 @@
 	if c.closed {
 		return false
 	}
-	n, err := unix.IoctlGetInt(c.fd(), unix.TIOCINQ)
+	n, err := unix.IoctlGetInt(c.fd, unix.TIOCINQ)
 	return err == nil && n > 0
 }
 
@@ -220,7 +244,7 @@
 	clientWaiting clientPresence = iota
 	// clientSentMore means that the client has sent more than its request. The end of the connection may follow that input unseen.
 	clientSentMore
-	// clientGone means that the connection is closed, half-closed or reset.
+	// clientGone means that the connection is closed, half-closed or reset, or about to be closed by an eviction.
 	clientGone
 )
 
@@ -228,11 +252,11 @@
 func (c *conn) presence() clientPresence {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
+	if c.closed || c.evicted {
 		return clientGone
 	}
 	var next [1]byte
-	n, _, err := unix.Recvfrom(c.fd(), next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	n, _, err := unix.Recvfrom(c.fd, next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	switch {
 	case errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR):
 		return clientWaiting
--- a/internal/balancer/conn_write.go
+++ b/internal/balancer/conn_write.go
@@ -76,7 +76,7 @@
 	}
 	c.writing = false
 	if c.closingWrite && !c.closed {
-		_ = unix.Shutdown(c.fd(), unix.SHUT_WR) // fails only if the connection has ended already
+		_ = unix.Shutdown(c.fd, unix.SHUT_WR) // fails only if the connection has ended already
 	}
 	return nil
 }
@@ -92,8 +92,8 @@
 	return err
 }
 
-// writeAll writes to the socket directly, as netpoll closes the connection on any error, even on a temporary shortage of kernel memory,
-// in which the client is still owed its answer. It retries until all is written, for up to writeTimeout.
+// writeAll writes to the socket until all is written, for up to writeTimeout. On a temporary shortage of kernel memory it tries again, as
+// the client is still owed its answer.
 func (c *conn) writeAll(b []byte) error {
 	deadline := time.Now().Add(writeTimeout)
 	wait := minWriteRetryDelay
@@ -120,7 +120,7 @@
 	if c.closed {
 		return 0, errPeerClosed
 	}
-	return socket.WriteAvailable(c.fd(), b)
+	return socket.WriteAvailable(c.fd, b)
 }
 
 // hasSentFinalLine reports whether the client's kernel has received the final line. A reset before that would lose the line.
@@ -130,7 +130,7 @@
 	if !c.closingWrite || c.writing || c.closed {
 		return false
 	}
-	unacknowledged, err := unix.IoctlGetInt(c.fd(), unix.SIOCOUTQ)
+	unacknowledged, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQ)
 	return err != nil || unacknowledged == 0
 }
 
@@ -152,6 +152,13 @@
 	}
 }
 
+// markEvicted records that the client gets a rejection by writeUnbuffered, and that no request of its may be sent any more.
+func (c *conn) markEvicted() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evicted = true
+}
+
 // writeUnbuffered writes a final line without queueing it, as far as the kernel accepts it, to a client whose connection is closed
 // next. It reads the client's unread input first, as a close with unread input becomes a reset, which may lose the line.
 func (c *conn) writeUnbuffered(line []byte) {
@@ -162,7 +169,7 @@
 	}
 	c.discardUnreadLocked()
 	for range maxUnbufferedWrites {
-		n, err := socket.WriteAvailable(c.fd(), line)
+		n, err := socket.WriteAvailable(c.fd, line)
 		if !socket.IsTemporary(err) {
 			return
 		}
@@ -174,17 +181,39 @@
 func (c *conn) discardUnreadLocked() {
 	var unread [protocol.MaxLineBytes]byte
 	for range maxUnreadRounds {
-		if n, err := socket.Read(c.fd(), unread[:]); n <= 0 && !errors.Is(err, unix.EINTR) && !socket.IsTemporary(err) {
+		if n, err := socket.Read(c.fd, unread[:]); n <= 0 && !errors.Is(err, unix.EINTR) && !socket.IsTemporary(err) {
 			return
 		}
 	}
 }
 
-// close closes the connection.
-func (c *conn) close() { _ = c.netConn.Close() } // an error does not matter, as the connection is closed anyway
+// close closes the connection and posts its end, unless it is closed or detached already.
+func (c *conn) close() {
+	disconnect, isFirst := c.closeDescriptor()
+	if !isFirst {
+		return
+	}
+	c.descriptors.Add(-1)
+	c.idleConns.remove(c)
+	c.postDisconnect(disconnect)
+}
 
-// closeAsync closes the connection on another goroutine, as a close on netpoll's own goroutine would wait for itself.
-func (c *conn) closeAsync() { go c.close() }
+// closeDescriptor closes the descriptor, if the connection still owns it, and returns how the connection ended.
+func (c *conn) closeDescriptor() (disconnect *DisconnectError, isFirst bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, false
+	}
+	disconnect = &DisconnectError{Stage: c.currentStage(), Cause: errPeerClosed}
+	// A read may have consumed the error of a reset, but the connection's state still shows it.
+	if info, err := c.tcpInfo(); err == nil {
+		disconnect.Abrupt = info.State == unix.BPF_TCP_CLOSE
+	}
+	c.stopUsingLocked()
+	_ = unix.Close(c.fd) // the descriptor is released even if close returns an error
+	return disconnect, true
+}
 
 // abort closes the connection with a reset.
 func (c *conn) abort() {
@@ -192,8 +221,7 @@
 	c.close()
 }
 
-// reset makes the kernel reset the connection at once; netpoll then notices that it has ended. netpoll's own close would wait for its
-// poller, which continues to read from a client that sends at full speed.
+// reset makes the kernel reset the connection at once; the next read then notices that it has ended.
 func (c *conn) reset() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -202,5 +230,5 @@
 	}
 	unspecified := unix.RawSockaddr{Family: unix.AF_UNSPEC}
 	// connect(2) with AF_UNSPEC resets a TCP connection. It fails only if the connection has ended already.
-	_, _, _ = unix.Syscall(unix.SYS_CONNECT, uintptr(c.fd()), uintptr(unsafe.Pointer(&unspecified)), unsafe.Sizeof(unspecified))
+	_, _, _ = unix.Syscall(unix.SYS_CONNECT, uintptr(c.fd), uintptr(unsafe.Pointer(&unspecified)), unsafe.Sizeof(unspecified))
 }
--- a/internal/balancer/descriptors.go
+++ b/internal/balancer/descriptors.go
@@ -5,7 +5,7 @@
 const (
 	standardDescriptors  = 3 // standard input, output and error
 	runtimeDescriptors   = 4 // Go's poller and its wake-up descriptor, and the two files with the container's CPU limit
-	pollerDescriptors    = 2 // epoll set and wake-up descriptor of each of netpoll's pollers
+	pollerDescriptors    = 1 // epoll set of each poller
 	relayDescriptors     = 2 // epoll set and wake-up descriptor of each relay worker
 	listenerDescriptors  = 2 // listeners for clients and for operators; admin.MaxConns limits the connections of operators
 	discoveryDescriptors = 4 // two concurrent requests, and two of the previous watch, which may end shortly after a reload
@@ -13,7 +13,7 @@
 	handoverDescriptors  = 3 // the listener for a successor, the link to the successor or predecessor, and a link that replaces it
 	fileDescriptors      = 2 // the configuration file and a name lookup
 	probeDescriptors     = 2 // probes that run while connections hold all descriptors that they may have
-	transientDescriptors = 2 // a client accepted before another one is evicted, and the duplicate of a connection being detached
+	transientDescriptors = 2 // a client accepted before another one is evicted, and one that is being handed over
 )
 
 const (
@@ -21,7 +21,7 @@
 	coresPerPoller      = 8
 )
 
-// PollerCount returns the number of pollers that netpoll has on a machine with the given number of cores. It is at least 1.
+// PollerCount returns the number of pollers of clients' connections on a machine with the given number of cores. It is at least 1.
 func PollerCount(cores int) int { return max(1, (cores+coresPerPoller-1)/coresPerPoller) }
 
 // ReservedDescriptors returns the number of descriptors that are reserved for the program itself on a machine with the given number of
--- a/internal/balancer/descriptors_test.go
+++ b/internal/balancer/descriptors_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/cloudwego/netpoll"
 	"go.uber.org/zap"
 
 	"sabletally/internal/deployment"
@@ -35,14 +34,8 @@
 func (lc *leavingClient) connectClient(id int) {
 	lc.t.Helper()
 	near, far := tcpPipe(lc.t)
-	nc, err := netpoll.NewFDConnection(detachDescriptor(lc.t, far))
-	if err != nil {
-		lc.t.Fatal(err)
-	}
-	lc.l.descriptors.Add(1)
-	lc.client, lc.conn = near, newConn(nc, lc.l, &lc.l.descriptors)
-	lc.conn.idleConns = lc.l.idleConns
-	_ = nc.SetOnRequest(lc.conn.onReadable)
+	lc.client, lc.conn = near, newUnreadConn(lc.t, lc.l, detachDescriptor(lc.t, far))
+	lc.conn.startReading(lc.l.nextPoller())
 	line := protocol.Decode(fmt.Appendf(nil, openLine, id))
 	lc.conn.phase.Store(expectNothing)
 	lc.l.now = time.Since(lc.l.startTime)
--- a/internal/balancer/established.go
+++ b/internal/balancer/established.go
@@ -61,7 +61,7 @@
 	server := session.upstreamConn
 	serverID := uint64(session.upstream.id)
 	go func() {
-		fd, result := session.client.detach()
+		fd, _, result := session.client.detach()
 		switch result {
 		case detachRetry:
 			l.post(event{session: session, run: func() {
--- a/internal/balancer/handover_predecessor.go
+++ b/internal/balancer/handover_predecessor.go
@@ -3,8 +3,8 @@
 import (
 	"slices"
 
-	"github.com/cloudwego/netpoll"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"sabletally/internal/discovery"
 	"sabletally/internal/hotrestart"
@@ -165,16 +165,10 @@
 
 // takeOverClient continues a client's connection as if this process had accepted it. input is what the client has sent so far.
 func (l *Loop) takeOverClient(fd int, input []byte) {
-	netConn, err := netpoll.NewFDConnection(fd)
-	if err != nil {
-		l.Errors.Add(1)
-		l.log.Info("cannot take over a client from predecessor", zap.Error(err))
-		return
-	}
-	c := l.addClient(netConn)
-	c.splitter.Add(input)
-	c.postLines()
-	_ = netConn.SetOnRequest(c.onReadable) // returns an error only for a nil handler
+	_ = unix.SetNonblock(fd, true) // the call fails only on a closed descriptor, whose reads fail
+	c := l.addClient(fd)
+	c.resumeInput(input)
+	c.startReading(l.nextPoller())
 }
 
 // predecessorLost handles the end of the link to the predecessor, which has ended: this process listens for a successor now.
--- a/internal/balancer/handover_successor.go
+++ b/internal/balancer/handover_successor.go
@@ -210,15 +210,14 @@
 // handOverClient hands over a client without a session, with the input that it has sent. firstLine is its request, nil if that has not
 // arrived.
 func (l *Loop) handOverClient(c *conn, firstLine []byte) {
-	result := c.detachWithInput(func(fd int, unparsed []byte) {
-		l.post(event{run: func() { l.sendClient(c, fd, unparsed) }})
-	})
+	fd, unparsed, result := c.detach()
 	switch {
 	case result == detachDone:
+		l.post(event{run: func() { l.sendClient(c, fd, unparsed) }}) // follows the lines that are posted already
 		c.finished = true
 		c.handingOver = true
 		c.handoverInput = firstLine
-		l.handover.pending++ // keeps isEmpty false from the close of the client's descriptor to the end of the handover
+		l.handover.pending++ // keeps isEmpty false to the end of the handover
 	case result == detachRetry && firstLine != nil:
 		l.closeWithLine(c, protocol.RejectLine(l.retryAfter()))
 	case result == detachRetry: // a PONG is being written; the client's request or its end follows
--- a/internal/balancer/idle_conns.go
+++ b/internal/balancer/idle_conns.go
@@ -71,6 +71,7 @@
 	}
 	c = i.oldestSilentLocked(excluded)
 	if c != nil {
+		c.markEvicted() // before its next line can be received, so that it is not served
 		i.removeLocked(c)
 	}
 	return c, true
--- a/internal/balancer/leaving_client_test.go
+++ b/internal/balancer/leaving_client_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
 
 	"sabletally/internal/discovery"
@@ -18,29 +17,14 @@
 	"sabletally/policy"
 )
 
-// unpolledConn is a client's connection from which no poller reads.
-type unpolledConn struct {
-	netpoll.Connection
-	fd             int
-	once           sync.Once
-	closeCallbacks []netpoll.CloseCallback
-}
-
-func (u *unpolledConn) Fd() int { return u.fd }
-
-func (u *unpolledConn) AddCloseCallback(do netpoll.CloseCallback) error {
-	u.closeCallbacks = append(u.closeCallbacks, do)
-	return nil
-}
-
-func (u *unpolledConn) Close() error {
-	u.once.Do(func() {
-		for _, do := range u.closeCallbacks {
-			_ = do(u)
-		}
-		_ = unix.Close(u.fd)
-	})
-	return nil
+// newUnreadConn returns the connection of a client's descriptor, which no poller reads. It is closed after the test.
+func newUnreadConn(t *testing.T, l *Loop, fd int) *conn {
+	t.Helper()
+	c := l.addClient(fd)
+	l.Accepted.Add(-1)
+	l.idleConns.remove(c)
+	t.Cleanup(c.close)
+	return c
 }
 
 // countingServer is a server that counts the connections and lines that reach it.
@@ -154,11 +138,7 @@
 	lc := &leavingClient{steppedLoop: &steppedLoop{t: t, l: l}, server: s, ending: ending}
 	near, far := tcpPipe(t)
 	lc.client = near
-	u := &unpolledConn{fd: detachDescriptor(t, far)}
-	t.Cleanup(func() { _ = u.Close() })
-	l.descriptors.Add(1)
-	lc.conn = newConn(u, l, &l.descriptors)
-	lc.conn.idleConns = l.idleConns
+	lc.conn = newUnreadConn(t, l, detachDescriptor(t, far))
 	return lc
 }
 
@@ -184,7 +164,7 @@
 // leave has the client disconnect, and returns disconnectGrace later without having stepped the loop.
 func (lc *leavingClient) leave() {
 	lc.t.Helper()
-	leaveAndWait(lc.t, lc.ending, lc.client, lc.conn.fd())
+	leaveAndWait(lc.t, lc.ending, lc.client, lc.conn.fd)
 }
 
 // leaveAndWait has a client disconnect and waits for disconnectGrace, and until the kernel has received the end, except where a flood hides
--- a/internal/balancer/listener.go
+++ b/internal/balancer/listener.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"sync/atomic"
 
@@ -13,7 +14,10 @@
 	"sabletally/internal/socket"
 )
 
-var errNotTCP = errors.New("not a TCP socket")
+var (
+	errNotTCP   = errors.New("not a TCP socket")
+	errNoClient = errors.New("no client's connection is queued")
+)
 
 // Listener is the listening socket for clients. It can stop accepting while the socket stays open in another process. The connections
 // in the socket's queue then belong to that process, so a stopped Listener accepts none of them.
@@ -31,7 +35,7 @@
 		return nil, err
 	}
 	defer func() { _ = tcp.Close() }() // the duplicate stays open
-	// netpoll gets a duplicate of the descriptor, as Go's runtime polls the original one.
+	// The listener is a duplicate of the descriptor, as Go's runtime polls the original one.
 	raw, err := tcp.(*net.TCPListener).SyscallConn()
 	if err != nil {
 		return nil, err
@@ -76,46 +80,31 @@
 	return listener, unix.SetNonblock(fd, true)
 }
 
-// Accept accepts a connection. If none is queued, it returns nil and no error. Once Shutdown has stopped the listener, it returns
-// net.ErrClosed, after which netpoll does not poll the socket any more.
-func (l *Listener) Accept() (net.Conn, error) {
+// accept accepts a connection and returns its descriptor, or errNoClient if none is queued. Once Shutdown has stopped the listener, it
+// returns net.ErrClosed.
+func (l *Listener) accept() (fd int, err error) {
 	if l.stopped.Load() {
-		return nil, net.ErrClosed
+		return -1, net.ErrClosed
 	}
-	fd, remote, err := socket.Accept(l.fd)
+	fd, _, err = socket.Accept(l.fd)
 	switch {
-	case err == nil:
-		return acceptedConn{fd: fd, local: l.addr, remote: tcpAddr(remote)}, nil
 	case errors.Is(err, unix.EAGAIN), errors.Is(err, unix.EINTR), errors.Is(err, unix.ECONNABORTED):
-		return nil, nil // another process has accepted the connection, or its client has disconnected
+		return -1, errNoClient // another process has accepted the connection, or its client has disconnected
+	case err != nil:
+		return -1, os.NewSyscallError("accept", err)
 	}
-	return nil, err
+	return fd, nil
 }
 
 // Shared reports whether other processes have the socket too.
 func (l *Listener) Shared() bool { return l.shared }
 
-// Fd returns the socket's descriptor.
-func (l *Listener) Fd() int { return l.fd }
-
 // Addr returns the address that clients connect to.
 func (l *Listener) Addr() net.Addr { return l.addr }
 
 // Close closes this process's descriptor of the socket.
 func (l *Listener) Close() error { return unix.Close(l.fd) }
 
-// acceptedConn is an accepted connection as netpoll expects it. netpoll calls only the methods below.
-type acceptedConn struct {
-	net.Conn
-	fd     int
-	local  net.Addr
-	remote net.Addr
-}
-
-func (c acceptedConn) Fd() int              { return c.fd }
-func (c acceptedConn) LocalAddr() net.Addr  { return c.local }
-func (c acceptedConn) RemoteAddr() net.Addr { return c.remote }
-
 // tcpAddr converts a socket address to a TCP address. It returns nil for address families other than IPv4 and IPv6.
 func tcpAddr(address unix.Sockaddr) net.Addr {
 	switch address := address.(type) {
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -20,6 +20,7 @@
 	"sabletally/internal/discovery"
 	"sabletally/internal/fleet"
 	"sabletally/internal/loadgossip"
+	"sabletally/internal/poller"
 	"sabletally/internal/protocol"
 	"sabletally/internal/relay"
 	"sabletally/policy"
@@ -56,6 +57,8 @@
 	lastSessionID      policy.SessionID
 	openSessions       int
 	idleConns          *idleConns
+	pollers            []*poller.Poller // pollers of clients' connections before they are relayed
+	pollerCounter      atomic.Uint32    // selects the poller of the next connection, round robin
 	relay              *relay.Relay
 	fleet              *fleet.Fleet // replicates the sessions of some classes; nil without a fleet
 
@@ -101,13 +104,13 @@
 // New creates a balancer. known is the endpoint list from before the start, maxDescriptors the number of descriptors that the process
 // may hold.
 func New(log *zap.Logger, settings *deployment.Settings, seed uint64, known discovery.List, maxDescriptors int) (*Loop, error) {
-	workers := (runtime.GOMAXPROCS(0) - 1) / 2
+	cores := (runtime.GOMAXPROCS(0) - 1) / 2
 	l := &Loop{
 		log:                log,
 		policy:             policy.New(withProbeReports(settings), seed),
 		startTime:          time.Now(),
 		wake:               make(chan struct{}, 1),
-		descriptorLimit:    int64(max(maxDescriptors-ReservedDescriptors(workers), 2)),
+		descriptorLimit:    int64(max(maxDescriptors-ReservedDescriptors(cores), 2)),
 		servers:            map[policy.EndpointID]*upstream{},
 		serversByUID:       map[string]*upstream{},
 		sessions:           map[policy.SessionID]*session{},
@@ -118,9 +121,16 @@
 	}
 	l.applySettings(settings)
 	var err error
-	if l.relay, err = relay.New(workers, relayHandler{l}, &l.descriptors); err != nil {
+	if l.relay, err = relay.New(cores, relayHandler{l}, &l.descriptors); err != nil {
 		return nil, err
 	}
+	for range PollerCount(cores) {
+		p, err := poller.New()
+		if err != nil {
+			return nil, err
+		}
+		l.pollers = append(l.pollers, p)
+	}
 	l.applyList(known, true)
 	if known.Complete && len(known.Endpoints) > 0 {
 		l.after(freshListTimeout, l.markReady)
--- a/internal/balancer/loop_test.go
+++ b/internal/balancer/loop_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/cloudwego/netpoll"
 	"go.uber.org/zap"
 
 	"sabletally/internal/deployment"
@@ -153,11 +152,7 @@
 		t.Fatal(err)
 	}
 	_, far := tcpPipe(t)
-	nc, err := netpoll.NewFDConnection(detachDescriptor(t, far))
-	if err != nil {
-		t.Fatal(err)
-	}
-	session := &session{id: 1, client: &conn{netConn: nc}, upstream: &upstream{}, request: &protocol.SessionRequest{}, attemptActive: true, generation: 1, attemptDeadline: time.Hour}
+	session := &session{id: 1, client: &conn{fd: detachDescriptor(t, far)}, upstream: &upstream{}, request: &protocol.SessionRequest{}, attemptActive: true, generation: 1, attemptDeadline: time.Hour}
 	up := make(chan *relay.Conn, 1)
 	l.dial(listener.Addr().String(), 20*time.Second, session, func(c *relay.Conn, _ error) { up <- c })
 	for len(up) == 0 {
--- a/internal/balancer/race_test.go
+++ b/internal/balancer/race_test.go
@@ -56,8 +56,8 @@
 	}
 }
 
-// TestAWriteAfterTheCloseFails guards against a panic in a write to a client whose connection netpoll closes between the writer's check and
-// its write, and whose buffers netpoll frees at any time after that. Each write must fail.
+// TestAWriteAfterTheCloseFails guards against a write to a client whose connection is closed between the writer's check and its write, and
+// whose descriptor may belong to another connection after that. Each write must fail.
 func TestAWriteAfterTheCloseFails(t *testing.T) {
 	sl := newSteppedLoop(t, policy.Idempotent)
 	c := sl.session.client
--- a/internal/balancer/stepped_loop_test.go
+++ b/internal/balancer/stepped_loop_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
 
 	"sabletally/internal/relay"
@@ -103,14 +102,7 @@
 		}
 	}()
 	near, far := tcpPipe(t)
-	nc, err := netpoll.NewFDConnection(detachDescriptor(t, far))
-	if err != nil {
-		t.Fatal(err)
-	}
-	l.descriptors.Add(1)
-	c := newConn(nc, l, &l.descriptors)
-	c.idleConns = l.idleConns
-	_ = nc.SetOnRequest(c.onReadable)
+	newUnreadConn(t, l, detachDescriptor(t, far)).startReading(l.nextPoller())
 	sl.client = near
 	_, _ = io.WriteString(near, "OPEN 1 2 c=feed,d=20000\r\n")
 	sl.waitUntil("the attempt is connected", func() bool {
