A request that must run once is refused when its ID comes again, also in an upgrade

A bad client was served under the ID of an open session of the other process.

Cause: an ID was known only while its session was in the table of its own process (sessionsByClientID).

The two processes of a hot restart tell each other the IDs of sessions that begin and end, before the first attempt; the new process becomes ready once it has the old one's, or after 250 ms. Classes that the fleet records are left to the record. An attempt whose request was never sent counts as such when its client leaves, so that its ID stays free. Earlier releases ignore the new message.

Known limit: an ID that reaches the other process before that has read the announcement is not recognized.

--- a/cmd/sabletally/descriptors_test.go
+++ b/cmd/sabletally/descriptors_test.go
@@ -213,6 +213,11 @@
 	s.mu.Unlock()
 	if n := strings.Count(text, "too many open files"); n > 0 {
 		s.t.Errorf("ran out of descriptors %d times", n)
+		for line := range strings.Lines(text) {
+			if strings.Contains(line, "too many open files") {
+				s.t.Log(line)
+			}
+		}
 	}
 	cpuBefore, began = s.child.CPU(), time.Now()
 	time.Sleep(2 * time.Second)
--- a/internal/balancer/accept_test.go
+++ b/internal/balancer/accept_test.go
@@ -24,3 +24,15 @@
 		t.Errorf("%d descriptors are counted, want %d", n, l.descriptorLimit-1)
 	}
 }
+
+// TestAnEvictedClientIsNotServed guards against a request that is sent after its client's BUSY: the client is evicted, and its line, which
+// was read at the same time, reaches the loop before the end of its connection.
+func TestAnEvictedClientIsNotServed(t *testing.T) {
+	lc := newLeavingClient(t, "end", "")
+	lc.l.idleConns.add(lc.conn, lc.l.idleConns.silent)
+	if evicted, _ := lc.l.idleConns.evict(nil); evicted != lc.conn {
+		t.Fatal("the silent client is not evicted")
+	}
+	lc.admit()
+	lc.expectNoMoreAttempts(0, 0)
+}
--- a/internal/balancer/admission.go
+++ b/internal/balancer/admission.go
@@ -77,9 +77,15 @@
 		deadline:      l.now + remaining,
 		policyRequest: l.policyRequestOf(l.lastSessionID, request, remaining),
 	}
+	if l.isForeignID(session) {
+		l.DuplicateIDs.Add(1)
+		l.closeWithLine(c, protocol.SyntaxErrorLine)
+		return
+	}
 	c.session = session
 	l.sessions[session.id] = session
 	l.sessionsByClientID[request.ID] = session
+	l.announceRequestID(session)
 	if request.StickyEndpoint != "" {
 		session.reattaching = true
 		session.deadline = max(session.deadline, l.now+reattachTimeout)
@@ -103,10 +109,6 @@
 		l.Rejected.Add(1)
 		return protocol.RejectLine(l.retryAfter())
 	}
-	if l.sessionsByClientID[request.ID] != nil { // another client has a session with the same ID
-		l.DuplicateIDs.Add(1)
-		return protocol.SyntaxErrorLine
-	}
 	return nil
 }
 
@@ -139,5 +141,8 @@
 		Class:   class,
 		Timeout: remaining,
 		Load:    request.LoadHint,
+
+		RequestID: request.ID,
+		HasID:     !l.isReplicated(request.Class),
 	}
 }
--- a/internal/balancer/counters.go
+++ b/internal/balancer/counters.go
@@ -61,6 +61,8 @@
 	NotReplicated   atomic.Int64 // sessions whose record was not written in time
 
 	Outcomes [policy.NeverSent + 1]atomic.Int64 // outcomes of attempts and of established sessions
+
+	ForgottenIDs atomic.Int64 // request IDs that were forgotten early because the memory for them was full
 }
 
 // outcomeNames are the names of outcomes in the log.
@@ -115,6 +117,7 @@
 		zap.Int64("heard", c.GossipReceived.Load()),
 		zap.Int64("dropped", c.GossipDropped.Load()),
 		zap.Int64("same-id", c.DuplicateIDs.Load()),
+		zap.Int64("forgotten-ids", c.ForgottenIDs.Load()),
 		zap.Int64("unasked", c.UnexpectedLines.Load()),
 		zap.Int64("late", c.FirstLineTimeouts.Load()),
 		zap.Int64("shed", c.Evicted.Load()),
--- a/internal/balancer/handover.go
+++ b/internal/balancer/handover.go
@@ -15,6 +15,7 @@
 const (
 	descriptorCountInterval = 200 * time.Millisecond
 	handoverTimeout         = 500 * time.Millisecond // time after which sessions that were not handed over are migrated
+	predecessorStateTimeout = 250 * time.Millisecond // time for which a process waits for its predecessor's state before it is ready
 	memoryLimitQuarters     = 3                      // Go's memory limit, in quarters of the memory that the process may use
 )
 
--- a/internal/balancer/handover_predecessor.go
+++ b/internal/balancer/handover_predecessor.go
@@ -40,9 +40,30 @@
 	l.handover.predecessor = link
 	l.log.Info("connected to predecessor")
 	l.setMemoryShare(true)
+	if !l.ready {
+		l.awaitPredecessorState()
+	}
 	l.notifyReady()
 }
 
+// awaitPredecessorState keeps this process from becoming ready until it has the state of its predecessor, or for predecessorStateTimeout.
+// The IDs of the predecessor's requests precede that state: a client that comes again must not be served before they are known.
+func (l *Loop) awaitPredecessorState() {
+	l.awaitsPredecessor = true
+	l.after(predecessorStateTimeout, l.predecessorStateKnown)
+}
+
+// predecessorStateKnown ends the wait for the predecessor's state.
+func (l *Loop) predecessorStateKnown() {
+	if !l.awaitsPredecessor {
+		return
+	}
+	l.awaitsPredecessor = false
+	if l.readyDue {
+		l.markReady()
+	}
+}
+
 // notifyReady tells the predecessor that this process is ready to take over. It does nothing without a predecessor or before this
 // process is ready.
 func (l *Loop) notifyReady() {
@@ -67,6 +88,8 @@
 		return
 	case m.Kind == hotrestart.StateUpdate && m.State != nil:
 		l.applyState(m.State)
+	case m.Kind == hotrestart.RequestIDUpdate && m.RequestIDs != nil:
+		l.requestIDsReceived(m.RequestIDs)
 	case m.Kind == hotrestart.EndpointList && m.List != nil:
 		l.listPartReceived(m.List)
 	case m.Kind == hotrestart.DescriptorCount:
@@ -88,6 +111,7 @@
 	for _, times := range state.Servers {
 		l.applyProbeTimes(times)
 	}
+	l.predecessorStateKnown()
 	l.log.Info("state of predecessor applied", zap.Int("servers", len(state.Servers)), zap.Bool("out", state.OutOfService))
 }
 
@@ -175,6 +199,8 @@
 func (l *Loop) predecessorLost(cause error) {
 	l.log.Info("predecessor disconnected", zap.NamedError("why", cause))
 	l.handover.predecessor = nil
+	l.forgetPeerRequestIDs()
+	l.predecessorStateKnown()
 	l.peerDescriptors.Store(0)
 	l.setMemoryShare(false)
 	l.policy.PauseSlowStart()
--- a/internal/balancer/handover_successor.go
+++ b/internal/balancer/handover_successor.go
@@ -48,12 +48,14 @@
 	}
 	if h.successor != nil {
 		h.successor.Close()
+		l.forgetPeerRequestIDs()
 	}
 	h.successor = link
 	h.successorReady = false
 	l.successorLinked.Store(true)
 	l.log.Info("successor connected")
 	l.setMemoryShare(true)
+	l.sendAllRequestIDs(link)
 	for _, part := range l.stateForSuccessor().Parts() {
 		l.sendState(link, part, nil)
 	}
@@ -98,6 +100,10 @@
 		if m.State != nil {
 			l.mergeServiceState(m.State, false)
 		}
+	case hotrestart.RequestIDUpdate:
+		if m.RequestIDs != nil {
+			l.requestIDsReceived(m.RequestIDs)
+		}
 	case hotrestart.DescriptorCount:
 		l.peerDescriptors.Store(m.DescriptorCount)
 	}
@@ -112,6 +118,7 @@
 	l.log.Info("successor disconnected", zap.NamedError("why", cause))
 	h.successor = nil
 	h.successorReady = false
+	l.forgetPeerRequestIDs()
 	l.successorLinked.Store(false)
 	l.peerDescriptors.Store(0)
 	l.setMemoryShare(false)
--- a/internal/balancer/idempotency.go
+++ b/internal/balancer/idempotency.go
@@ -48,9 +48,15 @@
 	l.scheduleListRecovery()
 }
 
+// isReplicated reports whether the fleet records the sessions of a class. The record then decides whether a request may run again under
+// its ID, at whichever balancer.
+func (l *Loop) isReplicated(class string) bool {
+	return l.fleet != nil && l.fleet.IsIdempotentClass(class)
+}
+
 // beginRecord creates the record of a session if its class is replicated.
 func (l *Loop) beginRecord(session *session) {
-	if l.fleet == nil || !l.fleet.IsIdempotentClass(session.request.Class) {
+	if !l.isReplicated(session.request.Class) {
 		return
 	}
 	l.Replicated.Add(1)
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -54,6 +54,8 @@
 	// Sessions.
 	sessions           map[policy.SessionID]*session
 	sessionsByClientID map[uint64]*session // sessions by the ID in the client's request
+	peerRequestIDs     map[uint64]struct{} // IDs of open sessions of the other process of a hot restart
+	announcements      requestIDAnnouncements
 	lastSessionID      policy.SessionID
 	openSessions       int
 	idleConns          *idleConns
@@ -83,7 +85,8 @@
 
 	// Readiness.
 	ready              bool
-	readyDue           bool          // whether the balancer is ready but for awaitsServiceState
+	readyDue           bool          // whether the balancer is ready but for awaitsServiceState and awaitsPredecessor
+	awaitsPredecessor  bool          // the predecessor's state is still unknown
 	awaitsServiceState bool          // the service state that operators set before the start is still unknown
 	pendingPings       []*conn       // clients whose PING is answered once the balancer is ready
 	becameReady        chan struct{} // closed when the balancer becomes ready
@@ -115,6 +118,7 @@
 		serversByUID:       map[string]*upstream{},
 		sessions:           map[policy.SessionID]*session{},
 		sessionsByClientID: map[uint64]*session{},
+		peerRequestIDs:     map[uint64]struct{}{},
 		idleConns:          newIdleConns(),
 		initialList:        known,
 		becameReady:        make(chan struct{}),
@@ -180,9 +184,12 @@
 		l.recoverPanics(e.panickedClient(), func() { l.handleEvent(e) })
 	}
 	l.runTimers()
+	l.sendAnnouncements()
 	for {
 		decision, ok := l.policy.Next()
 		if !ok {
+			l.sendAnnouncements()
+			l.ForgottenIDs.Store(l.policy.ForgottenRequestIDs())
 			return
 		}
 		var c *conn
--- a/internal/balancer/readiness.go
+++ b/internal/balancer/readiness.go
@@ -43,10 +43,10 @@
 
 func (l *Loop) isShuttingDown() bool { return l.currentService().shuttingDown }
 
-// markReady makes the balancer ready and answers pending PINGs. While the service state is still awaited, it only records that the
-// balancer is otherwise ready.
+// markReady makes the balancer ready and answers pending PINGs. While the service state or the predecessor's state is still awaited, it only
+// records that the balancer is otherwise ready.
 func (l *Loop) markReady() {
-	if l.ready || l.awaitsServiceState {
+	if l.ready || l.awaitsServiceState || l.awaitsPredecessor {
 		l.readyDue = true
 		return
 	}
--- a/internal/balancer/session.go
+++ b/internal/balancer/session.go
@@ -100,5 +100,6 @@
 	delete(l.sessions, session.id)
 	if l.sessionsByClientID[session.request.ID] == session {
 		delete(l.sessionsByClientID, session.request.ID)
+		l.announceRelease(session)
 	}
 }
--- a/internal/balancer/session_end.go
+++ b/internal/balancer/session_end.go
@@ -86,6 +86,10 @@
 // cancelSession closes the server's side of a session, with a reset if abrupt is set, and removes the session from the policy.
 func (l *Loop) cancelSession(session *session, abrupt bool) {
 	holdsServer := session.attemptActive || session.established
+	outcome := policy.NeverSent
+	if session.requestSent || session.established {
+		outcome = policy.Cancelled
+	}
 	if !session.established {
 		l.policy.ClientDisconnected(session.id)
 	}
@@ -96,6 +100,6 @@
 	session.closeUpstream(abrupt)
 	if holdsServer && !session.reattaching {
 		l.Outcomes[policy.Cancelled].Add(1)
-		l.policy.AttemptEnded(session.id, session.attempts-1, true, policy.Cancelled)
+		l.policy.AttemptEnded(session.id, session.attempts-1, true, outcome)
 	}
 }
--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -42,6 +42,7 @@
 		{Version: protocolVersion, Kind: StateUpdate, State: &State{OutOfService: true, RequestedAt: 90 * time.Second, DrainSince: 80 * time.Second}},
 		{Version: protocolVersion, Kind: DescriptorCount, DescriptorCount: 12, ShuttingDown: true},
 		{Version: protocolVersion, Kind: EndpointList, List: &ListPart{Discovery: "127.0.0.1:8500", Index: 1, Count: 2, List: json.RawMessage(`{"rev":41}`)}},
+		{Version: protocolVersion, Kind: RequestIDUpdate, RequestIDs: &RequestIDs{Open: []uint64{1, 1<<64 - 1}, Used: []uint64{2}, Released: []uint64{3}}},
 	}
 }
 
--- a/internal/hotrestart/message.go
+++ b/internal/hotrestart/message.go
@@ -35,6 +35,9 @@
 	// EndpointList goes from old to new, with the endpoint list when the link opens and with each change that discovery announces later.
 	// Earlier releases neither send nor read it.
 	EndpointList
+	// RequestIDUpdate goes both ways, with the IDs of requests that begin and end: from old to new all of them when the link opens, before
+	// the first StateUpdate. Earlier releases neither send nor read it.
+	RequestIDUpdate
 )
 
 // descriptorsPerKind is the number of descriptors that accompany a message of each kind, none for kinds that are not listed.
@@ -51,6 +54,8 @@
 	ShuttingDown bool `json:"Ending,omitempty"`
 	// List is a part of the endpoint list.
 	List *ListPart `json:"List,omitempty"`
+	// RequestIDs are the IDs that a RequestIDUpdate carries.
+	RequestIDs *RequestIDs `json:"IDs,omitempty"`
 	// Confirms is set in Ready if the sender confirms each message with descriptors before it uses them.
 	Confirms bool `json:"Confirms,omitempty"`
 	// Input is the complete first line of a session, or the input received so far from a client without a session.
@@ -99,6 +104,13 @@
 	return parts
 }
 
+// RequestIDs are IDs of clients' requests that the sender serves or has served.
+type RequestIDs struct {
+	Open     []uint64 `json:"Open,omitempty"`     // sessions that have begun; the IDs may be used again after Released, or after the link's end
+	Used     []uint64 `json:"Used,omitempty"`     // sessions that have begun and must not run again, unless they are Released
+	Released []uint64 `json:"Released,omitempty"` // sessions that have ended and may run again
+}
+
 // ListPart is a part of an endpoint list. The parts of a list are sent in order.
 type ListPart struct {
 	Discovery string `json:"Discovery"` // address of the discovery service that the list came from
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -49,6 +49,7 @@
 	b.rejectsInARow++
 	delete(b.sessions, s.id)
 	if !b.isRetrySafe(s) {
+		b.recordRequestID(s)
 		return Decision{Action: Fail, Session: s.id}
 	}
 	decision := Decision{Action: Reject, Session: s.id}
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -31,6 +31,7 @@
 	maxPoolWeight float64 // largest total weight of any pool so far
 
 	sessions           map[SessionID]*session
+	usedIDs            requestIDs
 	queue              []*session       // sessions that need a decision
 	waitingSessions    []*session       // sessions that wait for a load report
 	activeSessions     int              // number of pending attempts and established sessions
@@ -71,6 +72,7 @@
 		endpointByID:           map[EndpointID]*endpoint{},
 		pools:                  []*pool{{}},
 		sessions:               map[SessionID]*session{},
+		usedIDs:                newRequestIDs(),
 		activeByGroup:          map[uint64]int{},
 		observedByMachineType:  map[uint64]observedCapacity{},
 		reportsDistrustedUntil: map[location]time.Duration{},
--- a/policy/session.go
+++ b/policy/session.go
@@ -19,6 +19,9 @@
 	Class   int           // index into Config.Classes
 	Timeout time.Duration // time until the deadline by which the session must be established
 	Load    float64       // usual load in microseconds of work per second, 0 if unknown
+
+	RequestID uint64 // ID that the client chose for the request
+	HasID     bool   // RequestID is known, and nothing else keeps the request from running again under it
 }
 
 // Outcome tells how an attempt, a session or a health check ended.
@@ -71,6 +74,8 @@
 	class       *Class
 	classIndex  int
 	tenantIndex int
+	requestID   uint64
+	runsOnce    bool          // later requests with requestID are refused once the request may have run
 	deadline    time.Duration // time by which the session must be established; never once it is
 	load        float64       // newest known or usual load, in microseconds of work per second
 
@@ -124,6 +129,8 @@
 		class:       &b.config.Classes[classIndex],
 		classIndex:  classIndex,
 		tenantIndex: min(request.Tenant, len(b.config.Tenants)),
+		requestID:   request.RequestID,
+		runsOnce:    b.MustRunOnce(request),
 		deadline:    b.now + request.Timeout,
 		load:        cmp.Or(request.Load, b.loadByClass[classIndex].mean, 1),
 		maxAttempts: b.config.MaxAttempts,
@@ -211,6 +218,7 @@
 	if final || wasEstablished || s.hasAnswer || outcome == Succeeded {
 		s.hasAnswer = true
 		delete(b.sessions, id)
+		b.recordRequestID(s)
 		return
 	}
 	b.queue = append(b.queue, s)
@@ -225,6 +233,7 @@
 	s.hasAnswer = true // a pending attempt still gets its AttemptEnded; decideSession ignores a queued session
 	if !s.isActive() {
 		delete(b.sessions, id)
+		b.recordRequestID(s)
 	}
 }
 
