Timers of ended sessions are stopped: memory no longer grows with past sessions

Cause: a timer could not be stopped. Each attempt's timeout, connect timeout and linger timer referred to its session, and with it to the request's line and the client's connection, until it was due, long after the session had ended. The client chooses the deadline, so it chose how long.

Change: after returns a timer that the loop stops when its attempt, its dial or its connection ends.

--- a/cmd/sabletally/site_test.go
+++ b/cmd/sabletally/site_test.go
@@ -131,6 +131,9 @@
 	} else if slices.Contains(env, "SHARED") && !slices.Contains(env, "SABLETALLY_FILES=64") { // enough for two processes
 		text = strings.Replace(text, `"sockets":64`, `"sockets":512`, 1)
 	}
+	if slices.Contains(env, "MEMORY=96") {
+		text = strings.Replace(text, `"memory_mb":192`, `"memory_mb":96`, 1)
+	}
 	if slices.Contains(env, "MGMT") {
 		if err := child.EnableAdmin(); err != nil {
 			t.Fatal(err)
--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -36,7 +36,8 @@
 	session.requestSent = false
 	generation := session.generation
 	timeout := session.attemptDeadline - l.now
-	l.after(timeout, func() {
+	l.stopAttemptTimers(session)
+	session.attemptTimer = l.after(timeout, func() {
 		if session.isActive(generation) {
 			l.attemptTimedOut(session, nil)
 		}
@@ -55,13 +56,20 @@
 	if session.sendDeadline == 0 {
 		return
 	}
-	l.after(session.sendDeadline-l.now, func() {
+	session.sendTimer = l.after(session.sendDeadline-l.now, func() {
 		if session.isActive(generation) && !session.requestSent {
 			l.attemptEnded(session, policy.NeverSent, nil)
 		}
 	})
 }
 
+// stopAttemptTimers stops the timers of a session's newest attempt.
+func (l *Loop) stopAttemptTimers(session *session) {
+	l.stop(session.attemptTimer)
+	l.stop(session.sendTimer)
+	session.attemptTimer, session.sendTimer = nil, nil
+}
+
 // upstreamDialed handles the result of a dial: it sends the session's request on the new connection if the attempt is still active.
 // While the request has to wait, for a fresh endpoint list or for permission to write, it returns and is called again later.
 func (l *Loop) upstreamDialed(session *session, generation int, c *relay.Conn, err error) {
@@ -127,6 +135,7 @@
 	l.Outcomes[outcome].Add(1)
 	session.generation++
 	session.attemptActive = false
+	l.stopAttemptTimers(session)
 	session.closeUpstream(false)
 	if session.reattaching {
 		l.retryReattach(session)
--- a/internal/balancer/conn.go
+++ b/internal/balancer/conn.go
@@ -63,6 +63,7 @@
 	// The fields below are accessed by the loop only.
 	session         *session
 	unansweredPings int    // number of PINGs received while the balancer is not ready
+	lingerTimer     *timer // closes the connection if the client does not, nil before the final line
 	finished        bool   // the client has its final answer or the connection is detached: further events are ignored
 	handingOver     bool   // the connection is being handed over to the successor
 	handoverInput   []byte // input to hand over with the connection
--- a/internal/balancer/conn_detach_test.go
+++ b/internal/balancer/conn_detach_test.go
@@ -16,12 +16,18 @@
 
 // newServedLoop returns a running loop that accepts clients at the returned address. Its only server does not exist.
 func newServedLoop(t *testing.T) (l *Loop, address string) {
+	t.Helper()
+	return newServedLoopWithServer(t, "127.0.0.1:1")
+}
+
+// newServedLoopWithServer returns a running loop with one server that accepts clients at the returned address.
+func newServedLoopWithServer(t *testing.T, server string) (l *Loop, address string) {
 	t.Helper()
 	listener, err := Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	l = newLoopWithServer(t, "127.0.0.1:1", policy.Idempotent)
+	l = newLoopWithServer(t, server, policy.Idempotent)
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
 	go l.Run(ctx.Done())
--- a/internal/balancer/dial.go
+++ b/internal/balancer/dial.go
@@ -34,12 +34,16 @@
 
 	conn      atomic.Pointer[relay.Conn] // connection, nil until the relay has started to connect
 	cancelled atomic.Bool
-	finished  bool // whether onConnected has been called; accessed by the loop only
+
+	// The fields below are accessed by the loop only.
+	finished  bool   // whether onConnected has been called
+	stopTimer func() // stops the timer of the connect timeout
 }
 
 // cancel cancels a dial and closes its connection, if it has one already.
 func (d *upstreamDial) cancel() {
 	d.cancelled.Store(true)
+	d.stopTimer()
 	if c := d.conn.Load(); c != nil {
 		c.Close()
 	}
@@ -56,6 +60,7 @@
 		return
 	}
 	d.finished = true
+	d.stopTimer()
 	onConnected(c, err)
 }
 
@@ -73,12 +78,13 @@
 	timeout = min(timeout, l.connectTimeout())
 	d := &upstreamDial{session: session}
 	d.onConnected = func(c *relay.Conn, err error) { d.finish(c, err, onConnected) }
-	l.after(timeout, func() {
+	timer := l.after(timeout, func() {
 		if !d.finished {
 			d.cancel()
 			d.onConnected(nil, errConnectTimeout)
 		}
 	})
+	d.stopTimer = func() { l.stop(timer) }
 	// The descriptors of the other process of a hot restart are not subtracted: an admitted session must not fail because of them.
 	limit := l.descriptorLimit
 	wanted := func() bool { return !d.cancelled.Load() }
--- a/internal/balancer/established.go
+++ b/internal/balancer/established.go
@@ -32,6 +32,7 @@
 		zap.Uint64("group", session.policyRequest.Group))
 	session.generation++
 	session.attemptActive = false
+	l.stopAttemptTimers(session)
 	session.established = true
 	session.establishedAt = l.now
 	l.addOpenSession()
--- a/internal/balancer/loop.go
+++ b/internal/balancer/loop.go
@@ -235,7 +235,11 @@
 	for _, line := range e.lines {
 		l.handleLine(c, line)
 	}
-	if e.disconnect != nil && !c.finished {
+	if e.disconnect == nil {
+		return
+	}
+	l.stop(c.lingerTimer)
+	if !c.finished {
 		l.clientDisconnected(c, e.disconnect)
 	}
 }
--- a/internal/balancer/session.go
+++ b/internal/balancer/session.go
@@ -36,6 +36,8 @@
 	attemptStart    time.Duration // loop time at which the newest attempt started
 	attemptDeadline time.Duration // loop time at which the newest attempt times out
 	sendDeadline    time.Duration // loop time before which the newest attempt's request must be written, 0 if there is none
+	attemptTimer    *timer        // ends the newest attempt at attemptDeadline, nil once it has ended
+	sendTimer       *timer        // ends the newest attempt at sendDeadline if its request is not sent, nil if there is none
 	upstream        *upstream     // server of the newest attempt
 	dial            *upstreamDial // dial of the newest attempt, nil once it is connected
 	upstreamConn    *relay.Conn   // server connection of the newest attempt, nil once the session is relayed
@@ -97,6 +99,7 @@
 	session.generation++
 	session.attemptActive = false
 	session.established = false
+	l.stopAttemptTimers(session)
 	delete(l.sessions, session.id)
 	if l.sessionsByClientID[session.request.ID] == session {
 		delete(l.sessionsByClientID, session.request.ID)
--- a/internal/balancer/session_end.go
+++ b/internal/balancer/session_end.go
@@ -28,7 +28,7 @@
 	if c.idleConns != nil {
 		l.idleConns.add(c, l.idleConns.ended)
 	}
-	l.after(lingerTimeout, c.close)
+	c.lingerTimer = l.after(lingerTimeout, c.close)
 }
 
 // endUnserved ends a session that was not established, with a final answer.
