Decoding a request allocates no more than its line, however many fields it has

Cause: to find duplicate fields, decodeFields split the list and put each name into a map: 79 KB for a line of 868 short fields. A line of spaces was split into thousands of words, and a connection without unread input kept the buffer of its last line.

The list is walked, not split; the splitter gives an empty buffer back.

Evidence: TestManyShortFieldsNeedLittleMemory failed before (78,824 bytes for a line of 4,091) and passes.

--- a/internal/protocol/request.go
+++ b/internal/protocol/request.go
@@ -26,10 +26,13 @@
 	timeoutEnd   int // offset in raw behind the timeout's last digit
 }
 
+// maxRequestWords is the number of words that follow the first one in a session request with names and values.
+const maxRequestWords = 3
+
 // decodeRequest decodes rest, which follows the first word of a session request and starts at the given offset of the line.
 func decodeRequest(raw, rest []byte, offset int) (*SessionRequest, error) {
-	words := bytes.Split(rest, []byte(" "))
-	if len(words) < 2 || len(words) > 3 || len(words[0]) == 0 || len(words[1]) == 0 {
+	words := bytes.SplitN(rest, []byte(" "), maxRequestWords+1)
+	if len(words) < 2 || len(words) > maxRequestWords || len(words[0]) == 0 || len(words[1]) == 0 {
 		return nil, errors.New("OPEN: expected an ID, a key and an optional list of names and values")
 	}
 	if bytes.ContainsFunc(rest, isInvalidCharacter) {
@@ -57,28 +60,28 @@
 
 // decodeFields decodes the list of names and values, which starts at the given offset of the line.
 func (r *SessionRequest) decodeFields(list []byte, offset int) error {
-	seen := map[string]bool{}
-	for _, field := range bytes.Split(list, []byte(",")) {
+	var names nameSet
+	start := 0
+	for field := range bytes.SplitSeq(list, []byte(",")) {
 		name, value, hasValue := bytes.Cut(field, []byte("="))
 		if !hasValue || len(name) == 0 {
 			return fmt.Errorf("OPEN: field %.40q is not of the form name=value", field)
 		}
-		if seen[string(name)] {
+		if !names.add(list, start, name) {
 			return fmt.Errorf("OPEN: duplicate field %.40q", name)
 		}
-		seen[string(name)] = true
-		if err := r.decodeField(string(name), value, offset); err != nil {
+		if err := r.decodeField(name, value, offset+start); err != nil {
 			return err
 		}
-		offset += len(field) + 1
+		start += len(field) + 1
 	}
 	return nil
 }
 
 // decodeField decodes one field, which starts at the given offset of the line. Fields with unknown names are ignored.
-func (r *SessionRequest) decodeField(name string, value []byte, offset int) error {
+func (r *SessionRequest) decodeField(name, value []byte, offset int) error {
 	var err error
-	switch name {
+	switch string(name) {
 	case "c":
 		r.Class = string(value)
 		if r.Class == "" {
--- a/internal/protocol/splitter.go
+++ b/internal/protocol/splitter.go
@@ -25,5 +25,8 @@
 	}
 	raw := bytes.Clone(s.buffered[:end+1])
 	s.buffered = append(s.buffered[:0], s.buffered[end+1:]...)
+	if len(s.buffered) == 0 {
+		s.buffered = nil // a connection that waits holds no buffer
+	}
 	return Decode(raw), true, nil
 }
