--- a/cmd/sabletally/repeated_id_test.go
+++ b/cmd/sabletally/repeated_id_test.go
@@ -129,6 +129,39 @@
 	}
 }
 
+// TestARequestIsNotSentAfterItsClientLeftInAHotRestart guards against requests that are sent on for clients that are gone: they have sent half
+// of a request when the old process hands them over, then send the rest, most of them with much behind it, and leave at once.
+func TestARequestIsNotSentAfterItsClientLeftInAHotRestart(t *testing.T) {
+	const clients = 20
+	const grace = 100 * time.Millisecond // a client that left may still be served for so long
+	s := startSite(t, []string{"MGMT", "SHARED", "LONG", "SABLETALLY_FILES=1024"}, "s-1", "s-2")
+	var all []*testClient
+	for n := range clients {
+		all = append(all, s.client(fmt.Sprintf("OPEN %x 2 c=pay,", 0x700+n)))
+	}
+	old := s.newSuccessor()
+	_ = old.Signal(syscall.SIGTERM)
+	left := map[string]time.Time{}
+	for n, a := range all {
+		_, _ = io.WriteString(a, "d=8000\r\n"+strings.Repeat("M more\r\n", 1000*(n%4)))
+		_ = a.Close()
+		left[fmt.Sprintf("%x", 0x700+n)] = time.Now()
+	}
+	for end := time.After(time.Second); ; {
+		select {
+		case e := <-s.Sessions:
+			id := strings.Fields(e.First)[1]
+			if late := time.Since(left[id]); late > grace {
+				t.Errorf("the request %s of a client that left was sent on %v later", id, late)
+			}
+			continue
+		case <-end:
+		}
+		break
+	}
+	waitForExit(t, old)
+}
+
 // TestAnOpenIDIsRefusedInAHotRestart guards against a client that is served under the ID of another client's open session, which the other
 // process of a hot restart holds, and against an ID that stays taken once that session has ended.
 func TestAnOpenIDIsRefusedInAHotRestart(t *testing.T) {
