--- a/cmd/sabletally/crowd_test.go
+++ b/cmd/sabletally/crowd_test.go
@@ -74,7 +74,7 @@
 
 // crowd is clients that misbehave, each on one connection after another.
 type crowd struct {
-	stop    chan struct{}
+	stop    chan struct{} // closed to end all clients
 	running sync.WaitGroup
 }
 
--- a/cmd/sabletally/descriptors_test.go
+++ b/cmd/sabletally/descriptors_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"os"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -18,8 +17,7 @@
 
 // silentClients is a group of clients that connect, send nothing, and connect again some time after the balancer ends their connection.
 type silentClients struct {
-	stop        chan struct{} // closed to end all clients
-	running     sync.WaitGroup
+	crowd
 	connections atomic.Int64 // number of connections opened so far
 }
 
@@ -28,7 +26,7 @@
 
 // startSilentClients starts silent clients of an address, which end with the test.
 func startSilentClients(t *testing.T, addr string, clients int) *silentClients {
-	c := &silentClients{stop: make(chan struct{})}
+	c := &silentClients{crowd: crowd{stop: make(chan struct{})}}
 	for range clients {
 		c.running.Add(1)
 		go func() {
@@ -56,16 +54,6 @@
 	return c
 }
 
-// end disconnects all clients and waits for them; it may be called again.
-func (c *silentClients) end() {
-	select {
-	case <-c.stop:
-	default:
-		close(c.stop)
-	}
-	c.running.Wait()
-}
-
 // openDescriptors returns the targets of the descriptors that a process has open now.
 func openDescriptors(t *testing.T, p *cluster.Process) []string {
 	t.Helper()
